Add design page, schemas, settings models and build

Cause: the project starts empty; modules built side by side need agreed interfaces, messages and settings first. Change: design page, Cap'n Proto schemas with a generator for data classes and pydantic models, clock, call types, lint, tests and a one-file pex program.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: venv test lint build bench soak schema
+
+$(VENV)/.installed: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q -c constraints.txt -e '.[dev]'
+	touch $@
+
+venv: $(VENV)/.installed
+
+lint: venv
+	$(BIN)/ruff format --check src tests tools bench
+	$(BIN)/ruff check src tests tools bench
+
+schema: venv
+	$(BIN)/python tools/generate_schema.py
+
+test: venv lint
+	$(BIN)/python tools/generate_schema.py --check
+	$(BIN)/python -m pytest
+	$(MAKE) build
+	dist/celeryfield version
+
+build: venv
+	$(BIN)/python tools/build_binary.py
+
+bench: venv
+	$(BIN)/python -m bench
+
+soak: venv
+	$(BIN)/python -m pytest tests/nocover --soak
--- /dev/null
+++ b/src/celeryfield/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/src/celeryfield/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private modules; no compatibility is promised."""
--- /dev/null
+++ b/src/celeryfield/internal/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Administration API."""
--- /dev/null
+++ b/src/celeryfield/internal/calls.py
@@ -0,0 +1,103 @@
+"""Types that describe one call inside a node."""
+
+import dataclasses
+import enum
+
+from celeryfield.internal.schema import wire
+
+
+class Outcome(enum.StrEnum):
+    """What became of a call."""
+
+    OK = "ok"
+    NOT_RUN = "not-run"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+
+
+class Reason(enum.StrEnum):
+    """Why a call has the outcome that it has."""
+
+    NONE = ""
+    OVERLOAD = "overload"
+    QUEUE_FULL = "queue-full"
+    DEADLINE = "deadline"
+    DRAINING = "draining"
+    NO_UPSTREAM = "no-upstream"
+    NO_ROUTE = "no-route"
+    UNREACHABLE = "unreachable"
+    CONNECTION_LOST = "connection-lost"
+    UPSTREAM_ERROR = "upstream-error"
+    UPSTREAM_SHED = "upstream-shed"
+    TRUNCATED = "truncated"
+    SUSPECT = "suspect"
+    CANCELLED = "cancelled"
+    BAD_REQUEST = "bad-request"
+    TOO_LARGE = "too-large"
+    KEY_REQUIRED = "key-required"
+    KEY_UNKNOWN = "key-unknown"
+    KEY_MISMATCH = "key-mismatch"
+    ANSWER_NOT_KEPT = "answer-not-kept"
+    INTERNAL = "internal"
+
+
+@dataclasses.dataclass(slots=True)
+class CallResult:
+    """The whole answer to one call.
+
+    Attributes:
+        outcome: What became of the call.
+        reason: Why, if the outcome is not ``ok``.
+        status: HTTP status for the caller.
+        headers: Answer headers of the upstream.
+        body: The whole body.
+        unused_allowance: Extra attempts handed back.
+        failed_deeper: The failure was already retried at a deeper hop.
+        started: The upstream may have started the call.
+        load: Load report of the answering node, if one answered.
+    """
+
+    outcome: Outcome
+    reason: Reason = Reason.NONE
+    status: int = 200
+    headers: tuple[wire.Header, ...] = ()
+    body: bytes = b""
+    unused_allowance: int = 0
+    failed_deeper: bool = False
+    started: bool = False
+    load: wire.LoadReport | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Candidate:
+    """A node whose upstream serves a service.
+
+    Attributes:
+        node_id: Id of the node.
+        incarnation: Incarnation of the node.
+        address: IP address of the node.
+        port: TCP port for other nodes.
+        zone: Availability zone of the node.
+        service: Service of the upstream.
+        state: starting, ready or draining.
+        slots: Calls the upstream runs at once.
+    """
+
+    node_id: str
+    incarnation: int
+    address: str
+    port: int
+    zone: str
+    service: str
+    state: str = "ready"
+    slots: int = 16
+
+
+def not_run(reason: Reason, status: int = 503, unused: int = 0) -> CallResult:
+    """Returns the answer to a call that did not run."""
+    return CallResult(
+        outcome=Outcome.NOT_RUN,
+        reason=reason,
+        status=status,
+        unused_allowance=unused,
+    )
--- /dev/null
+++ b/src/celeryfield/internal/clock.py
@@ -0,0 +1,57 @@
+"""Time in milliseconds.
+
+All modules take a ``Clock`` so that tests can drive time themselves.
+"""
+
+import asyncio
+import heapq
+import itertools
+import time
+
+
+class Clock:
+    """The system's clocks, in milliseconds."""
+
+    def now_ms(self) -> float:
+        """Returns monotonic time; only differences are meaningful."""
+        return time.monotonic() * 1000.0
+
+    def wall_ms(self) -> int:
+        """Returns milliseconds since the epoch."""
+        return time.time_ns() // 1_000_000
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Suspends the calling task."""
+        await asyncio.sleep(max(duration_ms, 0.0) / 1000.0)
+
+
+class ManualClock(Clock):
+    """A clock that moves only when told to."""
+
+    def __init__(self, now_ms: float = 1_000.0) -> None:
+        self._now_ms = now_ms
+        self._sleepers: list[tuple[float, int, asyncio.Future[None]]] = []
+        self._sequence = itertools.count()
+
+    def now_ms(self) -> float:
+        """Returns the time set so far."""
+        return self._now_ms
+
+    def wall_ms(self) -> int:
+        """Returns the time set so far, as whole milliseconds."""
+        return int(self._now_ms)
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Waits until ``advance`` passes the end of the sleep."""
+        future = asyncio.get_running_loop().create_future()
+        wake_ms = self._now_ms + max(duration_ms, 0.0)
+        heapq.heappush(self._sleepers, (wake_ms, next(self._sequence), future))
+        await future
+
+    def advance(self, duration_ms: float) -> None:
+        """Moves time forward and wakes the sleepers that are due."""
+        self._now_ms += duration_ms
+        while self._sleepers and self._sleepers[0][0] <= self._now_ms:
+            _, _, future = heapq.heappop(self._sleepers)
+            if not future.done():
+                future.set_result(None)
--- /dev/null
+++ b/src/celeryfield/internal/config/__init__.py
@@ -0,0 +1,1 @@
+"""File sets of operators."""
--- /dev/null
+++ b/src/celeryfield/internal/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of work to the local upstream."""
--- /dev/null
+++ b/src/celeryfield/internal/frontend/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP listener for callers."""
--- /dev/null
+++ b/src/celeryfield/internal/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Run-once work."""
--- /dev/null
+++ b/src/celeryfield/internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Gossip membership and seed leases."""
--- /dev/null
+++ b/src/celeryfield/internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of nodes, retries and hedges."""
--- /dev/null
+++ b/src/celeryfield/internal/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Schemas of messages and settings, and code generated from them."""
--- /dev/null
+++ b/src/celeryfield/internal/schema/wire.capnp
@@ -0,0 +1,93 @@
+@0x9d1c5a3be0f74c22;
+# Messages between nodes over TCP.
+
+using import "annotations.capnp".doc;
+using import "annotations.capnp".unit;
+
+struct Header $doc("One HTTP header.") {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Hello $doc("First frame of each connection, in both directions.") {
+  protocolVersion @0 :UInt16;
+  nodeId @1 :Text;
+  incarnation @2 :UInt64;
+  connectionNumber @3 :UInt64 $doc("Increases with each connection the sender opens to this peer.");
+}
+
+struct Call $doc("One request to one service, as it travels between nodes.") {
+  callId @0 :Text;
+  rootId @1 :Text $doc("Id of the root call of the chain.");
+  service @2 :Text;
+  tenant @3 :Text;
+  className @4 :Text;
+  priority @5 :UInt16 $doc("Higher is more important.");
+  method @6 :Text;
+  path @7 :Text;
+  headers @8 :List(Header);
+  deadlineLeftMs @9 :Float64 $unit("ms") $doc("Time left when the frame was written.");
+  retryAllowance @10 :UInt16 $doc("Extra attempts handed down with this call.");
+  attempt @11 :UInt16 $doc("0 for the first attempt of this hop.");
+  runOnce @12 :Bool $doc("The call must not run more than once.");
+  longRunning @13 :Bool;
+  repeatable @14 :Bool $doc("The call may be sent again after it has started.");
+  idempotencyKey @15 :Text;
+  toKeyOwner @16 :Bool $doc("The receiver is the owner of the idempotency key and dispatches the call.");
+  depth @17 :UInt16 $doc("Number of hops before this one.");
+  routeName @18 :Text;
+  fingerprint @19 :Data $doc("Hash of tenant, route and body.");
+}
+
+struct ServiceLevel $doc("Admission level of one service.") {
+  service @0 :Text;
+  level @1 :UInt16 $doc("Lowest admitted priority, scaled by 128.");
+}
+
+struct LoadReport $doc("Load of the upstream beside the answering node.") {
+  state @0 :Text $doc("starting, ready or draining.");
+  inFlight @1 :UInt32;
+  queued @2 :UInt32;
+  limit @3 :UInt32;
+  levels @4 :List(ServiceLevel) $doc("Levels of this service and the services it calls.");
+}
+
+struct Reply $doc("Answer to one call.") {
+  outcome @0 :Text $doc("ok, not-run, failed or unknown.");
+  reason @1 :Text;
+  status @2 :UInt16;
+  headers @3 :List(Header);
+  unusedAllowance @4 :UInt16;
+  failedDeeper @5 :Bool $doc("The failure was already retried at a deeper hop.");
+  started @6 :Bool;
+  load @7 :LoadReport;
+  bodyLength @8 :Int64 = -1 $unit("bytes") $doc("-1 if unknown until the end frame.");
+}
+
+struct Cancel $doc("Cancels a call unless it has already started.") {
+  callId @0 :Text;
+  abort @1 :Bool $doc("Also abort the call if it has started.");
+}
+
+struct CancelResult $doc("Answer to a cancel.") {
+  callId @0 :Text;
+  started @1 :Bool;
+}
+
+struct FetchConfig $doc("Asks a peer for its file set of one team.") {
+  team @0 :Text;
+}
+
+struct FileEntry $doc("One file of a file set.") {
+  name @0 :Text;
+  text @1 :Text;
+}
+
+struct FileSet $doc("A file set with its version in the store.") {
+  team @0 :Text;
+  version @1 :UInt64 $doc("0 if the peer has none.");
+  writeId @2 :Text $doc("Unique id of the write that produced the version.");
+  author @3 :Text;
+  appliedAtMs @4 :UInt64 $unit("ms since the epoch");
+  files @5 :List(FileEntry);
+}
--- /dev/null
+++ b/src/celeryfield/internal/schema/wire.py
@@ -0,0 +1,617 @@
+"""Messages generated from wire.capnp; do not edit."""
+
+import dataclasses
+import pathlib
+from typing import Any
+
+import capnp
+
+from celeryfield.internal.schema.base import MessageError
+
+_DIRECTORY = pathlib.Path(__file__).parent
+_PATH = _DIRECTORY / "wire.capnp"
+_schema = capnp.load(str(_PATH), imports=[str(_DIRECTORY)])
+
+
+@dataclasses.dataclass(slots=True)
+class Header:
+    """One HTTP header."""
+
+    name: str = ""
+    value: str = ""
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.name = self.name
+        builder.value = self.value
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.Header.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "Header":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.name,
+            reader.value,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "Header":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.Header.from_bytes(data) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed Header message"
+            raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class Hello:
+    """First frame of each connection, in both directions.
+
+    Attributes:
+        connection_number: Increases with each connection the sender opens to this peer.
+    """
+
+    protocol_version: int = 0
+    node_id: str = ""
+    incarnation: int = 0
+    connection_number: int = 0
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.protocolVersion = self.protocol_version
+        builder.nodeId = self.node_id
+        builder.incarnation = self.incarnation
+        builder.connectionNumber = self.connection_number
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.Hello.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "Hello":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.protocolVersion,
+            reader.nodeId,
+            reader.incarnation,
+            reader.connectionNumber,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "Hello":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.Hello.from_bytes(data) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed Hello message"
+            raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One request to one service, as it travels between nodes.
+
+    Attributes:
+        root_id: Id of the root call of the chain.
+        priority: Higher is more important.
+        deadline_left_ms: Time left when the frame was written. Unit: ms.
+        retry_allowance: Extra attempts handed down with this call.
+        attempt: 0 for the first attempt of this hop.
+        run_once: The call must not run more than once.
+        repeatable: The call may be sent again after it has started.
+        to_key_owner: The receiver is the owner of the idempotency key and dispatches the call.
+        depth: Number of hops before this one.
+        fingerprint: Hash of tenant, route and body.
+    """
+
+    call_id: str = ""
+    root_id: str = ""
+    service: str = ""
+    tenant: str = ""
+    class_name: str = ""
+    priority: int = 0
+    method: str = ""
+    path: str = ""
+    headers: tuple[Header, ...] = ()
+    deadline_left_ms: float = 0.0
+    retry_allowance: int = 0
+    attempt: int = 0
+    run_once: bool = False
+    long_running: bool = False
+    repeatable: bool = False
+    idempotency_key: str = ""
+    to_key_owner: bool = False
+    depth: int = 0
+    route_name: str = ""
+    fingerprint: bytes = b""
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.callId = self.call_id
+        builder.rootId = self.root_id
+        builder.service = self.service
+        builder.tenant = self.tenant
+        builder.className = self.class_name
+        builder.priority = self.priority
+        builder.method = self.method
+        builder.path = self.path
+        if self.headers:
+            items = builder.init("headers", len(self.headers))
+            for index, item in enumerate(self.headers):
+                item.fill(items[index])
+        builder.deadlineLeftMs = self.deadline_left_ms
+        builder.retryAllowance = self.retry_allowance
+        builder.attempt = self.attempt
+        builder.runOnce = self.run_once
+        builder.longRunning = self.long_running
+        builder.repeatable = self.repeatable
+        builder.idempotencyKey = self.idempotency_key
+        builder.toKeyOwner = self.to_key_owner
+        builder.depth = self.depth
+        builder.routeName = self.route_name
+        builder.fingerprint = self.fingerprint
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.Call.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "Call":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.callId,
+            reader.rootId,
+            reader.service,
+            reader.tenant,
+            reader.className,
+            reader.priority,
+            reader.method,
+            reader.path,
+            tuple([Header.read(item) for item in reader.headers]),
+            reader.deadlineLeftMs,
+            reader.retryAllowance,
+            reader.attempt,
+            reader.runOnce,
+            reader.longRunning,
+            reader.repeatable,
+            reader.idempotencyKey,
+            reader.toKeyOwner,
+            reader.depth,
+            reader.routeName,
+            bytes(reader.fingerprint),
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "Call":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.Call.from_bytes(data) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed Call message"
+            raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceLevel:
+    """Admission level of one service.
+
+    Attributes:
+        level: Lowest admitted priority, scaled by 128.
+    """
+
+    service: str = ""
+    level: int = 0
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.service = self.service
+        builder.level = self.level
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.ServiceLevel.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "ServiceLevel":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.service,
+            reader.level,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "ServiceLevel":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.ServiceLevel.from_bytes(data) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed ServiceLevel message"
+            raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class LoadReport:
+    """Load of the upstream beside the answering node.
+
+    Attributes:
+        state: starting, ready or draining.
+        levels: Levels of this service and the services it calls.
+    """
+
+    state: str = ""
+    in_flight: int = 0
+    queued: int = 0
+    limit: int = 0
+    levels: tuple[ServiceLevel, ...] = ()
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.state = self.state
+        builder.inFlight = self.in_flight
+        builder.queued = self.queued
+        builder.limit = self.limit
+        if self.levels:
+            items = builder.init("levels", len(self.levels))
+            for index, item in enumerate(self.levels):
+                item.fill(items[index])
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.LoadReport.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "LoadReport":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.state,
+            reader.inFlight,
+            reader.queued,
+            reader.limit,
+            tuple([ServiceLevel.read(item) for item in reader.levels]),
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "LoadReport":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.LoadReport.from_bytes(data) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed LoadReport message"
+            raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class Reply:
+    """Answer to one call.
+
+    Attributes:
+        outcome: ok, not-run, failed or unknown.
+        failed_deeper: The failure was already retried at a deeper hop.
+        body_length: -1 if unknown until the end frame. Unit: bytes.
+    """
+
+    outcome: str = ""
+    reason: str = ""
+    status: int = 0
+    headers: tuple[Header, ...] = ()
+    unused_allowance: int = 0
+    failed_deeper: bool = False
+    started: bool = False
+    load: LoadReport = dataclasses.field(default_factory=LoadReport)
+    body_length: int = -1
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.outcome = self.outcome
+        builder.reason = self.reason
+        builder.status = self.status
+        if self.headers:
+            items = builder.init("headers", len(self.headers))
+            for index, item in enumerate(self.headers):
+                item.fill(items[index])
+        builder.unusedAllowance = self.unused_allowance
+        builder.failedDeeper = self.failed_deeper
+        builder.started = self.started
+        self.load.fill(builder.load)
+        builder.bodyLength = self.body_length
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.Reply.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "Reply":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.outcome,
+            reader.reason,
+            reader.status,
+            tuple([Header.read(item) for item in reader.headers]),
+            reader.unusedAllowance,
+            reader.failedDeeper,
+            reader.started,
+            LoadReport.read(reader.load),
+            reader.bodyLength,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "Reply":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.Reply.from_bytes(data) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed Reply message"
+            raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class Cancel:
+    """Cancels a call unless it has already started.
+
+    Attributes:
+        abort: Also abort the call if it has started.
+    """
+
+    call_id: str = ""
+    abort: bool = False
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.callId = self.call_id
+        builder.abort = self.abort
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.Cancel.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "Cancel":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.callId,
+            reader.abort,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "Cancel":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.Cancel.from_bytes(data) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed Cancel message"
+            raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class CancelResult:
+    """Answer to a cancel."""
+
+    call_id: str = ""
+    started: bool = False
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.callId = self.call_id
+        builder.started = self.started
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.CancelResult.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "CancelResult":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.callId,
+            reader.started,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "CancelResult":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.CancelResult.from_bytes(data) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed CancelResult message"
+            raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class FetchConfig:
+    """Asks a peer for its file set of one team."""
+
+    team: str = ""
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.team = self.team
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.FetchConfig.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "FetchConfig":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.team,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "FetchConfig":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.FetchConfig.from_bytes(data) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed FetchConfig message"
+            raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class FileEntry:
+    """One file of a file set."""
+
+    name: str = ""
+    text: str = ""
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.name = self.name
+        builder.text = self.text
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.FileEntry.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "FileEntry":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.name,
+            reader.text,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "FileEntry":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.FileEntry.from_bytes(data) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed FileEntry message"
+            raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class FileSet:
+    """A file set with its version in the store.
+
+    Attributes:
+        version: 0 if the peer has none.
+        write_id: Unique id of the write that produced the version.
+        applied_at_ms: Unit: ms since the epoch.
+    """
+
+    team: str = ""
+    version: int = 0
+    write_id: str = ""
+    author: str = ""
+    applied_at_ms: int = 0
+    files: tuple[FileEntry, ...] = ()
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.team = self.team
+        builder.version = self.version
+        builder.writeId = self.write_id
+        builder.author = self.author
+        builder.appliedAtMs = self.applied_at_ms
+        if self.files:
+            items = builder.init("files", len(self.files))
+            for index, item in enumerate(self.files):
+                item.fill(items[index])
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.FileSet.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "FileSet":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.team,
+            reader.version,
+            reader.writeId,
+            reader.author,
+            reader.appliedAtMs,
+            tuple([FileEntry.read(item) for item in reader.files]),
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "FileSet":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.FileSet.from_bytes(data) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed FileSet message"
+            raise MessageError(message) from error
--- /dev/null
+++ b/src/celeryfield/internal/store/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object API."""
--- /dev/null
+++ b/src/celeryfield/internal/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections between nodes."""
--- /dev/null
+++ b/src/celeryfield/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Embedded stand-ins for the demo, tests and benchmarks."""
