Add the admission rank shared by all hops

Cause: levels that admit part of a priority must pick the same root calls at every hop, or admitted chains fail deeper. Change: rank = priority * 128 + hash of the root id. Measured: not measured; a pure function.

--- a/src/celeryfield/internal/calls.py
+++ b/src/celeryfield/internal/calls.py
@@ -3,6 +3,8 @@
 import dataclasses
 import enum
 
+import xxhash
+
 from celeryfield.internal.schema import wire
 
 
@@ -101,3 +103,17 @@
         status=status,
         unused_allowance=unused,
     )
+
+
+RANKS_PER_PRIORITY = 128
+
+
+def admission_rank(call: wire.Call) -> int:
+    """Returns the rank that admission levels are compared with.
+
+    A level of 128 times a priority admits that whole priority. Levels in
+    between admit part of it, chosen by a hash of the root id, so that all hops
+    of a chain shed the same root calls and no admitted chain fails deeper.
+    """
+    sub_rank = xxhash.xxh32_intdigest(call.root_id) % RANKS_PER_PRIORITY
+    return call.priority * RANKS_PER_PRIORITY + sub_rank
