--- /dev/null
+++ b/src/celeryfield/internal/routing/attempts.py
@@ -0,0 +1,190 @@
+"""One attempt at one candidate."""
+
+import asyncio
+import contextlib
+import copy
+import dataclasses
+import functools
+from collections.abc import Awaitable, Callable
+
+from celeryfield.errors import CeleryfieldError
+from celeryfield.internal.calls import (
+    CallResult,
+    Candidate,
+    Outcome,
+    Reason,
+    not_run,
+)
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.routing.balancer import Balancer
+from celeryfield.internal.routing.hedging import Hedging
+from celeryfield.internal.routing.levels import NO_IDS, LevelTable
+from celeryfield.internal.routing.outliers import AttemptEnd
+from celeryfield.internal.schema import wire
+
+Send = Callable[[Candidate, wire.Call, bytes], Awaitable[CallResult]]
+
+GATEWAY_TIMEOUT = 504
+BAD_GATEWAY = 502
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """One call while it is executed.
+
+    Attributes:
+        call: The call as it was given to the executor.
+        body: The request body.
+        deadline_ms: Monotonic time at which the call has to end.
+        allowance: Extra attempts that are neither used nor handed down.
+        attempts: Attempts made.
+        tried_ids: Nodes that were sent an attempt.
+        redirected: The free redirect of this hop is used.
+        maybe_run: The newest answer after which the request may have run.
+    """
+
+    call: wire.Call
+    body: bytes
+    deadline_ms: float
+    allowance: int
+    attempts: int = 0
+    tried_ids: frozenset[str] = NO_IDS
+    redirected: bool = False
+    maybe_run: CallResult | None = None
+
+    def finish(self, result: CallResult) -> CallResult:
+        """Returns the answer to the call.
+
+        A refusal of the last attempt must not hide that an earlier attempt
+        may have run.
+        """
+        if result.outcome is Outcome.NOT_RUN and self.maybe_run is not None:
+            result = self.maybe_run
+        result.unused_allowance = self.allowance
+        return result
+
+
+class AttemptSender:
+    """Sends attempts and reports their ends to balancer, levels and hedging.
+
+    Attributes:
+        total: Attempts since the start of the node.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        balancer: Balancer,
+        send: Send,
+        levels: LevelTable,
+        hedging: Hedging,
+    ) -> None:
+        self._clock = clock
+        self._balancer = balancer
+        self._transport_send = send
+        self._levels = levels
+        self._hedging = hedging
+        self.total = 0
+
+    async def send(
+        self, run: Run, candidate: Candidate, handed_down: int
+    ) -> CallResult:
+        """Sends one attempt and records how it ended."""
+        started_ms = self._clock.now_ms()
+        left_ms = run.deadline_ms - started_ms
+        if left_ms <= 0:
+            return not_run(
+                Reason.DEADLINE, status=GATEWAY_TIMEOUT, unused=handed_down
+            )
+        call = self._call_of_attempt(run, left_ms, handed_down)
+        run.tried_ids |= {candidate.node_id}
+        self.total += 1
+        self._balancer.record_start(candidate)
+        result = None
+        try:
+            result = await self._send_until(candidate, call, run.body, left_ms)
+        finally:
+            self._record_end(run, candidate, result, started_ms)
+        if result.outcome is not Outcome.NOT_RUN:
+            run.maybe_run = result
+        return result
+
+    def _call_of_attempt(
+        self, run: Run, left_ms: float, handed_down: int
+    ) -> wire.Call:
+        call = copy.copy(run.call)
+        call.retry_allowance = handed_down
+        call.deadline_left_ms = left_ms
+        call.attempt = run.attempts
+        if run.attempts:
+            # A cancel names one attempt, so each has its own call id.
+            call.call_id = f"{call.call_id}.{run.attempts}"
+        run.attempts += 1
+        return call
+
+    async def _send_until(
+        self, candidate: Candidate, call: wire.Call, body: bytes, left_ms: float
+    ) -> CallResult:
+        """Sends an attempt and gives it up at the deadline."""
+        try:
+            async with asyncio.timeout(None) as scope:
+                alarm = asyncio.ensure_future(self._clock.sleep_ms(left_ms))
+                alarm.add_done_callback(functools.partial(_expire, scope))
+                try:
+                    return await self._transport_send(candidate, call, body)
+                finally:
+                    alarm.cancel()
+        except (CeleryfieldError, OSError):
+            if scope.expired():
+                return _unknown(Reason.DEADLINE, GATEWAY_TIMEOUT)
+            return _unknown(Reason.INTERNAL, BAD_GATEWAY)
+
+    def _record_end(
+        self,
+        run: Run,
+        candidate: Candidate,
+        result: CallResult | None,
+        started_ms: float,
+    ) -> None:
+        """Tells balancer, levels and hedging how an attempt ended."""
+        call = run.call
+        latency_ms = self._clock.now_ms() - started_ms
+        if result is None:
+            end = AttemptEnd(
+                Outcome.UNKNOWN,
+                Reason.CANCELLED,
+                latency_ms,
+                call.class_name,
+                cancelled=True,
+            )
+        else:
+            end = AttemptEnd(
+                result.outcome,
+                result.reason,
+                latency_ms,
+                call.class_name,
+                result.load,
+                result.failed_deeper,
+            )
+        self._balancer.record_end(candidate, end)
+        if end.load is not None:
+            self._levels.learn(
+                candidate.node_id, call.service, call.class_name, end.load
+            )
+        is_measured = end.cancelled or end.outcome is Outcome.OK
+        if is_measured and self._hedging.permits(call):
+            self._hedging.record(call, latency_ms)
+
+
+def _expire(scope: asyncio.Timeout, alarm: asyncio.Task[None]) -> None:
+    """Makes a timeout scope expire by the clock of the node."""
+    if alarm.cancelled():
+        return
+    # Raised if the scope was left in the same turn of the loop.
+    with contextlib.suppress(RuntimeError):
+        scope.reschedule(asyncio.get_running_loop().time())
+
+
+def _unknown(reason: Reason, status: int) -> CallResult:
+    """Returns the answer to a call of which nothing more is known."""
+    return CallResult(Outcome.UNKNOWN, reason, status, started=True)
--- /dev/null
+++ b/src/celeryfield/internal/routing/balancer.py
@@ -0,0 +1,328 @@
+"""Choice of the candidate for one attempt."""
+
+import dataclasses
+import random
+from collections.abc import Sequence
+
+from expression import Error, Ok, Result
+
+from celeryfield.errors import CeleryfieldError
+from celeryfield.internal.calls import Candidate, Outcome, Reason
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.routing.outliers import (
+    AttemptEnd,
+    Health,
+    OutlierDetector,
+)
+from celeryfield.internal.schema.settings import NodeSettings
+
+READY = "ready"
+DRAINING = "draining"
+# Reports lose weight linearly until this age. Senders that share one stale
+# view would otherwise all prefer the candidate that looked idle in it.
+REPORT_TTL_MS = 1000.0
+# A state in a report is newer than gossip for about this long.
+STATE_TTL_MS = 5000.0
+MEAN_WEIGHT = 0.1
+# A cold candidate starts with this share of its limit.
+COLD_SHARE = 0.1
+
+
+class RoutingError(CeleryfieldError):
+    """No node can take a call."""
+
+
+@dataclasses.dataclass(slots=True)
+class _CandidateState:
+    """A candidate with what this sender knows about it.
+
+    Attributes:
+        candidate: Newest member record.
+        health: Failures and latency.
+        own_in_flight: Calls of this sender.
+        reported: Calls in flight and queued in the newest report.
+        limit: Concurrency limit in the newest report, or announced slots.
+        reported_ms: Time of the newest report.
+        reported_state: State in the newest report.
+        cold_since_ms: Start of the slow start; None once warm.
+    """
+
+    candidate: Candidate
+    health: Health
+    own_in_flight: int = 0
+    reported: int = 0
+    limit: int = 1
+    reported_ms: float = float("-inf")
+    reported_state: str = ""
+    cold_since_ms: float | None = None
+
+
+class _Service:
+    """Candidates of one service."""
+
+    def __init__(self, outliers: OutlierDetector) -> None:
+        self.states_by_id: dict[str, _CandidateState] = {}
+        self.outliers = outliers
+        self.mean_load = 0.0
+        self.next_index = 0
+
+
+class Balancer:
+    """Chooses candidates by load, zone and health.
+
+    One choice looks at each candidate of the service once; the target scale
+    is 18 candidates per service.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        source: random.Random | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._is_baseline = settings.routing.policy == "baseline"
+        self._random = source or random.Random()
+        self._services_by_name: dict[str, _Service] = {}
+
+    def set_candidates(
+        self, service: str, candidates: Sequence[Candidate]
+    ) -> None:
+        """Replaces the candidates of a service.
+
+        What is known about a candidate stays as long as its node id and
+        incarnation do. Candidates that join later than the first ones are
+        cold and start slowly.
+        """
+        if not candidates:
+            self._services_by_name.pop(service, None)
+            return
+        entry = self._services_by_name.get(service)
+        is_first = entry is None
+        if entry is None:
+            outliers = OutlierDetector(self._settings.routing, self._clock)
+            entry = _Service(outliers)
+            self._services_by_name[service] = entry
+        cold_since_ms = None if is_first else self._clock.now_ms()
+        entry.states_by_id = {
+            candidate.node_id: self._state_of(entry, candidate, cold_since_ms)
+            for candidate in candidates
+        }
+        healths = [state.health for state in entry.states_by_id.values()]
+        entry.outliers.set_healths(healths)
+
+    def _state_of(
+        self,
+        entry: _Service,
+        candidate: Candidate,
+        cold_since_ms: float | None,
+    ) -> _CandidateState:
+        state = entry.states_by_id.get(candidate.node_id)
+        is_known = (
+            state is not None
+            and state.candidate.incarnation == candidate.incarnation
+        )
+        if not is_known:
+            return _CandidateState(
+                candidate,
+                Health(),
+                limit=max(candidate.slots, 1),
+                cold_since_ms=cold_since_ms,
+            )
+        if state.candidate.state != candidate.state:
+            # The record changed, so the state in the report is older.
+            state.reported_state = ""
+            if candidate.state == READY:
+                state.cold_since_ms = self._clock.now_ms()
+        state.candidate = candidate
+        return state
+
+    def pick(
+        self, service: str, excluded_ids: frozenset[str]
+    ) -> Result[Candidate, RoutingError]:
+        """Chooses a candidate.
+
+        Args:
+            service: Service of the call.
+            excluded_ids: Nodes that must not be chosen.
+
+        Returns:
+            The candidate, or an error if none is left.
+        """
+        candidate = self.choose(service, excluded_ids)
+        if candidate is None:
+            return Error(
+                RoutingError(
+                    f"service {service!r} has no candidate left after "
+                    f"excluding {len(excluded_ids)}; check that its upstreams "
+                    "announce themselves"
+                )
+            )
+        return Ok(candidate)
+
+    def choose(
+        self, service: str, excluded_ids: frozenset[str]
+    ) -> Candidate | None:
+        """Does what ``pick`` does without the cost of a ``Result``."""
+        entry = self._services_by_name.get(service)
+        if entry is None:
+            return None
+        now = self._clock.now_ms()
+        states = self._eligible(entry, excluded_ids, now)
+        if not states:
+            return None
+        if self._is_baseline:
+            entry.next_index += 1
+            return states[entry.next_index % len(states)].candidate
+        return self._pick_by_load(entry, states, now).candidate
+
+    def _eligible(
+        self, entry: _Service, excluded_ids: frozenset[str], now: float
+    ) -> list[_CandidateState]:
+        """Returns the best group of candidates that is not empty.
+
+        Candidates that are ready and not ejected come first, then ejected
+        ones. Others serve only while the service has no ready candidate.
+        """
+        oldest_ms = now - STATE_TTL_MS
+        ready = []
+        for state in entry.states_by_id.values():
+            name = state.candidate.state
+            if state.reported_state and state.reported_ms >= oldest_ms:
+                name = state.reported_state
+            if name == READY:
+                ready.append(state)
+        if not ready:
+            ready = [
+                state
+                for state in entry.states_by_id.values()
+                if state.candidate.state != DRAINING
+            ] or list(entry.states_by_id.values())
+        if excluded_ids:
+            ready = [
+                state
+                for state in ready
+                if state.candidate.node_id not in excluded_ids
+            ]
+        usable = [
+            state
+            for state in ready
+            if state.health.ejected_until_ms is None
+            or state.health.is_usable(now)
+        ]
+        return usable or ready
+
+    def _pick_by_load(
+        self, entry: _Service, states: list[_CandidateState], now: float
+    ) -> _CandidateState:
+        zone = self._settings.node.zone
+        local = [state for state in states if state.candidate.zone == zone]
+        if not local or len(local) == len(states):
+            return self._better_of_two(entry, states, now)
+        best = self._better_of_two(entry, local, now)
+        load = self._in_flight(entry, best, now) / best.limit
+        if load <= self._settings.routing.zone_spill_load:
+            return best
+        other = self._better_of_two(entry, states, now)
+        if self._score(entry, other, now) < self._score(entry, best, now):
+            return other
+        return best
+
+    def _better_of_two(
+        self, entry: _Service, states: list[_CandidateState], now: float
+    ) -> _CandidateState:
+        count = len(states)
+        if count == 1:
+            return states[0]
+        index = int(self._random.random() * count)
+        other = int(self._random.random() * (count - 1))
+        if other >= index:
+            other += 1
+        first = states[index]
+        second = states[other]
+        if self._score(entry, first, now) <= self._score(entry, second, now):
+            return first
+        return second
+
+    def _in_flight(
+        self, entry: _Service, state: _CandidateState, now: float
+    ) -> float:
+        """Returns own calls plus reported ones, discounted by age.
+
+        The mean of the service takes the place of what an old report loses.
+        """
+        trust = max(1.0 - (now - state.reported_ms) / REPORT_TTL_MS, 0.0)
+        mean = entry.mean_load * state.limit
+        return state.own_in_flight + trust * state.reported + (1 - trust) * mean
+
+    def _score(
+        self, entry: _Service, state: _CandidateState, now: float
+    ) -> float:
+        """Returns the load with the new call added; lower is better.
+
+        Counting the new call makes idle candidates comparable by their
+        limits. Failures in a row weigh on candidates that may not be ejected
+        because the share of ejected ones is used up.
+        """
+        limit = state.limit * self._warm_share(state, now)
+        penalty = 1 + state.health.consecutive_failures
+        return penalty * (self._in_flight(entry, state, now) + 1) / limit
+
+    def _warm_share(self, state: _CandidateState, now: float) -> float:
+        if state.cold_since_ms is None:
+            return 1.0
+        age_ms = now - state.cold_since_ms
+        slow_start_ms = self._settings.dispatch.slow_start_ms
+        if age_ms >= slow_start_ms:
+            state.cold_since_ms = None
+            return 1.0
+        return COLD_SHARE + (1 - COLD_SHARE) * age_ms / slow_start_ms
+
+    def _find(
+        self, candidate: Candidate
+    ) -> tuple[_Service, _CandidateState] | None:
+        entry = self._services_by_name.get(candidate.service)
+        if entry is None:
+            return None
+        state = entry.states_by_id.get(candidate.node_id)
+        if state is None:
+            return None
+        if state.candidate.incarnation != candidate.incarnation:
+            return None
+        return entry, state
+
+    def record_start(self, candidate: Candidate) -> None:
+        """Counts an attempt as in flight."""
+        found = self._find(candidate)
+        if found is None:
+            return
+        entry, state = found
+        state.own_in_flight += 1
+        entry.outliers.record_start(state.health)
+
+    def record_end(self, candidate: Candidate, end: AttemptEnd) -> None:
+        """Ends an attempt and learns from it."""
+        found = self._find(candidate)
+        if found is None:
+            return
+        entry, state = found
+        state.own_in_flight = max(state.own_in_flight - 1, 0)
+        if end.load is not None:
+            self._learn(entry, state, end)
+        elif end.reason is Reason.DRAINING and end.outcome is Outcome.NOT_RUN:
+            state.reported_state = DRAINING
+            state.reported_ms = self._clock.now_ms()
+        if not self._is_baseline:
+            entry.outliers.record_end(state.health, end)
+
+    def _learn(
+        self, entry: _Service, state: _CandidateState, end: AttemptEnd
+    ) -> None:
+        load = end.load
+        state.reported = load.in_flight + load.queued
+        state.limit = load.limit or max(state.candidate.slots, 1)
+        state.reported_state = load.state
+        state.reported_ms = self._clock.now_ms()
+        change = state.reported / state.limit - entry.mean_load
+        entry.mean_load += MEAN_WEIGHT * change
--- /dev/null
+++ b/src/celeryfield/internal/routing/chains.py
@@ -0,0 +1,212 @@
+"""Calls that run at the local upstream, found by span id."""
+
+import copy
+import dataclasses
+import heapq
+import re
+import secrets
+
+import xxhash
+
+from celeryfield.internal.calls import CallResult, Outcome
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.routing.levels import USE_TTL_MS, LevelTable
+from celeryfield.internal.routing.retries import (
+    returned_allowance,
+    split_allowance,
+)
+from celeryfield.internal.schema import wire
+
+MAX_CHAINS = 65_536
+# Upstreams may finish a call a little after its deadline.
+EXPIRY_GRACE_MS = 5_000.0
+MAX_CLASSES = 4096
+MAX_SUB_SERVICES = 64
+COMPACT_FACTOR = 2
+
+_TRACEPARENT = re.compile(r"00-([0-9a-f]{32})-([0-9a-f]{16})-[0-9a-f]{2}")
+_TRACE_ID = re.compile(r"[0-9a-f]{32}")
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Chain:
+    """A running call at the local upstream and its allowance pool.
+
+    Attributes:
+        span_id: Span id in the traceparent that the upstream received.
+        call: The running call.
+        deadline_ms: Monotonic time at which the call has to end.
+        allowance: Extra attempts that sub-calls may still draw.
+        failed_deeper: A sub-call failed, so hops above do not retry.
+        is_open: Whether the call is still running.
+    """
+
+    span_id: str
+    call: wire.Call
+    deadline_ms: float
+    allowance: int
+    failed_deeper: bool = False
+    is_open: bool = True
+
+    def draw(self) -> int:
+        """Takes the allowance of a sub-call out of the pool.
+
+        One extra attempt stays for sub-calls that run at the same time.
+        """
+        kept, drawn = split_allowance(self.allowance)
+        self.allowance = kept
+        return drawn
+
+    def give_back(self, unused: int) -> None:
+        """Returns the rest of a sub-call; after the end it is lost."""
+        if self.is_open:
+            self.allowance += unused
+
+
+class ChainTable:
+    """Running calls by span id, and the services that their sub-calls use."""
+
+    def __init__(self, clock: Clock, levels: LevelTable) -> None:
+        self._clock = clock
+        self._levels = levels
+        self._chains_by_span: dict[str, Chain] = {}
+        self._expiries: list[tuple[float, str]] = []
+        self._uses_by_class: dict[
+            tuple[str, str], dict[tuple[str, str], float]
+        ] = {}
+
+    def __len__(self) -> int:
+        return len(self._chains_by_span)
+
+    def open(self, call: wire.Call) -> str:
+        """Notes that a call starts at the upstream.
+
+        Returns:
+            The span id for the traceparent that the upstream receives.
+        """
+        now = self._clock.now_ms()
+        self._expire(now)
+        span_id = secrets.token_hex(8)
+        deadline_ms = now + call.deadline_left_ms
+        self._chains_by_span[span_id] = Chain(
+            span_id, call, deadline_ms, call.retry_allowance
+        )
+        expiry = (deadline_ms + EXPIRY_GRACE_MS, span_id)
+        heapq.heappush(self._expiries, expiry)
+        return span_id
+
+    def traceparent(self, span_id: str) -> str:
+        """Returns the W3C header value of an open span."""
+        chain = self._chains_by_span[span_id]
+        return f"00-{trace_id(chain.call.root_id)}-{span_id}-01"
+
+    def find(self, traceparent: str | None) -> Chain | None:
+        """Returns the running call that a header names, if there is one."""
+        if traceparent is None:
+            return None
+        match = _TRACEPARENT.fullmatch(traceparent.strip())
+        if match is None:
+            return None
+        chain = self._chains_by_span.get(match[2])
+        if chain is None or trace_id(chain.call.root_id) != match[1]:
+            return None
+        return chain
+
+    def close(self, span_id: str) -> int:
+        """Ends a call.
+
+        Returns:
+            The unused allowance. What running sub-calls hold is lost.
+        """
+        chain = self._chains_by_span.pop(span_id, None)
+        if chain is None:
+            return 0
+        chain.is_open = False
+        return chain.allowance
+
+    def begin_sub_call(self, chain: Chain, call: wire.Call) -> wire.Call:
+        """Returns a call of the upstream as a part of its chain."""
+        parent = chain.call
+        sub_call = copy.copy(call)
+        sub_call.root_id = parent.root_id
+        sub_call.tenant = parent.tenant
+        sub_call.priority = parent.priority
+        sub_call.depth = parent.depth + 1
+        sub_call.retry_allowance = chain.draw() if chain.is_open else 0
+        left_ms = max(chain.deadline_ms - self._clock.now_ms(), 0.0)
+        sub_call.deadline_left_ms = min(call.deadline_left_ms, left_ms)
+        self._record_use(parent, sub_call)
+        return sub_call
+
+    def end_sub_call(
+        self, chain: Chain, sub_call: wire.Call, result: CallResult
+    ) -> None:
+        """Takes back what a sub-call left over and marks its failure."""
+        unused = returned_allowance(
+            result.unused_allowance, sub_call.retry_allowance
+        )
+        chain.give_back(unused)
+        if result.outcome is not Outcome.OK:
+            chain.failed_deeper = True
+
+    def _record_use(self, parent: wire.Call, sub_call: wire.Call) -> None:
+        key = (parent.service, parent.class_name)
+        uses = self._uses_by_class.get(key)
+        if uses is None:
+            if len(self._uses_by_class) >= MAX_CLASSES:
+                del self._uses_by_class[next(iter(self._uses_by_class))]
+            uses = {}
+            self._uses_by_class[key] = uses
+        used = (sub_call.service, sub_call.class_name)
+        if used in uses or len(uses) < MAX_SUB_SERVICES:
+            uses[used] = self._clock.now_ms()
+
+    def used_services(
+        self, service: str, class_name: str
+    ) -> list[tuple[str, str]]:
+        """Returns the services and classes that calls of a class call."""
+        uses = self._uses_by_class.get((service, class_name))
+        if not uses:
+            return []
+        oldest_ms = self._clock.now_ms() - USE_TTL_MS
+        unused = [used for used, at_ms in uses.items() if at_ms < oldest_ms]
+        for used in unused:
+            del uses[used]
+        return list(uses)
+
+    def deeper_levels(
+        self, service: str, class_name: str
+    ) -> tuple[wire.ServiceLevel, ...]:
+        """Returns the levels that the answer to a call passes on."""
+        highest_by_service: dict[str, wire.ServiceLevel] = {}
+        for used_service, used_class in self.used_services(service, class_name):
+            for entry in self._levels.levels_to_pass_on(
+                used_service, used_class
+            ):
+                highest_by_service[entry.service] = entry
+        return tuple(highest_by_service.values())
+
+    def _expire(self, now: float) -> None:
+        """Drops abandoned calls, and the nearest to expiry when full."""
+        expiries = self._expiries
+        while expiries and expiries[0][0] <= now:
+            self.close(heapq.heappop(expiries)[1])
+        while expiries and len(self._chains_by_span) >= MAX_CHAINS:
+            self.close(heapq.heappop(expiries)[1])
+        if len(expiries) > COMPACT_FACTOR * MAX_CHAINS:
+            self._expiries = [
+                expiry
+                for expiry in expiries
+                if expiry[1] in self._chains_by_span
+            ]
+            heapq.heapify(self._expiries)
+
+
+def trace_id(root_id: str) -> str:
+    """Returns the trace id of a root call.
+
+    A root id that came from a caller's traceparent is one already.
+    """
+    if _TRACE_ID.fullmatch(root_id):
+        return root_id
+    return xxhash.xxh3_128_hexdigest(root_id.encode())
--- /dev/null
+++ b/src/celeryfield/internal/routing/executor.py
@@ -0,0 +1,273 @@
+"""Execution of one call: levels, candidates, retries and hedges."""
+
+import asyncio
+import dataclasses
+
+from celeryfield.internal.calls import (
+    CallResult,
+    Candidate,
+    Outcome,
+    Reason,
+    not_run,
+)
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.routing.attempts import AttemptSender, Run, Send
+from celeryfield.internal.routing.balancer import Balancer
+from celeryfield.internal.routing.hedging import Hedging
+from celeryfield.internal.routing.levels import NO_IDS, LevelTable
+from celeryfield.internal.routing.retries import (
+    ClassRule,
+    RetryRatios,
+    returned_allowance,
+    split_allowance,
+)
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.settings import NodeSettings
+
+BASELINE_ATTEMPTS = 3
+
+# No work was done at the refusing node, and another one can take the call.
+FREE_REASONS = frozenset(
+    {Reason.DRAINING, Reason.NO_UPSTREAM, Reason.UNREACHABLE}
+)
+# Another candidate would give the same answer, or must not be asked.
+FINAL_REASONS = frozenset(
+    {
+        Reason.SUSPECT,
+        Reason.DEADLINE,
+        Reason.CANCELLED,
+        Reason.NO_ROUTE,
+        Reason.BAD_REQUEST,
+        Reason.TOO_LARGE,
+        Reason.KEY_REQUIRED,
+        Reason.KEY_UNKNOWN,
+        Reason.KEY_MISMATCH,
+        Reason.ANSWER_NOT_KEPT,
+    }
+)
+
+
+@dataclasses.dataclass(slots=True)
+class ExecutorCounters:
+    """Totals since the start of the node."""
+
+    calls: int = 0
+    retries: int = 0
+    redirects: int = 0
+    hedges: int = 0
+    shed: int = 0
+
+
+class CallExecutor:
+    """Sends calls to candidates on behalf of callers and of the upstream."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        clock: Clock,
+        balancer: Balancer,
+        send: Send,
+        class_rule: ClassRule,
+        levels: LevelTable,
+    ) -> None:
+        self._clock = clock
+        self._balancer = balancer
+        self._levels = levels
+        self._is_baseline = settings.routing.policy == "baseline"
+        self._hedging = Hedging(settings, class_rule, levels)
+        self.sender = AttemptSender(
+            clock, balancer, send, levels, self._hedging
+        )
+        self._losers: set[asyncio.Task[CallResult]] = set()
+        self.retries = RetryRatios(class_rule)
+        self.counters = ExecutorCounters()
+
+    async def execute(self, call: wire.Call, body: bytes) -> CallResult:
+        """Executes a call within its deadline and retry allowance.
+
+        Args:
+            call: The call. ``deadline_left_ms`` counts from now, and
+                ``retry_allowance`` is what the chain may still spend.
+            body: The request body.
+
+        Returns:
+            The answer, with the allowance that is left. The allowance handed
+            down with an attempt whose answer is lost is not in it.
+        """
+        self.counters.calls += 1
+        now = self._clock.now_ms()
+        run = Run(call, body, now + call.deadline_left_ms, call.retry_allowance)
+        if self._is_baseline:
+            return await self._execute_baseline(run)
+        if not self._levels.admits(call):
+            self.counters.shed += 1
+            return not_run(Reason.OVERLOAD, unused=call.retry_allowance)
+        candidate = self._choose(run)
+        if candidate is None:
+            return not_run(Reason.NO_UPSTREAM, unused=call.retry_allowance)
+        self.retries.record_first(call.class_name)
+        if self._hedging.permits(call):
+            result = await self._first_with_hedge(run, candidate)
+        else:
+            result = await self._attempt(run, candidate)
+        while True:
+            candidate = self._next_candidate(run, result)
+            if candidate is None:
+                return run.finish(result)
+            result = await self._attempt(run, candidate)
+
+    def _choose(self, run: Run) -> Candidate | None:
+        """Picks a candidate that was not tried, if possible an open one."""
+        refusing_ids = self._levels.refusing_ids(run.call)
+        service = run.call.service
+        if refusing_ids:
+            excluded_ids = run.tried_ids | refusing_ids
+            candidate = self._balancer.choose(service, excluded_ids)
+            if candidate is not None:
+                return candidate
+        return self._balancer.choose(service, run.tried_ids)
+
+    def _next_candidate(self, run: Run, result: CallResult) -> Candidate | None:
+        """Decides on another attempt and pays for it."""
+        if not self._may_follow(run, result):
+            return None
+        was_refused = result.outcome is Outcome.NOT_RUN
+        candidate = self._choose(run)
+        if candidate is None and not was_refused:
+            # The only candidate may well answer the second time.
+            candidate = self._balancer.choose(run.call.service, NO_IDS)
+        if candidate is None:
+            return None
+        is_free = was_refused and result.reason in FREE_REASONS
+        if is_free and not run.redirected:
+            run.redirected = True
+            self.counters.redirects += 1
+            return candidate
+        if not self._pay(run):
+            return None
+        self.counters.retries += 1
+        return candidate
+
+    def _may_follow(self, run: Run, result: CallResult) -> bool:
+        """Returns whether the request may be sent again after an answer."""
+        if result.outcome is Outcome.OK or result.failed_deeper:
+            return False
+        if result.reason in FINAL_REASONS:
+            return False
+        if self._clock.now_ms() >= run.deadline_ms:
+            return False
+        if result.outcome is Outcome.NOT_RUN:
+            return True
+        return run.call.repeatable and not run.call.run_once
+
+    def _pay(self, run: Run) -> bool:
+        if run.allowance < 1 or not self._levels.admits(run.call):
+            return False
+        if not self.retries.try_take(run.call.class_name):
+            return False
+        run.allowance -= 1
+        return True
+
+    async def _attempt(self, run: Run, candidate: Candidate) -> CallResult:
+        """Sends one attempt and takes back the allowance it left over."""
+        run.allowance, handed_down = split_allowance(run.allowance)
+        result = await self.sender.send(run, candidate, handed_down)
+        run.allowance += returned_allowance(
+            result.unused_allowance, handed_down
+        )
+        return result
+
+    async def _first_with_hedge(
+        self, run: Run, candidate: Candidate
+    ) -> CallResult:
+        """Makes the first attempt and hedges it when it is slow."""
+        delay_ms = self._hedging.delay_ms(run.call)
+        left_ms = run.deadline_ms - self._clock.now_ms()
+        if delay_ms is None or delay_ms >= left_ms or run.allowance < 2:
+            return await self._attempt(run, candidate)
+        tasks = {asyncio.ensure_future(self._attempt(run, candidate))}
+        try:
+            await self._wait_at_most(tasks, delay_ms)
+            if not any(task.done() for task in tasks):
+                hedge = self._start_hedge(run)
+                if hedge is not None:
+                    tasks.add(hedge)
+            return await _first_good(tasks)
+        finally:
+            for task in tasks:
+                self._cancel(task)
+
+    async def _wait_at_most(
+        self, tasks: set[asyncio.Task[CallResult]], duration_ms: float
+    ) -> None:
+        alarm = asyncio.ensure_future(self._clock.sleep_ms(duration_ms))
+        try:
+            await asyncio.wait(
+                {*tasks, alarm}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            alarm.cancel()
+
+    def _start_hedge(self, run: Run) -> asyncio.Task[CallResult] | None:
+        if run.allowance < 1:
+            return None
+        candidate = self._choose(run)
+        if candidate is None or not self._hedging.try_take(run.call):
+            return None
+        run.allowance -= 1
+        self.counters.hedges += 1
+        return asyncio.ensure_future(self._attempt(run, candidate))
+
+    def _cancel(self, task: asyncio.Task[CallResult]) -> None:
+        """Cancels a losing attempt without waiting for its end."""
+        if task.done():
+            return
+        self._losers.add(task)
+        task.add_done_callback(self._losers.discard)
+        task.cancel()
+
+    async def _execute_baseline(self, run: Run) -> CallResult:
+        """Tries three candidates in turn, as naive clients do.
+
+        Only the rule that run-once work never runs twice is kept.
+        """
+        result = not_run(Reason.NO_UPSTREAM)
+        while run.attempts < BASELINE_ATTEMPTS:
+            candidate = self._balancer.choose(run.call.service, NO_IDS)
+            if candidate is None:
+                break
+            result = await self.sender.send(
+                run, candidate, run.call.retry_allowance
+            )
+            result.failed_deeper = False
+            if not self._may_follow(run, result):
+                break
+        return run.finish(result)
+
+
+async def _first_good(tasks: set[asyncio.Task[CallResult]]) -> CallResult:
+    """Returns the first success, or the most telling failure of all.
+
+    A failure that was retried deeper, or after which the request may have
+    run, must not be taken for a refusal.
+    """
+    pending = tasks
+    failures: list[CallResult] = []
+    while pending:
+        done, pending = await asyncio.wait(
+            pending, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            result = task.result()
+            if result.outcome is Outcome.OK:
+                return result
+            failures.append(result)
+    return max(failures, key=_retry_caution)
+
+
+def _retry_caution(result: CallResult) -> tuple[bool, bool, bool]:
+    return (
+        result.reason in FINAL_REASONS,
+        result.failed_deeper,
+        result.outcome is not Outcome.NOT_RUN,
+    )
--- /dev/null
+++ b/src/celeryfield/internal/routing/hedging.py
@@ -0,0 +1,94 @@
+"""When a second attempt is sent because the first one is slow."""
+
+from celeryfield.internal.routing.levels import LevelTable
+from celeryfield.internal.routing.retries import ClassRule, RatioBucket
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.settings import NodeSettings
+
+QUANTILE = 0.95
+# Fewer latencies do not tell a 95th percentile.
+MIN_SAMPLES = 40
+WINDOW = 256
+# The quantile moves little in between, and sorting costs about 20 us.
+SAMPLES_PER_UPDATE = 32
+
+
+class LatencyWindow:
+    """The newest latencies of one service and class."""
+
+    def __init__(self) -> None:
+        self._latencies_ms: list[float] = []
+        self._next_index = 0
+        self._count = 0
+        self.p95_ms: float | None = None
+
+    def add(self, latency_ms: float) -> None:
+        """Adds a latency in place of the oldest one."""
+        if len(self._latencies_ms) < WINDOW:
+            self._latencies_ms.append(latency_ms)
+        else:
+            self._latencies_ms[self._next_index] = latency_ms
+            self._next_index = (self._next_index + 1) % WINDOW
+        self._count += 1
+        is_due = self._count % SAMPLES_PER_UPDATE == 0
+        if is_due or self._count == MIN_SAMPLES:
+            self._update()
+
+    def _update(self) -> None:
+        if self._count < MIN_SAMPLES:
+            return
+        ordered = sorted(self._latencies_ms)
+        self.p95_ms = ordered[int(QUANTILE * (len(ordered) - 1))]
+
+
+class Hedging:
+    """Delay and budget of hedges.
+
+    The budget starts empty, so hedges never exceed ``hedge_ratio`` times the
+    first attempts.
+    """
+
+    def __init__(
+        self, settings: NodeSettings, class_rule: ClassRule, levels: LevelTable
+    ) -> None:
+        self._settings = settings
+        self._class_rule = class_rule
+        self._levels = levels
+        self._windows_by_key: dict[tuple[str, str], LatencyWindow] = {}
+        self._budgets_by_key: dict[tuple[str, str], RatioBucket] = {}
+
+    def permits(self, call: wire.Call) -> bool:
+        """Returns whether the class of a call may be hedged at all."""
+        if call.run_once or not call.repeatable:
+            return False
+        rule = self._class_rule(call.class_name)
+        return rule is not None and rule.hedge
+
+    def delay_ms(self, call: wire.Call) -> float | None:
+        """Counts a first attempt and returns when to hedge it, if known."""
+        key = (call.service, call.class_name)
+        window = self._windows_by_key.get(key)
+        if window is None:
+            return None
+        self._budgets_by_key[key].fill(self._settings.routing.hedge_ratio)
+        return window.p95_ms
+
+    def try_take(self, call: wire.Call) -> bool:
+        """Takes one hedge unless the budget is spent or load is shed."""
+        if self._levels.level_for(call.service, call.class_name) > 0:
+            return False
+        return self._budgets_by_key[call.service, call.class_name].try_take()
+
+    def record(self, call: wire.Call, latency_ms: float) -> None:
+        """Learns from a first attempt.
+
+        The time of a cancelled attempt counts as well: it is above the
+        quantile, and without it the quantile would sink with every hedge.
+        """
+        key = (call.service, call.class_name)
+        window = self._windows_by_key.get(key)
+        if window is None:
+            window = LatencyWindow()
+            self._windows_by_key[key] = window
+            self._budgets_by_key[key] = RatioBucket()
+        window.add(latency_ms)
--- /dev/null
+++ b/src/celeryfield/internal/routing/levels.py
@@ -0,0 +1,215 @@
+"""Admission levels of other services, as learned by the sending side.
+
+A node that knows the levels refuses work that a deeper service would refuse
+anyway, before any hop spends time on it.
+"""
+
+import dataclasses
+
+from celeryfield.internal.calls import admission_rank
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.settings import NodeSettings
+
+MAX_SERVICES = 1024
+MAX_CLASSES = 4096
+MAX_DEEPER_SERVICES = 64
+MAX_AGE_MS = 65_535
+# A deeper service that no report named for this long is no longer used.
+USE_TTL_MS = 60_000.0
+NO_IDS: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(slots=True)
+class _Report:
+    """A level and the time at which its service reported it."""
+
+    level: int
+    reported_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class _ServiceLevels:
+    """Reports about one service.
+
+    Attributes:
+        reports_by_id: Newest report by reporting node.
+        raised_ms: Time of the newest report above zero. While it is old, the
+            level is zero and no report has to be looked at.
+    """
+
+    reports_by_id: dict[str, _Report] = dataclasses.field(default_factory=dict)
+    raised_ms: float = float("-inf")
+
+
+class LevelTable:
+    """Admission levels by service.
+
+    Each reporter is kept apart, and the lowest fresh report counts, so that
+    one overloaded candidate does not shed the work that its peers accept.
+    """
+
+    def __init__(self, settings: NodeSettings, clock: Clock) -> None:
+        self._ttl_ms = settings.routing.level_ttl_ms
+        self._clock = clock
+        self._levels_by_service: dict[str, _ServiceLevels] = {}
+        self._deeper_by_class: dict[tuple[str, str], dict[str, float]] = {}
+
+    def learn(
+        self,
+        reporter_id: str,
+        service: str,
+        class_name: str,
+        load: wire.LoadReport,
+    ) -> None:
+        """Takes the levels out of the answer to a call.
+
+        Args:
+            reporter_id: Id of the node that answered.
+            service: Service that was called.
+            class_name: Class of the call. The deeper services in the report
+                are those that the service calls for this class.
+            load: The report in the answer.
+        """
+        now = self._clock.now_ms()
+        own_level = 0
+        own_age_ms = 0
+        for entry in load.levels:
+            if entry.service == service:
+                own_level = entry.level
+                own_age_ms = entry.age_ms
+                continue
+            self._learn_deeper(service, class_name, entry.service, now)
+            self._learn_level(
+                reporter_id, entry.service, entry.level, now - entry.age_ms
+            )
+        self._learn_level(reporter_id, service, own_level, now - own_age_ms)
+
+    def _learn_level(
+        self, reporter_id: str, service: str, level: int, reported_ms: float
+    ) -> None:
+        levels = self._levels_by_service.get(service)
+        if levels is None:
+            _drop_oldest(self._levels_by_service, MAX_SERVICES)
+            levels = _ServiceLevels()
+            self._levels_by_service[service] = levels
+        report = levels.reports_by_id.get(reporter_id)
+        if report is None:
+            self._drop_expired(levels)
+            report = _Report(level, reported_ms)
+            levels.reports_by_id[reporter_id] = report
+        elif reported_ms >= report.reported_ms:
+            report.level = level
+            report.reported_ms = reported_ms
+        if level > 0:
+            levels.raised_ms = max(levels.raised_ms, reported_ms)
+
+    def _learn_deeper(
+        self, service: str, class_name: str, deeper: str, now: float
+    ) -> None:
+        key = (service, class_name)
+        deeper_services = self._deeper_by_class.get(key)
+        if deeper_services is None:
+            _drop_oldest(self._deeper_by_class, MAX_CLASSES)
+            deeper_services = {}
+            self._deeper_by_class[key] = deeper_services
+        if deeper not in deeper_services:
+            _drop_oldest(deeper_services, MAX_DEEPER_SERVICES)
+        deeper_services[deeper] = now
+
+    def _drop_expired(self, levels: _ServiceLevels) -> None:
+        """Forgets reporters that left, so that replaced nodes do not add up."""
+        oldest_ms = self._clock.now_ms() - self._ttl_ms
+        expired = [
+            reporter_id
+            for reporter_id, report in levels.reports_by_id.items()
+            if report.reported_ms < oldest_ms
+        ]
+        for reporter_id in expired:
+            del levels.reports_by_id[reporter_id]
+
+    def level(self, service: str) -> int:
+        """Returns the lowest fresh level reported for a service, or 0."""
+        report = self._lowest(service)
+        return report.level if report is not None else 0
+
+    def _lowest(self, service: str) -> _Report | None:
+        """Returns the lowest fresh report if it is above zero."""
+        levels = self._levels_by_service.get(service)
+        if levels is None:
+            return None
+        oldest_ms = self._clock.now_ms() - self._ttl_ms
+        if levels.raised_ms < oldest_ms:
+            return None
+        lowest = None
+        for report in levels.reports_by_id.values():
+            if report.reported_ms < oldest_ms:
+                continue
+            if report.level == 0:
+                return None
+            if lowest is None or report.level < lowest.level:
+                lowest = report
+        return lowest
+
+    def level_for(self, service: str, class_name: str) -> int:
+        """Returns the level that calls of a class have to reach.
+
+        It is the highest among the service and the deeper services that its
+        calls of this class use.
+        """
+        level = self.level(service)
+        for deeper in self._deeper_services(service, class_name):
+            level = max(level, self.level(deeper))
+        return level
+
+    def _deeper_services(self, service: str, class_name: str) -> list[str]:
+        deeper_services = self._deeper_by_class.get((service, class_name))
+        if not deeper_services:
+            return []
+        oldest_ms = self._clock.now_ms() - USE_TTL_MS
+        return [
+            name for name, at_ms in deeper_services.items() if at_ms > oldest_ms
+        ]
+
+    def admits(self, call: wire.Call) -> bool:
+        """Returns whether no service on the way is known to refuse a call."""
+        level = self.level_for(call.service, call.class_name)
+        return level == 0 or admission_rank(call) >= level
+
+    def refusing_ids(self, call: wire.Call) -> frozenset[str]:
+        """Returns the reporters whose own fresh level refuses a call."""
+        levels = self._levels_by_service.get(call.service)
+        oldest_ms = self._clock.now_ms() - self._ttl_ms
+        if levels is None or levels.raised_ms < oldest_ms:
+            return NO_IDS
+        rank = admission_rank(call)
+        return frozenset(
+            reporter_id
+            for reporter_id, report in levels.reports_by_id.items()
+            if report.level > rank and report.reported_ms >= oldest_ms
+        )
+
+    def levels_to_pass_on(
+        self, service: str, class_name: str
+    ) -> list[wire.ServiceLevel]:
+        """Returns the raised levels behind calls of a class to a service.
+
+        Ages travel with the levels: a level that each hop stamped anew would
+        outlast its cause by one expiry time per hop.
+        """
+        services = [service, *self._deeper_services(service, class_name)]
+        now = self._clock.now_ms()
+        entries = []
+        for name in services:
+            report = self._lowest(name)
+            if report is None:
+                continue
+            age_ms = min(int(now - report.reported_ms), MAX_AGE_MS)
+            entries.append(wire.ServiceLevel(name, report.level, age_ms))
+        return entries
+
+
+def _drop_oldest(items: dict, most: int) -> None:
+    """Makes room for one more item."""
+    if len(items) >= most:
+        del items[next(iter(items))]
--- /dev/null
+++ b/src/celeryfield/internal/routing/outliers.py
@@ -0,0 +1,223 @@
+"""Ejection of candidates that are slower or fail more than their peers."""
+
+import dataclasses
+
+from celeryfield.internal.calls import Outcome, Reason
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.settings import RoutingSettings
+
+MAX_CONSECUTIVE_FAILURES = 5
+# A candidate is slow if its latency is this many times that of its peers.
+SLOW_FACTOR = 3.0
+# Zones are up to 3 ms apart in both directions; a smaller excess is distance.
+MIN_EXCESS_MS = 10.0
+MIN_SAMPLES = 10
+CANDIDATE_WEIGHT = 0.2
+CLASS_WEIGHT = 0.02
+# One long request must not eject its candidate: a clipped sample moves the
+# average by at most 0.2 * (10 - 1) = 1.8, which stays below SLOW_FACTOR.
+MAX_SAMPLE_INFLATION = 10.0
+SAMPLES_PER_CHECK = 4
+# Ejections double up to this multiple of ``eject_ms``.
+MAX_EJECT_FACTOR = 8
+
+GONE_REASONS = frozenset({Reason.UNREACHABLE, Reason.NO_UPSTREAM})
+
+
+@dataclasses.dataclass(slots=True)
+class AttemptEnd:
+    """How one attempt at a candidate ended.
+
+    Attributes:
+        outcome: Outcome of the attempt.
+        reason: Reason of the outcome.
+        latency_ms: Time from sending to the answer.
+        class_name: Class of the call; latencies are compared per class.
+        load: Load report of the answering node, if one answered.
+        failed_deeper: The failure is that of a deeper service.
+        cancelled: The sender gave up on the attempt.
+    """
+
+    outcome: Outcome
+    reason: Reason = Reason.NONE
+    latency_ms: float = 0.0
+    class_name: str = ""
+    load: wire.LoadReport | None = None
+    failed_deeper: bool = False
+    cancelled: bool = False
+
+    @property
+    def is_given_up(self) -> bool:
+        """Whether the latency is a lower bound, because nobody waited."""
+        return self.cancelled or self.reason is Reason.DEADLINE
+
+    @property
+    def is_failure(self) -> bool:
+        """Whether the candidate itself is to blame.
+
+        A missed deadline is not a failure: callers with short deadlines would
+        eject healthy candidates. Its latency counts instead.
+        """
+        if self.is_given_up or self.failed_deeper:
+            return False
+        if self.outcome is Outcome.NOT_RUN:
+            return self.reason in GONE_REASONS
+        return self.outcome is not Outcome.OK
+
+    @property
+    def is_gone(self) -> bool:
+        """Whether nothing answers at the candidate."""
+        return self.outcome is Outcome.NOT_RUN and self.reason in GONE_REASONS
+
+
+@dataclasses.dataclass(slots=True)
+class Health:
+    """What is known about one candidate.
+
+    Attributes:
+        inflation: Average latency relative to that of the class.
+        samples: Latencies seen so far.
+        consecutive_failures: Failures since the last success.
+        ejected_until_ms: End of the ejection; afterwards one call at a time
+            is tried until one succeeds. None if not ejected.
+        ejections: Ejections in a row; doubles the next one.
+        returned_ms: Time of the last return, if ``ejections`` still counts.
+        trial_running: The trial call is in flight.
+    """
+
+    inflation: float = 1.0
+    samples: int = 0
+    consecutive_failures: int = 0
+    ejected_until_ms: float | None = None
+    ejections: int = 0
+    returned_ms: float | None = None
+    trial_running: bool = False
+
+    def is_usable(self, now_ms: float) -> bool:
+        """Returns whether a call may be sent to the candidate."""
+        if self.ejected_until_ms is None:
+            return True
+        return now_ms >= self.ejected_until_ms and not self.trial_running
+
+
+class OutlierDetector:
+    """Ejects outliers among the candidates of one service."""
+
+    def __init__(self, settings: RoutingSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._healths: list[Health] = []
+        self._latency_by_class: dict[str, float] = {}
+
+    def set_healths(self, healths: list[Health]) -> None:
+        """Replaces the candidates and keeps to the ejected share."""
+        self._healths = healths
+        ejected = [h for h in healths if h.ejected_until_ms is not None]
+        ejected.sort(key=lambda health: health.ejected_until_ms)
+        surplus = len(ejected) - self._most_ejected()
+        for health in ejected[: max(surplus, 0)]:
+            self._return(health)
+
+    def record_start(self, health: Health) -> None:
+        """Notes that a call was sent; after an ejection it is the trial."""
+        until_ms = health.ejected_until_ms
+        if until_ms is not None and self._clock.now_ms() >= until_ms:
+            health.trial_running = True
+
+    def record_end(self, health: Health, end: AttemptEnd) -> None:
+        """Learns from an attempt and ejects or returns its candidate."""
+        inflation = self._sample(health, end)
+        if health.ejected_until_ms is not None:
+            self._end_trial(health, end, inflation)
+            return
+        if end.is_failure:
+            health.consecutive_failures += 1
+        elif not end.is_given_up and end.outcome is not Outcome.NOT_RUN:
+            health.consecutive_failures = 0
+        is_failing = health.consecutive_failures >= MAX_CONSECUTIVE_FAILURES
+        if end.is_gone or is_failing or self._is_slow(health, end):
+            self._eject(health)
+
+    def _sample(self, health: Health, end: AttemptEnd) -> float:
+        """Adds a latency; returns it relative to that of the class."""
+        expected_ms = self._latency_by_class.get(end.class_name)
+        is_answer = end.outcome is Outcome.OK and not end.is_given_up
+        if expected_ms is None:
+            if is_answer:
+                self._latency_by_class[end.class_name] = end.latency_ms
+            return 1.0
+        inflation = end.latency_ms / max(expected_ms, 0.001)
+        inflation = min(inflation, MAX_SAMPLE_INFLATION)
+        is_lower_bound = end.is_given_up and inflation > health.inflation
+        if not is_answer and not is_lower_bound:
+            return inflation
+        change = CANDIDATE_WEIGHT * (inflation - health.inflation)
+        health.inflation += change
+        health.samples += 1
+        if is_answer:
+            change_ms = CLASS_WEIGHT * (end.latency_ms - expected_ms)
+            self._latency_by_class[end.class_name] = expected_ms + change_ms
+        return inflation
+
+    def _is_slow(self, health: Health, end: AttemptEnd) -> bool:
+        if health.samples < MIN_SAMPLES or health.samples % SAMPLES_PER_CHECK:
+            return False
+        return self._exceeds_peers(health, health.inflation, end.class_name)
+
+    def _exceeds_peers(
+        self, health: Health, inflation: float, class_name: str
+    ) -> bool:
+        """Returns whether a latency is far above the median of the peers."""
+        peers = sorted(
+            other.inflation
+            for other in self._healths
+            if other is not health and other.samples >= MIN_SAMPLES
+        )
+        if not peers:
+            return False
+        median = peers[(len(peers) - 1) // 2]
+        expected_ms = self._latency_by_class.get(class_name, 0.0)
+        excess_ms = (inflation - median) * expected_ms
+        return inflation > SLOW_FACTOR * median and excess_ms > MIN_EXCESS_MS
+
+    def _end_trial(
+        self, health: Health, end: AttemptEnd, inflation: float
+    ) -> None:
+        if self._clock.now_ms() < health.ejected_until_ms:
+            return  # Sent before the ejection, so it is no trial.
+        health.trial_running = False
+        is_slow = self._exceeds_peers(health, inflation, end.class_name)
+        if end.is_failure or is_slow:
+            self._extend(health)
+        elif not end.is_given_up:
+            health.inflation = inflation
+            self._return(health)
+
+    def _most_ejected(self) -> int:
+        return int(len(self._healths) * self._settings.max_ejected_share)
+
+    def _eject(self, health: Health) -> None:
+        ejected = [h for h in self._healths if h.ejected_until_ms is not None]
+        if len(ejected) >= self._most_ejected():
+            return
+        self._extend(health)
+
+    def _extend(self, health: Health) -> None:
+        now = self._clock.now_ms()
+        longest_ms = MAX_EJECT_FACTOR * self._settings.eject_ms
+        returned_ms = health.returned_ms
+        if returned_ms is not None and now - returned_ms > longest_ms:
+            health.ejections = 0
+            health.returned_ms = None
+        factor = min(2**health.ejections, MAX_EJECT_FACTOR)
+        health.ejected_until_ms = now + factor * self._settings.eject_ms
+        # Counts no further than the bound, so the power stays small.
+        health.ejections = min(health.ejections + 1, MAX_EJECT_FACTOR)
+        health.trial_running = False
+
+    def _return(self, health: Health) -> None:
+        health.ejected_until_ms = None
+        health.trial_running = False
+        health.consecutive_failures = 0
+        health.returned_ms = self._clock.now_ms()
--- a/src/celeryfield/internal/schema/wire.capnp
+++ b/src/celeryfield/internal/schema/wire.capnp
@@ -42,6 +42,7 @@
 struct ServiceLevel $doc("Admission level of one service.") {
   service @0 :Text;
   level @1 :UInt16 $doc("Lowest admitted priority, scaled by 128.");
+  ageMs @2 :UInt16 $unit("ms") $doc("Time since the service itself reported the level.");
 }
 
 struct LoadReport $doc("Load of the upstream beside the answering node.") {
--- a/src/celeryfield/internal/schema/wire.py
+++ b/src/celeryfield/internal/schema/wire.py
@@ -222,15 +222,18 @@
 
     Attributes:
         level: Lowest admitted priority, scaled by 128.
+        age_ms: Time since the service itself reported the level. Unit: ms.
     """
 
     service: str = ""
     level: int = 0
+    age_ms: int = 0
 
     def fill(self, builder: Any) -> None:
         """Copies the fields into a message builder."""
         builder.service = self.service
         builder.level = self.level
+        builder.ageMs = self.age_ms
 
     def encode(self) -> bytes:
         """Returns the message as bytes."""
@@ -244,6 +247,7 @@
         return cls(
             reader.service,
             reader.level,
+            reader.ageMs,
         )
 
     @classmethod
--- /dev/null
+++ b/tests/cover/routing_fakes.py
@@ -0,0 +1,76 @@
+"""Settings, candidates and clocks for the tests of routing."""
+
+import asyncio
+
+from celeryfield.internal.calls import Candidate
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.routing.balancer import Balancer
+from celeryfield.internal.routing.executor import CallExecutor
+from celeryfield.internal.routing.levels import LevelTable
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.fileset import ClassSection
+from celeryfield.internal.schema.settings import (
+    IdentitySettings,
+    NodeSettings,
+    RoutingSettings,
+)
+
+
+class StepClock(Clock):
+    """A clock that stands still; sleeps up to 1 ms take a few loop turns."""
+
+    def now_ms(self):
+        return 0.0
+
+    async def sleep_ms(self, duration_ms):
+        if duration_ms > 1:
+            await asyncio.get_running_loop().create_future()
+        for _ in range(3):
+            await asyncio.sleep(0)
+
+
+def settings_with(**routing):
+    identity = IdentitySettings(id="n1", zone="z1", region="r1")
+    return NodeSettings(node=identity, routing=RoutingSettings(**routing))
+
+
+def candidates_of(service, count, zones=("z1",), **fields):
+    return [
+        Candidate(
+            f"{service}-{number}",
+            1,
+            "127.0.0.1",
+            7301,
+            zones[number % len(zones)],
+            service,
+            **fields,
+        )
+        for number in range(count)
+    ]
+
+
+def executor_for(send, clock=None, settings=None, rule=None, services=("s",)):
+    """Returns an executor with three candidates per service."""
+    clock = clock or StepClock()
+    settings = settings or settings_with()
+    rule = rule or ClassSection(retry_ratio=1)
+    balancer = Balancer(settings, clock)
+    for service in services:
+        balancer.set_candidates(service, candidates_of(service, 3))
+    levels = LevelTable(settings, clock)
+    executor = CallExecutor(
+        settings, clock, balancer, send, lambda _name: rule, levels
+    )
+    return executor, levels, balancer
+
+
+def call_to(service="s", **fields):
+    values = {
+        "call_id": "c",
+        "root_id": "r",
+        "class_name": "k",
+        "priority": 50,
+        "deadline_left_ms": 1000.0,
+        "repeatable": True,
+    }
+    return wire.Call(service=service, **(values | fields))
--- /dev/null
+++ b/tests/cover/test_routing_retries.py
@@ -0,0 +1,190 @@
+"""Tests of the bound on extra attempts in a whole chain."""
+
+import asyncio
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from routing_fakes import StepClock, call_to, executor_for, settings_with
+
+from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
+from celeryfield.internal.routing.chains import ChainTable
+from celeryfield.internal.routing.retries import RETRY_BURST, RetryRatios
+from celeryfield.internal.schema.fileset import ClassSection
+
+DEPTH = 25
+FAULTS = ("failed", "failed-unmarked", "lost", "refused", "ok")
+
+
+class Chain:
+    """A chain of services; the node of each calls the next one.
+
+    Attributes:
+        deepest: Attempts that ran at the deepest service.
+        lost: Allowance that was handed down and not answered.
+        mints: Switchable fault: lost answers bring back what was handed down.
+    """
+
+    def __init__(self, allowance, faults, seed=0, width=1, hedge=False):
+        self.allowance = allowance
+        self.faults = faults
+        self.random = random.Random(seed)
+        self.width = width
+        self.mints = False
+        self.deepest = 0
+        self.lost = 0
+        self.is_warm = not hedge
+        rule = ClassSection(retry_ratio=1, hedge=hedge)
+        self.executors = []
+        self.chains = []
+        for depth in range(DEPTH):
+            executor, levels, _ = executor_for(
+                self.send,
+                settings=settings_with(hedge_ratio=1),
+                rule=rule,
+                services=(f"s{depth}",),
+            )
+            self.executors.append(executor)
+            self.chains.append(ChainTable(StepClock(), levels))
+
+    @property
+    def extra(self):
+        counters = [executor.counters for executor in self.executors]
+        return sum(counter.retries + counter.hedges for counter in counters)
+
+    async def warm_up(self):
+        """Lets every hop learn a p95, so that it hedges from now on."""
+        for depth, executor in enumerate(self.executors):
+            for _ in range(40):
+                await executor.execute(call_to(f"s{depth}"), b"")
+        self.is_warm = True
+
+    async def run(self):
+        if not self.is_warm:
+            await self.warm_up()
+        call = call_to("s0", retry_allowance=self.allowance)
+        result = await self.executors[0].execute(call, b"")
+        assert result.unused_allowance >= 0
+        return result
+
+    async def send(self, _candidate, call, _body):
+        if not self.is_warm:
+            return CallResult(Outcome.OK)
+        for _ in range(self.random.randrange(8)):
+            await asyncio.sleep(0)
+        fault = self.random.choice(self.faults)
+        if fault == "refused":
+            reason = self.random.choice((Reason.DRAINING, Reason.OVERLOAD))
+            return not_run(reason, unused=call.retry_allowance)
+        unused, failed_deeper = await self.work(call)
+        assert self.extra <= self.allowance
+        if fault == "lost":
+            self.lost += unused
+            minted = call.retry_allowance if self.mints else 0
+            return CallResult(
+                Outcome.UNKNOWN,
+                Reason.CONNECTION_LOST,
+                unused_allowance=minted,
+            )
+        if fault == "ok":
+            return CallResult(Outcome.OK, unused_allowance=unused)
+        return CallResult(
+            Outcome.FAILED,
+            Reason.UPSTREAM_ERROR,
+            unused_allowance=unused,
+            failed_deeper=failed_deeper and fault == "failed",
+        )
+
+    async def work(self, call):
+        """Runs a call at its service, which calls the next service."""
+        depth = int(call.service[1:])
+        chains = self.chains[depth]
+        span_id = chains.open(call)
+        chain = chains.find(chains.traceparent(span_id))
+        if depth == DEPTH - 1:
+            self.deepest += 1
+        else:
+            width = self.width if depth < 2 else 1
+            await asyncio.gather(
+                *(self.sub_call(chains, chain, depth) for _ in range(width))
+            )
+        return chains.close(span_id), chain.failed_deeper
+
+    async def sub_call(self, chains, chain, depth):
+        sub_call = chains.begin_sub_call(chain, call_to(f"s{depth + 1}"))
+        result = await self.executors[depth + 1].execute(sub_call, b"")
+        chains.end_sub_call(chain, sub_call, result)
+
+
+@pytest.mark.parametrize("allowance", [0, 1, 2, 3, 7])
+@pytest.mark.parametrize("fault", ["failed", "failed-unmarked", "lost"])
+async def test_bounds_attempts_of_a_deep_chain_in_which_every_hop_fails(
+    allowance, fault
+):
+    """Guards against retries that multiply from hop to hop."""
+    chain = Chain(allowance, (fault,))
+    result = await chain.run()
+    assert result.outcome is not Outcome.OK
+    assert chain.deepest <= 1 + allowance
+    assert chain.extra + chain.lost + result.unused_allowance == allowance
+    if fault == "failed-unmarked":
+        assert chain.deepest == 1 + allowance
+
+
+@given(
+    st.integers(0, 8),
+    st.lists(st.sampled_from(FAULTS), min_size=1, max_size=8),
+    st.integers(0, 1_000),
+    st.integers(1, 3),
+)
+@settings(max_examples=60)
+def test_conserves_allowance_with_lost_answers_and_parallel_sub_calls(
+    allowance, faults, seed, width
+):
+    """Guards against allowance that is minted or leaks along a chain."""
+    chain = Chain(allowance, faults, seed, width)
+    result = asyncio.run(chain.run())
+    assert chain.extra + chain.lost + result.unused_allowance == allowance
+    if width == 1:
+        assert chain.deepest <= 1 + allowance
+
+
+@given(
+    st.integers(2, 8),
+    st.lists(st.sampled_from(FAULTS), min_size=1, max_size=8),
+    st.integers(0, 1_000),
+)
+@settings(max_examples=15)
+def test_bounds_hedges_and_retries_together(allowance, faults, seed):
+    """Guards against hedges outside of the allowance of the chain."""
+    chain = Chain(allowance, faults, seed, hedge=True)
+    result = asyncio.run(chain.run())
+    assert chain.extra + result.unused_allowance <= allowance
+    assert chain.deepest <= 1 + allowance
+
+
+async def test_detects_allowance_minted_on_lost_answers():
+    """Guards against a conservation check that cannot fail."""
+    chain = Chain(3, ("lost",))
+    chain.mints = True
+    with pytest.raises(AssertionError):
+        await chain.run()
+
+
+@given(
+    st.lists(st.booleans(), min_size=20, max_size=400),
+    st.sampled_from([0.0, 0.05, 0.1, 0.5, 1.0]),
+)
+def test_bounds_retries_to_a_share_of_first_attempts(steps, ratio):
+    """Guards against retries that outgrow the ratio of their class."""
+    ratios = RetryRatios(lambda _name: ClassSection(retry_ratio=ratio))
+    firsts = retries = 0
+    for is_first in steps:
+        if is_first:
+            firsts += 1
+            ratios.record_first("k")
+        else:
+            retries += ratios.try_take("k")
+        assert retries <= RETRY_BURST + ratio * firsts
+    assert ratio > 0 or retries == 0
