--- a/src/celeryfield/internal/routing/outliers.py
+++ b/src/celeryfield/internal/routing/outliers.py
@@ -19,6 +19,8 @@
 # average by at most 0.2 * (10 - 1) = 1.8, which stays below SLOW_FACTOR.
 MAX_SAMPLE_INFLATION = 10.0
 SAMPLES_PER_CHECK = 4
+# Keeps the expected latency, by which others are divided, above zero.
+MIN_EXPECTED_MS = 0.01
 # Ejections double up to this multiple of ``eject_ms``.
 MAX_EJECT_FACTOR = 8
 
@@ -145,9 +147,10 @@
         is_answer = end.outcome is Outcome.OK and not end.is_given_up
         if expected_ms is None:
             if is_answer:
-                self._latency_by_class[end.class_name] = end.latency_ms
+                first_ms = max(end.latency_ms, MIN_EXPECTED_MS)
+                self._latency_by_class[end.class_name] = first_ms
             return 1.0
-        inflation = end.latency_ms / max(expected_ms, 0.001)
+        inflation = end.latency_ms / expected_ms
         inflation = min(inflation, MAX_SAMPLE_INFLATION)
         is_lower_bound = end.is_given_up and inflation > health.inflation
         if not is_answer and not is_lower_bound:
@@ -156,8 +159,9 @@
         health.inflation += change
         health.samples += 1
         if is_answer:
-            change_ms = CLASS_WEIGHT * (end.latency_ms - expected_ms)
-            self._latency_by_class[end.class_name] = expected_ms + change_ms
+            change_ms = CLASS_WEIGHT * (inflation - 1.0) * expected_ms
+            expected_ms = max(expected_ms + change_ms, MIN_EXPECTED_MS)
+            self._latency_by_class[end.class_name] = expected_ms
         return inflation
 
     def _is_slow(self, health: Health, end: AttemptEnd) -> bool:
--- /dev/null
+++ b/tests/cover/test_routing_balancing.py
@@ -0,0 +1,213 @@
+"""Tests of the choice of candidates and of outlier ejection."""
+
+import collections
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+from routing_fakes import candidates_of, settings_with
+
+from celeryfield.internal.calls import Outcome, Reason
+from celeryfield.internal.clock import ManualClock
+from celeryfield.internal.routing.balancer import Balancer
+from celeryfield.internal.routing.outliers import (
+    MAX_EJECT_FACTOR,
+    AttemptEnd,
+)
+from celeryfield.internal.schema import wire
+
+NOBODY = frozenset()
+
+
+def balancer_for(candidates, clock=None, seed=1, **routing):
+    settings = settings_with(**routing)
+    balancer = Balancer(settings, clock or ManualClock(), random.Random(seed))
+    balancer.set_candidates("s", candidates)
+    return balancer
+
+
+def report(balancer, candidate, in_flight=0, state="ready", latency_ms=5.0):
+    load = wire.LoadReport(state, in_flight, 0, 16)
+    end = AttemptEnd(Outcome.OK, latency_ms=latency_ms, load=load)
+    balancer.record_start(candidate)
+    balancer.record_end(candidate, end)
+
+
+def fail(balancer, candidate, outcome=Outcome.FAILED, reason=Reason.NONE):
+    balancer.record_start(candidate)
+    balancer.record_end(candidate, AttemptEnd(outcome, reason))
+
+
+def picked_ids(balancer, count=300):
+    picks = (balancer.pick("s", NOBODY).ok.node_id for _ in range(count))
+    return collections.Counter(picks)
+
+
+def test_senders_with_one_stale_view_do_not_herd():
+    """Guards against 20 senders that all choose the node that looked idle."""
+    candidates = candidates_of("s", 10)
+    counts = collections.Counter()
+    for seed in range(20):
+        balancer = balancer_for(candidates, seed=seed)
+        for number, candidate in enumerate(candidates):
+            report(balancer, candidate, in_flight=0 if number == 0 else 12)
+        for _ in range(20):
+            candidate = balancer.pick("s", NOBODY).ok
+            balancer.record_start(candidate)
+            counts[candidate.node_id] += 1
+    # Two random choices include the idle node with probability 2 / 10; the
+    # best choice by the stale view would send it all 400.
+    assert counts["s-0"] <= 1.25 * 400 * 2 / 10
+    assert min(counts.values()) >= 400 / 10 / 2
+
+
+def test_prefers_lower_load_and_forgets_old_reports():
+    """Guards against a view that is trusted long after it was reported."""
+    clock = ManualClock()
+    candidates = candidates_of("s", 2)
+    balancer = balancer_for(candidates, clock)
+    report(balancer, candidates[0], in_flight=10)
+    report(balancer, candidates[1], in_flight=1)
+    assert picked_ids(balancer) == {"s-1": 300}
+    clock.advance(1_001)
+    assert min(picked_ids(balancer).values()) > 100
+
+
+def test_stays_in_the_own_zone_until_it_is_loaded():
+    """Guards against needless zone crossings and against a hot zone."""
+    candidates = candidates_of("s", 6, zones=("z1", "z2", "z3"))
+    balancer = balancer_for(candidates)
+    for candidate in candidates:
+        report(balancer, candidate, in_flight=8)
+    assert set(picked_ids(balancer)) == {"s-0", "s-3"}
+    for number in (0, 3):
+        report(balancer, candidates[number], in_flight=15)
+    counts = picked_ids(balancer)
+    assert counts["s-1"] + counts["s-2"] + counts["s-4"] + counts["s-5"] > 200
+
+
+def test_starts_cold_candidates_slowly_and_keeps_known_state():
+    """Guards against a new node that is flooded, or a set that forgets."""
+    clock = ManualClock()
+    candidates = candidates_of("s", 4)
+    balancer = balancer_for(candidates[:3], clock)
+    for _ in range(4):
+        balancer.record_start(candidates[0])
+    balancer.set_candidates("s", candidates)
+    counts = picked_ids(balancer)
+    assert counts["s-0"] < counts["s-1"]
+    assert counts["s-3"] == 0
+    clock.advance(5_000)
+    assert picked_ids(balancer)["s-3"] > 50
+    restarted = candidates_of("s", 1)[0].__class__(
+        "s-0", 2, "127.0.0.1", 7301, "z1", "s"
+    )
+    balancer.set_candidates("s", [restarted, *candidates[1:]])
+    balancer.record_end(candidates[0], AttemptEnd(Outcome.OK))
+    clock.advance(5_000)
+    assert picked_ids(balancer)["s-0"] > 50
+
+
+def test_skips_draining_and_starting_candidates_while_others_are_ready():
+    """Guards against new work for an upstream that leaves."""
+    draining = candidates_of("s", 1, state="draining")
+    starting = candidates_of("s", 2, state="starting")[1:]
+    ready = candidates_of("s", 4)[2:]
+    balancer = balancer_for([*draining, *starting, *ready])
+    assert set(picked_ids(balancer)) == {"s-2", "s-3"}
+    report(balancer, ready[0], state="draining")
+    assert set(picked_ids(balancer)) == {"s-3"}
+    assert balancer.pick("s", frozenset({"s-3"})).is_error()
+    balancer.set_candidates("s", [*draining, *starting])
+    assert set(picked_ids(balancer)) == {"s-1"}
+    balancer.set_candidates("s", [])
+    assert balancer.pick("s", NOBODY).is_error()
+
+
+def test_ejects_a_straggler_and_takes_it_back_after_one_good_trial():
+    """Guards against stragglers in the tail and ejections that last."""
+    clock = ManualClock()
+    candidates = candidates_of("s", 3)
+    balancer = balancer_for(candidates, clock)
+    for _ in range(20):
+        for candidate in candidates:
+            report(balancer, candidate)
+    report(balancer, candidates[0], latency_ms=500)
+    assert set(picked_ids(balancer)) == {"s-0", "s-1", "s-2"}
+    for _ in range(8):
+        report(balancer, candidates[0], latency_ms=50)
+    assert set(picked_ids(balancer)) == {"s-1", "s-2"}
+    clock.advance(2_000)
+    assert "s-0" in picked_ids(balancer)
+    balancer.record_start(candidates[0])
+    assert "s-0" not in picked_ids(balancer)
+    slow = AttemptEnd(Outcome.OK, latency_ms=60)
+    balancer.record_end(candidates[0], slow)
+    clock.advance(3_999)
+    assert "s-0" not in picked_ids(balancer)
+    clock.advance(1)
+    report(balancer, candidates[0])
+    # Back in full: a running call does not block it as a trial would.
+    for candidate in candidates:
+        balancer.record_start(candidate)
+    assert "s-0" in picked_ids(balancer)
+
+
+def test_distance_between_zones_is_no_reason_to_eject():
+    """Guards against ejecting every other zone of a fast service."""
+    candidates = candidates_of("s", 6)
+    balancer = balancer_for(candidates)
+    for _ in range(50):
+        for number, candidate in enumerate(candidates):
+            report(balancer, candidate, latency_ms=4 if number == 0 else 1)
+    assert len(picked_ids(balancer)) == 6
+
+
+@given(
+    st.integers(1, 9),
+    st.lists(
+        st.tuples(st.integers(0, 8), st.sampled_from(["gone", "bad", "ok"])),
+        max_size=80,
+    ),
+    st.integers(1, 9),
+)
+def test_bounds_the_share_and_time_of_ejections(count, events, later_count):
+    """Guards against mass ejection and against ejection for ever."""
+    clock = ManualClock()
+    candidates = candidates_of("s", count)
+    balancer = balancer_for(candidates, clock)
+    for number, kind in events:
+        candidate = candidates[number % count]
+        if kind == "gone":
+            fail(balancer, candidate, Outcome.NOT_RUN, Reason.UNREACHABLE)
+        elif kind == "bad":
+            for _ in range(5):
+                fail(balancer, candidate)
+        else:
+            report(balancer, candidate)
+        clock.advance(500)
+        assert ejected_count(balancer) <= int(count * 0.34)
+    balancer.set_candidates("s", candidates[:later_count])
+    left = min(count, later_count)
+    assert ejected_count(balancer) <= int(left * 0.34)
+    clock.advance(MAX_EJECT_FACTOR * 2_000)
+    # All are usable again, at least for a trial.
+    chosen = set()
+    while len(chosen) < left:
+        chosen.add(balancer.pick("s", frozenset(chosen)).ok.node_id)
+    assert len(chosen) == left
+    health_ends = [
+        state.health.ejected_until_ms or 0 for state in states_of(balancer)
+    ]
+    assert max(health_ends) <= clock.now_ms()
+
+
+def states_of(balancer):
+    return balancer._services_by_name["s"].states_by_id.values()
+
+
+def ejected_count(balancer):
+    return sum(
+        state.health.ejected_until_ms is not None
+        for state in states_of(balancer)
+    )
--- /dev/null
+++ b/tests/cover/test_routing_executor.py
@@ -0,0 +1,264 @@
+"""Tests of levels, redirects, retries and hedges of one call."""
+
+import asyncio
+
+import pytest
+from routing_fakes import call_to, executor_for, settings_with
+
+from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
+from celeryfield.internal.clock import ManualClock
+from celeryfield.internal.routing.chains import (
+    EXPIRY_GRACE_MS,
+    ChainTable,
+)
+from celeryfield.internal.routing.levels import LevelTable
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.fileset import ClassSection
+
+OK = CallResult(Outcome.OK)
+FAILED = CallResult(Outcome.FAILED, Reason.UPSTREAM_ERROR)
+LOST = CallResult(Outcome.UNKNOWN, Reason.CONNECTION_LOST)
+
+
+class Script:
+    """A transport that gives prepared answers and notes the attempts."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.node_ids = []
+
+    async def __call__(self, candidate, call, _body):
+        self.node_ids.append(candidate.node_id)
+        answer = self.answers.pop(0)
+        unused = call.retry_allowance
+        if answer.outcome is Outcome.UNKNOWN:
+            unused = 0
+        return CallResult(
+            answer.outcome,
+            answer.reason,
+            failed_deeper=answer.failed_deeper,
+            unused_allowance=unused,
+            load=answer.load,
+        )
+
+
+def load_with(*levels):
+    entries = tuple(wire.ServiceLevel(*level) for level in levels)
+    return wire.LoadReport("ready", 1, 0, 16, entries)
+
+
+@pytest.mark.parametrize(
+    ("answers", "fields", "attempts", "outcome", "unused"),
+    [
+        ([FAILED, OK], {}, 2, Outcome.OK, 2),
+        ([FAILED], {"repeatable": False}, 1, Outcome.FAILED, 3),
+        ([LOST], {"run_once": True}, 1, Outcome.UNKNOWN, 1),
+        ([FAILED] * 4, {}, 4, Outcome.FAILED, 0),
+        ([FAILED], {"retry_allowance": 0}, 1, Outcome.FAILED, 0),
+        # One redirect is free, the second costs allowance.
+        (
+            [not_run(Reason.DRAINING), not_run(Reason.UNREACHABLE), OK],
+            {"run_once": True},
+            3,
+            Outcome.OK,
+            2,
+        ),
+        (
+            [not_run(Reason.DRAINING), not_run(Reason.NO_UPSTREAM)],
+            {"retry_allowance": 0},
+            2,
+            Outcome.NOT_RUN,
+            0,
+        ),
+        (
+            [not_run(Reason.OVERLOAD)],
+            {"retry_allowance": 0},
+            1,
+            Outcome.NOT_RUN,
+            0,
+        ),
+        ([not_run(Reason.SUSPECT)], {}, 1, Outcome.NOT_RUN, 3),
+        (
+            [CallResult(Outcome.UNKNOWN, Reason.SUSPECT)],
+            {},
+            1,
+            Outcome.UNKNOWN,
+            1,
+        ),
+        # A refusal after a lost answer does not prove that nothing ran.
+        (
+            [LOST, not_run(Reason.OVERLOAD)],
+            {"retry_allowance": 2},
+            2,
+            Outcome.UNKNOWN,
+            0,
+        ),
+        (
+            [CallResult(Outcome.FAILED, failed_deeper=True)],
+            {},
+            1,
+            Outcome.FAILED,
+            3,
+        ),
+    ],
+)
+async def test_sends_again_only_what_may_be_sent_again(
+    answers, fields, attempts, outcome, unused
+):
+    """Guards against second runs, free retries and untrue refusals."""
+    script = Script(*answers)
+    executor, _, _ = executor_for(script)
+    call = call_to(**({"retry_allowance": 3} | fields))
+    result = await executor.execute(call, b"")
+    assert len(script.node_ids) == attempts
+    assert len(set(script.node_ids[:3])) == min(attempts, 3)
+    assert result.outcome is outcome
+    assert result.unused_allowance == unused
+
+
+async def test_baseline_tries_three_times_whatever_the_allowance():
+    """Guards against a baseline that profits from the new rules."""
+    script = Script(*[CallResult(Outcome.FAILED, failed_deeper=True)] * 3)
+    settings = settings_with(policy="baseline")
+    executor, levels, _ = executor_for(script, settings=settings)
+    levels.learn("s-0", "s", "k", load_with(("s", 12_800)))
+    result = await executor.execute(call_to(), b"")
+    assert result.outcome is Outcome.FAILED
+    assert sorted(script.node_ids) == ["s-0", "s-1", "s-2"]
+
+
+async def test_gives_up_at_the_deadline_and_cancels_the_attempt():
+    """Guards against callers that wait for a silent node."""
+    clock = ManualClock()
+    cancelled = []
+
+    async def send(candidate, _call, _body):
+        try:
+            await asyncio.get_running_loop().create_future()
+        finally:
+            cancelled.append(candidate.node_id)
+
+    executor, _, _ = executor_for(send, clock=clock)
+    task = asyncio.ensure_future(
+        executor.execute(call_to(deadline_left_ms=50, retry_allowance=3), b"")
+    )
+    for step_ms in (0, 49, 1):
+        assert not task.done()
+        clock.advance(step_ms)
+        for _ in range(8):
+            await asyncio.sleep(0)
+    result = task.result()
+    assert (result.outcome, result.reason) == (Outcome.UNKNOWN, Reason.DEADLINE)
+    assert result.unused_allowance == 1
+    assert len(cancelled) == 1
+
+
+async def test_hedges_slow_calls_within_the_budget_and_cancels_the_loser():
+    """Guards against hedges above 5%, under overload, or that linger."""
+    slow_calls = 0
+    cancelled = 0
+
+    async def send(_candidate, call, _body):
+        nonlocal slow_calls, cancelled
+        if call.path == "slow" and call.attempt == 0:
+            slow_calls += 1
+            try:
+                # Outlasts the hedge, but ends if no hedge may be sent.
+                for _ in range(20):
+                    await asyncio.sleep(0)
+            except asyncio.CancelledError:
+                cancelled += 1
+                raise
+        return CallResult(Outcome.OK, unused_allowance=call.retry_allowance)
+
+    rule = ClassSection(hedge=True)
+    executor, levels, _ = executor_for(send, rule=rule)
+    for number in range(400):
+        path = "slow" if number >= 100 else ""
+        call = call_to(path=path, retry_allowance=2)
+        result = await executor.execute(call, b"")
+        assert result.outcome is Outcome.OK
+        await asyncio.sleep(0)
+    hedges = executor.counters.hedges
+    assert 0 < hedges <= 0.05 * 400
+    assert cancelled == hedges
+    assert slow_calls == 300
+    for fields in ({"run_once": True}, {"repeatable": False}):
+        call = call_to(path="slow", retry_allowance=2, **fields)
+        for _ in range(100):
+            await executor.execute(call, b"")
+    levels.learn("s-0", "s", "k", load_with(("deep", 100)))
+    for _ in range(100):
+        await executor.execute(call_to(path="slow", retry_allowance=2), b"")
+    assert executor.counters.hedges == hedges
+
+
+async def test_sheds_at_the_sender_only_what_no_candidate_admits():
+    """Guards against one overloaded upstream that sheds a whole service."""
+    clock = ManualClock()
+    script = Script(*[OK] * 20)
+    executor, levels, _ = executor_for(script, clock=clock)
+    rank = 50 * 128
+    levels.learn("s-0", "s", "k", load_with(("s", rank + 128)))
+    levels.learn("s-1", "s", "k", load_with(("s", rank)))
+    for _ in range(10):
+        await executor.execute(call_to(), b"")
+    assert "s-0" not in script.node_ids
+    levels.learn("s-1", "s", "k", load_with(("s", rank + 128)))
+    sent = len(script.node_ids)
+    result = await executor.execute(call_to(retry_allowance=3), b"")
+    assert (result.outcome, result.reason) == (Outcome.NOT_RUN, Reason.OVERLOAD)
+    assert result.unused_allowance == 3
+    assert len(script.node_ids) == sent
+    important = await executor.execute(call_to(priority=51), b"")
+    assert important.outcome is Outcome.OK
+    clock.advance(1_001)
+    assert (await executor.execute(call_to(), b"")).outcome is Outcome.OK
+
+
+def test_levels_of_deeper_services_age_across_hops():
+    """Guards against levels that outlast their cause by a TTL per hop."""
+    clock = ManualClock()
+    tables = [LevelTable(settings_with(), clock) for _ in range(3)]
+    chains = [ChainTable(clock, table) for table in tables]
+    tables[2].learn("d", "s3", "k", load_with(("s3", 9_000)))
+    for hop in (1, 0):
+        clock.advance(400)
+        service = f"s{hop + 1}"
+        chain_table = chains[hop + 1]
+        span_id = chain_table.open(call_to(service, deadline_left_ms=9_000))
+        chain = chain_table.find(chain_table.traceparent(span_id))
+        chain_table.begin_sub_call(chain, call_to(f"s{hop + 2}"))
+        levels = chain_table.deeper_levels(service, "k")
+        report = wire.LoadReport("ready", 1, 0, 16, levels)
+        tables[hop].learn(f"n{hop + 1}", service, "k", report)
+    assert tables[0].level_for("s1", "k") == 9_000
+    assert tables[0].level_for("s1", "other") == 0
+    clock.advance(250)
+    assert tables[0].level_for("s1", "k") == 0
+
+
+def test_forgets_abandoned_chains_and_bounds_sub_calls():
+    """Guards against a table that grows and sub-calls that outlive theirs."""
+    clock = ManualClock()
+    chains = ChainTable(clock, LevelTable(settings_with(), clock))
+    call = call_to(retry_allowance=3, deadline_left_ms=100)
+    span_id = chains.open(call)
+    header = chains.traceparent(span_id)
+    chain = chains.find(header)
+    clock.advance(60)
+    sub_call = chains.begin_sub_call(chain, call_to("t", root_id="other"))
+    assert sub_call.deadline_left_ms == 40
+    assert sub_call.root_id == "r"
+    assert chains.used_services("s", "k") == [("t", "k")]
+    other_trace = header.replace(header[3:35], "0" * 32)
+    for unknown in (None, "", "00-zz-00-01", other_trace):
+        assert chains.find(unknown) is None
+    chains.open(call)
+    clock.advance(100 + EXPIRY_GRACE_MS)
+    chains.open(call)
+    assert len(chains) == 1
+    assert chains.close(span_id) == 0
+    # The call ended, so what the sub-call left over is lost.
+    chains.end_sub_call(chain, sub_call, OK)
+    assert chain.draw() == 1
