Share one timer task between deadlines and hedges

Cause: a task per deadline and two per hedged call made a hedged call cost 142 to 404 us (median 210 us), more than the 100 us aimed at. Change: alarms share one sleeping task; the first attempt of a hedged call runs in the caller's task; attempts copy calls without copy.copy (11.3 us to 1.6 us).

--- /dev/null
+++ b/src/celeryfield/internal/routing/alarms.py
@@ -0,0 +1,84 @@
+"""Timers that run by the clock of the node."""
+
+import asyncio
+import dataclasses
+import heapq
+import itertools
+import math
+from collections.abc import Callable
+
+from celeryfield.internal.clock import Clock
+
+
+@dataclasses.dataclass(slots=True)
+class Alarm:
+    """A function that is called later unless the alarm is cancelled."""
+
+    action: Callable[[], None] | None
+
+    def cancel(self) -> None:
+        """Makes sure that the function is not called any more."""
+        self.action = None
+
+
+class Alarms:
+    """Alarms that share one sleeping task.
+
+    Almost every alarm is cancelled before its time, and a task for each would
+    cost more than the rest of a call. The task is replaced only by an alarm
+    that is due before all others.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._pending: list[tuple[float, int, Alarm]] = []
+        self._sequence = itertools.count()
+        self._wake_ms = math.inf
+        self._sleeper: asyncio.Task[None] | None = None
+
+    def set(self, delay_ms: float, action: Callable[[], None]) -> Alarm:
+        """Calls a function after a delay."""
+        self._drop_cancelled()
+        alarm = Alarm(action)
+        due_ms = self._clock.now_ms() + delay_ms
+        entry = (due_ms, next(self._sequence), alarm)
+        heapq.heappush(self._pending, entry)
+        # The task is also done if its event loop was closed.
+        is_asleep = self._sleeper is not None and not self._sleeper.done()
+        if not is_asleep or due_ms < self._wake_ms:
+            self._wake_for_first()
+        return alarm
+
+    def close(self) -> None:
+        """Stops all alarms."""
+        self._pending.clear()
+        if self._sleeper is not None:
+            self._sleeper.cancel()
+
+    def _wake_for_first(self) -> None:
+        if self._sleeper is not None:
+            self._sleeper.cancel()
+        self._wake_ms = self._pending[0][0]
+        self._sleeper = asyncio.ensure_future(self._sleep(self._wake_ms))
+
+    async def _sleep(self, wake_ms: float) -> None:
+        while True:
+            left_ms = wake_ms - self._clock.now_ms()
+            await self._clock.sleep_ms(max(left_ms, 0.0))
+            self._call_due(max(self._clock.now_ms(), wake_ms))
+            if not self._pending:
+                return
+            wake_ms = self._pending[0][0]
+            self._wake_ms = wake_ms
+
+    def _call_due(self, now: float) -> None:
+        while self._pending and self._pending[0][0] <= now:
+            action = heapq.heappop(self._pending)[2].action
+            if action is not None:
+                action()
+        self._drop_cancelled()
+
+    def _drop_cancelled(self) -> None:
+        pending = self._pending
+        while pending and pending[0][2].action is None:
+            heapq.heappop(pending)
--- a/src/celeryfield/internal/routing/attempts.py
+++ b/src/celeryfield/internal/routing/attempts.py
@@ -1,10 +1,9 @@
 """One attempt at one candidate."""
 
 import asyncio
-import contextlib
-import copy
 import dataclasses
 import functools
+import operator
 from collections.abc import Awaitable, Callable
 
 from celeryfield.errors import CeleryfieldError
@@ -16,6 +15,7 @@
     not_run,
 )
 from celeryfield.internal.clock import Clock
+from celeryfield.internal.routing.alarms import Alarms
 from celeryfield.internal.routing.balancer import Balancer
 from celeryfield.internal.routing.hedging import Hedging
 from celeryfield.internal.routing.levels import NO_IDS, LevelTable
@@ -27,6 +27,15 @@
 GATEWAY_TIMEOUT = 504
 BAD_GATEWAY = 502
 
+_fields_of_call = operator.attrgetter(
+    *(field.name for field in dataclasses.fields(wire.Call))
+)
+
+
+def copy_of_call(call: wire.Call) -> wire.Call:
+    """Returns a copy; several times as fast as ``copy.copy``."""
+    return wire.Call(*_fields_of_call(call))
+
 
 @dataclasses.dataclass(slots=True)
 class Run:
@@ -74,12 +83,14 @@
     def __init__(
         self,
         clock: Clock,
+        alarms: Alarms,
         balancer: Balancer,
         send: Send,
         levels: LevelTable,
         hedging: Hedging,
     ) -> None:
         self._clock = clock
+        self._alarms = alarms
         self._balancer = balancer
         self._transport_send = send
         self._levels = levels
@@ -112,7 +123,7 @@
     def _call_of_attempt(
         self, run: Run, left_ms: float, handed_down: int
     ) -> wire.Call:
-        call = copy.copy(run.call)
+        call = copy_of_call(run.call)
         call.retry_allowance = handed_down
         call.deadline_left_ms = left_ms
         call.attempt = run.attempts
@@ -128,8 +139,9 @@
         """Sends an attempt and gives it up at the deadline."""
         try:
             async with asyncio.timeout(None) as scope:
-                alarm = asyncio.ensure_future(self._clock.sleep_ms(left_ms))
-                alarm.add_done_callback(functools.partial(_expire, scope))
+                alarm = self._alarms.set(
+                    left_ms, functools.partial(expire, scope)
+                )
                 try:
                     return await self._transport_send(candidate, call, body)
                 finally:
@@ -176,13 +188,9 @@
             self._hedging.record(call, latency_ms)
 
 
-def _expire(scope: asyncio.Timeout, alarm: asyncio.Task[None]) -> None:
-    """Makes a timeout scope expire by the clock of the node."""
-    if alarm.cancelled():
-        return
-    # Raised if the scope was left in the same turn of the loop.
-    with contextlib.suppress(RuntimeError):
-        scope.reschedule(asyncio.get_running_loop().time())
+def expire(scope: asyncio.Timeout) -> None:
+    """Makes a timeout scope expire now, by the clock of the node."""
+    scope.reschedule(asyncio.get_running_loop().time())
 
 
 def _unknown(reason: Reason, status: int) -> CallResult:
--- a/src/celeryfield/internal/routing/chains.py
+++ b/src/celeryfield/internal/routing/chains.py
@@ -1,6 +1,5 @@
 """Calls that run at the local upstream, found by span id."""
 
-import copy
 import dataclasses
 import heapq
 import re
@@ -10,6 +9,7 @@
 
 from celeryfield.internal.calls import CallResult, Outcome
 from celeryfield.internal.clock import Clock
+from celeryfield.internal.routing.attempts import copy_of_call
 from celeryfield.internal.routing.levels import USE_TTL_MS, LevelTable
 from celeryfield.internal.routing.retries import (
     returned_allowance,
@@ -127,7 +127,7 @@
     def begin_sub_call(self, chain: Chain, call: wire.Call) -> wire.Call:
         """Returns a call of the upstream as a part of its chain."""
         parent = chain.call
-        sub_call = copy.copy(call)
+        sub_call = copy_of_call(call)
         sub_call.root_id = parent.root_id
         sub_call.tenant = parent.tenant
         sub_call.priority = parent.priority
--- a/src/celeryfield/internal/routing/executor.py
+++ b/src/celeryfield/internal/routing/executor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 
 from celeryfield.internal.calls import (
     CallResult,
@@ -11,7 +12,13 @@
     not_run,
 )
 from celeryfield.internal.clock import Clock
-from celeryfield.internal.routing.attempts import AttemptSender, Run, Send
+from celeryfield.internal.routing.alarms import Alarms
+from celeryfield.internal.routing.attempts import (
+    AttemptSender,
+    Run,
+    Send,
+    expire,
+)
 from celeryfield.internal.routing.balancer import Balancer
 from celeryfield.internal.routing.hedging import Hedging
 from celeryfield.internal.routing.levels import NO_IDS, LevelTable
@@ -58,6 +65,30 @@
     shed: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class _Race:
+    """A first attempt and its hedge.
+
+    Attributes:
+        scope: Scope of the first attempt.
+        hedge: The second attempt, once it was started.
+        is_first_running: The scope has not been left yet.
+    """
+
+    scope: asyncio.Timeout
+    hedge: asyncio.Task[CallResult] | None = None
+    is_first_running: bool = True
+
+    def end_first(self, hedge: asyncio.Task[CallResult]) -> None:
+        """Cancels the first attempt if the hedge succeeded before it."""
+        if not self.is_first_running or hedge.cancelled():
+            return
+        if hedge.exception() is not None:
+            return
+        if hedge.result().outcome is Outcome.OK:
+            expire(self.scope)
+
+
 class CallExecutor:
     """Sends calls to candidates on behalf of callers and of the upstream."""
 
@@ -75,8 +106,9 @@
         self._levels = levels
         self._is_baseline = settings.routing.policy == "baseline"
         self._hedging = Hedging(settings, class_rule, levels)
+        self._alarms = Alarms(clock)
         self.sender = AttemptSender(
-            clock, balancer, send, levels, self._hedging
+            clock, self._alarms, balancer, send, levels, self._hedging
         )
         self._losers: set[asyncio.Task[CallResult]] = set()
         self.retries = RetryRatios(class_rule)
@@ -116,6 +148,10 @@
                 return run.finish(result)
             result = await self._attempt(run, candidate)
 
+    def close(self) -> None:
+        """Stops the timers; calls that still run lose their deadline."""
+        self._alarms.close()
+
     def _choose(self, run: Run) -> Candidate | None:
         """Picks a candidate that was not tried, if possible an open one."""
         refusing_ids = self._levels.refusing_ids(run.call)
@@ -185,38 +221,52 @@
         left_ms = run.deadline_ms - self._clock.now_ms()
         if delay_ms is None or delay_ms >= left_ms or run.allowance < 2:
             return await self._attempt(run, candidate)
-        tasks = {asyncio.ensure_future(self._attempt(run, candidate))}
+        result = None
         try:
-            await self._wait_at_most(tasks, delay_ms)
-            if not any(task.done() for task in tasks):
-                hedge = self._start_hedge(run)
-                if hedge is not None:
-                    tasks.add(hedge)
-            return await _first_good(tasks)
+            # The scope expires when the hedge wins.
+            async with asyncio.timeout(None) as scope:
+                race = _Race(scope)
+                start = functools.partial(self._start_hedge, run, race)
+                alarm = self._alarms.set(delay_ms, start)
+                try:
+                    result = await self._attempt(run, candidate)
+                finally:
+                    alarm.cancel()
+                    race.is_first_running = False
+        except TimeoutError:
+            # The attempt returns a result even when its own time is over.
+            return race.hedge.result()
         finally:
-            for task in tasks:
-                self._cancel(task)
+            is_over = result is None or result.outcome is Outcome.OK
+            if is_over and race.hedge is not None:
+                self._cancel(race.hedge)
+        if is_over or race.hedge is None:
+            return result
+        return await self._hedge_after(result, race.hedge)
 
-    async def _wait_at_most(
-        self, tasks: set[asyncio.Task[CallResult]], duration_ms: float
-    ) -> None:
-        alarm = asyncio.ensure_future(self._clock.sleep_ms(duration_ms))
-        try:
-            await asyncio.wait(
-                {*tasks, alarm}, return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            alarm.cancel()
-
-    def _start_hedge(self, run: Run) -> asyncio.Task[CallResult] | None:
+    def _start_hedge(self, run: Run, race: _Race) -> None:
+        """Starts the hedge of a first attempt, if everything permits it."""
         if run.allowance < 1:
-            return None
+            return
         candidate = self._choose(run)
         if candidate is None or not self._hedging.try_take(run.call):
-            return None
+            return
         run.allowance -= 1
         self.counters.hedges += 1
-        return asyncio.ensure_future(self._attempt(run, candidate))
+        race.hedge = asyncio.ensure_future(self._attempt(run, candidate))
+        race.hedge.add_done_callback(race.end_first)
+
+    async def _hedge_after(
+        self, first: CallResult, hedge: asyncio.Task[CallResult]
+    ) -> CallResult:
+        """Waits for the hedge of a first attempt that failed."""
+        try:
+            second = await hedge
+        finally:
+            self._cancel(hedge)
+        if second.outcome is Outcome.OK:
+            return second
+        return max(first, second, key=_retry_caution)
 
     def _cancel(self, task: asyncio.Task[CallResult]) -> None:
         """Cancels a losing attempt without waiting for its end."""
@@ -245,27 +295,12 @@
         return run.finish(result)
 
 
-async def _first_good(tasks: set[asyncio.Task[CallResult]]) -> CallResult:
-    """Returns the first success, or the most telling failure of all.
+def _retry_caution(result: CallResult) -> tuple[bool, bool, bool]:
+    """Orders two failures by how strongly they forbid another attempt.
 
     A failure that was retried deeper, or after which the request may have
     run, must not be taken for a refusal.
     """
-    pending = tasks
-    failures: list[CallResult] = []
-    while pending:
-        done, pending = await asyncio.wait(
-            pending, return_when=asyncio.FIRST_COMPLETED
-        )
-        for task in done:
-            result = task.result()
-            if result.outcome is Outcome.OK:
-                return result
-            failures.append(result)
-    return max(failures, key=_retry_caution)
-
-
-def _retry_caution(result: CallResult) -> tuple[bool, bool, bool]:
     return (
         result.reason in FINAL_REASONS,
         result.failed_deeper,
