Add the connection between nodes and the upstream client

Cause: calls need a path from one node to another that matches answers to calls, survives silent connections and never reports a started call as not-run. Change: framed multiplexed TCP connections, cancel-unless-started resolution on a new connection, upstream HTTP client without the library's own retry. Conclusion: bodies are buffered whole and cut into 64 KiB frames; window frames are not needed.

--- /dev/null
+++ b/src/celeryfield/internal/transport/connection.py
@@ -0,0 +1,251 @@
+"""One multiplexed connection to another node.
+
+Frames are parsed in ``data_received`` instead of a reader task: a task switch
+per frame costs about as much as decoding the frame, and every call crosses
+four of them. One task per connection checks its progress.
+"""
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Callable
+
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.schema import settings as settings_schema
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.base import MessageError
+from celeryfield.internal.transport import frames
+from celeryfield.internal.transport.errors import (
+    ConnectionLostError,
+    TransportError,
+)
+from celeryfield.internal.transport.frames import Frame, Kind
+
+logger = logging.getLogger(__name__)
+
+Receive = Callable[["PeerConnection", Frame], None]
+
+
+class _Assembly:
+    """A message whose body is still arriving."""
+
+    __slots__ = ("frame", "parts", "size")
+
+    def __init__(self, frame: Frame) -> None:
+        self.frame = frame
+        self.parts = [frame.payload]
+        self.size = len(frame.payload)
+
+
+class PeerConnection(asyncio.Protocol):
+    """Both ends of a connection between two nodes.
+
+    Args:
+        settings: Settings of this node.
+        clock: Time source.
+        receive: Called with each complete request message.
+        on_close: Called once when the connection has ended.
+    """
+
+    def __init__(
+        self,
+        settings: settings_schema.NodeSettings,
+        clock: Clock,
+        receive: Receive,
+        on_close: Callable[["PeerConnection"], None],
+    ) -> None:
+        self.hello: wire.Hello | None = None
+        self._settings = settings
+        self._clock = clock
+        self._receive = receive
+        self._on_close = on_close
+        self._parser = frames.FrameParser()
+        self._transport: asyncio.Transport | None = None
+        self._stream_ids = itertools.count(1)
+        self._answers_by_stream: dict[int, asyncio.Future[Frame]] = {}
+        self._assemblies_by_key: dict[tuple[int, bool], _Assembly] = {}
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._last_received_ms = clock.now_ms()
+        self._ping_sent_ms: float | None = None
+        self._progress: asyncio.Task[None] | None = None
+        self.is_closed = False
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Starts the progress check."""
+        self._transport = transport  # type: ignore[assignment]
+        self._progress = asyncio.ensure_future(self._check_progress())
+
+    def data_received(self, data: bytes) -> None:
+        """Handles every complete frame; a malformed one ends the connection."""
+        self._last_received_ms = self._clock.now_ms()
+        self._ping_sent_ms = None
+        try:
+            for frame in self._parser.feed(data):
+                self._handle(frame)
+        except (frames.FrameError, MessageError) as error:
+            logger.warning(
+                "closing connection after a malformed frame",
+                extra={"peer": self.peer_id, "error": str(error)},
+            )
+            self.close()
+
+    def connection_lost(self, _exc: Exception | None) -> None:
+        """Fails all calls that wait for an answer."""
+        self._finish()
+
+    def pause_writing(self) -> None:
+        """Holds back body frames while the send buffer is full."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Lets body frames continue."""
+        self._writable.set()
+
+    # Messages
+
+    @property
+    def peer_id(self) -> str:
+        """Node id of the other end, once it has said hello."""
+        return self.hello.node_id if self.hello else ""
+
+    async def request(self, kind: Kind, header: bytes, body: bytes) -> Frame:
+        """Sends a request and waits for its answer.
+
+        Raises:
+            ConnectionLostError: The connection ended before the answer.
+        """
+        if self.is_closed:
+            raise ConnectionLostError(f"connection to {self.peer_id} is closed")
+        stream_id = next(self._stream_ids)
+        answer = asyncio.get_running_loop().create_future()
+        self._answers_by_stream[stream_id] = answer
+        try:
+            await self.send(kind, stream_id, header, body)
+            return await answer
+        finally:
+            self._answers_by_stream.pop(stream_id, None)
+
+    async def send(
+        self, kind: Kind, stream_id: int, header: bytes, body: bytes = b""
+    ) -> None:
+        """Sends one message, cutting a large body into several frames."""
+        limit = frames.MAX_PAYLOAD_BYTES
+        self.send_frame(kind, stream_id, header, body[:limit])
+        if len(body) < limit:
+            return
+        for start in range(limit, len(body), limit):
+            await self._writable.wait()
+            self.send_frame(
+                Kind.BODY, stream_id, _side(kind), body[start : start + limit]
+            )
+        self.send_frame(Kind.END, stream_id, _side(kind), b"")
+
+    def send_frame(
+        self, kind: Kind, stream_id: int, header: bytes, payload: bytes = b""
+    ) -> None:
+        """Writes one frame; does nothing on a closed connection."""
+        if self._transport is not None and not self.is_closed:
+            self._transport.write(
+                frames.encode_frame(kind, stream_id, header, payload)
+            )
+
+    def close(self) -> None:
+        """Ends the connection at once and fails the waiting calls."""
+        if self._transport is not None:
+            self._transport.abort()
+        self._finish()
+
+    def _handle(self, frame: Frame) -> None:
+        if frame.kind in (Kind.BODY, Kind.END):
+            self._continue_body(frame)
+        elif frame.kind is Kind.PING:
+            self.send_frame(Kind.PONG, frame.stream_id, b"")
+        elif frame.kind is Kind.PONG:
+            return
+        elif len(frame.payload) == frames.MAX_PAYLOAD_BYTES:
+            key = (frame.stream_id, _is_answer(frame.kind))
+            self._assemblies_by_key[key] = _Assembly(frame)
+        else:
+            self._deliver(frame)
+
+    def _continue_body(self, frame: Frame) -> None:
+        key = (frame.stream_id, frame.header == b"a")
+        assembly = self._assemblies_by_key.get(key)
+        if assembly is None:
+            raise frames.FrameError("body frame without a message")
+        if frame.kind is Kind.BODY:
+            assembly.parts.append(frame.payload)
+            assembly.size += len(frame.payload)
+            if assembly.size > self._settings.listen.max_body_bytes:
+                raise frames.FrameError("body exceeds listen.max_body_bytes")
+            return
+        del self._assemblies_by_key[key]
+        assembly.frame.payload = b"".join(assembly.parts)
+        self._deliver(assembly.frame)
+
+    def _deliver(self, frame: Frame) -> None:
+        if not _is_answer(frame.kind):
+            self._receive(self, frame)
+            return
+        answer = self._answers_by_stream.get(frame.stream_id)
+        if answer is not None and not answer.done():
+            answer.set_result(frame)
+
+    async def _check_progress(self) -> None:
+        """Closes the connection when it stays silent with work outstanding.
+
+        Something between two nodes can lose track of an open connection; TCP
+        would take minutes to notice.
+        """
+        routing = self._settings.routing
+        while not self.is_closed:
+            await self._clock.sleep_ms(routing.silent_ms / 2)
+            if not self._answers_by_stream:
+                self._ping_sent_ms = None
+                continue
+            now_ms = self._clock.now_ms()
+            if self._ping_sent_ms is not None:
+                waited_ms = now_ms - self._ping_sent_ms
+                if waited_ms >= routing.silent_close_ms - routing.silent_ms:
+                    logger.warning(
+                        "closing silent connection",
+                        extra={"peer": self.peer_id},
+                    )
+                    self.close()
+            elif now_ms - self._last_received_ms >= routing.silent_ms:
+                self._ping_sent_ms = now_ms
+                self.send_frame(Kind.PING, 0, b"")
+
+    def _finish(self) -> None:
+        if self.is_closed:
+            return
+        self.is_closed = True
+        self._writable.set()
+        if self._progress is not None:
+            self._progress.cancel()
+        error = ConnectionLostError(f"lost the connection to {self.peer_id}")
+        for answer in self._answers_by_stream.values():
+            if not answer.done():
+                answer.set_exception(error)
+                # A waiter that was cancelled never retrieves the error.
+                answer.exception()
+        self._on_close(self)
+
+
+def _is_answer(kind: Kind) -> bool:
+    return kind in _ANSWERS
+
+
+def _side(kind: Kind) -> bytes:
+    """Tells body frames of an answer from those of a request."""
+    return b"a" if kind in _ANSWERS else b"r"
+
+
+_ANSWERS = frozenset(
+    (Kind.REPLY, Kind.CANCEL_RESULT, Kind.CONFIG, Kind.HANDOVER_RESULT)
+)
+
+__all__ = ["PeerConnection", "TransportError"]
--- /dev/null
+++ b/src/celeryfield/internal/transport/frames.py
@@ -0,0 +1,119 @@
+"""Framing of messages between nodes.
+
+A frame is a fixed prefix, a Cap'n Proto header and a raw payload. Bodies are
+raw payloads so that they are not copied through the codec.
+"""
+
+import dataclasses
+import enum
+import struct
+
+from celeryfield import errors
+
+PREFIX = struct.Struct(">BIII")
+PROTOCOL_VERSION = 1
+MAX_HEADER_BYTES = 64 * 1024
+# Large bodies are cut into frames of this size, so that a long body does not
+# block short messages on the same connection.
+MAX_PAYLOAD_BYTES = 64 * 1024
+
+
+class Kind(enum.IntEnum):
+    """What a frame carries."""
+
+    HELLO = 1
+    CALL = 2
+    REPLY = 3
+    BODY = 4
+    END = 5
+    CANCEL = 6
+    CANCEL_RESULT = 7
+    PING = 8
+    PONG = 9
+    FETCH_CONFIG = 10
+    CONFIG = 11
+    HANDOVER = 12
+    HANDOVER_RESULT = 13
+
+
+_KINDS_BY_VALUE = {int(kind): kind for kind in Kind}
+
+
+class FrameError(errors.CeleryfieldError):
+    """Bytes from another node that are not a valid frame."""
+
+
+@dataclasses.dataclass(slots=True)
+class Frame:
+    """One frame.
+
+    Attributes:
+        kind: What the frame carries.
+        stream_id: Pairs requests and answers of one connection.
+        header: Encoded Cap'n Proto message.
+        payload: Raw body bytes.
+    """
+
+    kind: Kind
+    stream_id: int
+    header: bytes
+    payload: bytes
+
+
+def encode_frame(
+    kind: Kind, stream_id: int, header: bytes = b"", payload: bytes = b""
+) -> bytes:
+    """Returns the bytes of one frame."""
+    prefix = PREFIX.pack(kind, stream_id, len(header), len(payload))
+    return b"".join((prefix, header, payload))
+
+
+class FrameParser:
+    """Splits a byte stream into frames."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[Frame]:
+        """Adds received bytes and returns the frames they complete.
+
+        Raises:
+            FrameError: The stream is not a sequence of valid frames.
+        """
+        buffer = self._buffer
+        buffer += data
+        frames: list[Frame] = []
+        position = 0
+        while len(buffer) - position >= PREFIX.size:
+            kind, stream_id, header_length, payload_length = PREFIX.unpack_from(
+                buffer, position
+            )
+            _check_prefix(kind, header_length, payload_length)
+            header_start = position + PREFIX.size
+            payload_start = header_start + header_length
+            end = payload_start + payload_length
+            if len(buffer) < end:
+                break
+            frames.append(
+                Frame(
+                    _KINDS_BY_VALUE[kind],
+                    stream_id,
+                    bytes(buffer[header_start:payload_start]),
+                    bytes(buffer[payload_start:end]),
+                )
+            )
+            position = end
+        if position:
+            del buffer[:position]
+        return frames
+
+
+def _check_prefix(kind: int, header_length: int, payload_length: int) -> None:
+    if kind not in _KINDS_BY_VALUE:
+        raise FrameError(f"unknown frame kind {kind}")
+    if header_length > MAX_HEADER_BYTES:
+        raise FrameError(f"frame header of {header_length} bytes is too large")
+    if payload_length > MAX_PAYLOAD_BYTES:
+        raise FrameError(
+            f"frame payload of {payload_length} bytes is too large"
+        )
--- /dev/null
+++ b/src/celeryfield/internal/transport/pool.py
@@ -0,0 +1,238 @@
+"""Outgoing connections to other nodes, one per node incarnation."""
+
+import asyncio
+import logging
+import ssl
+
+from celeryfield.internal.calls import (
+    CallResult,
+    Candidate,
+    Outcome,
+    Reason,
+    not_run,
+)
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.schema import settings as settings_schema
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.base import MessageError
+from celeryfield.internal.transport import frames
+from celeryfield.internal.transport.connection import PeerConnection
+from celeryfield.internal.transport.errors import (
+    ConnectionLostError,
+    TransportError,
+    UnreachableError,
+)
+from celeryfield.internal.transport.frames import Frame, Kind
+
+logger = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S = 1.0
+# The dispatching node answers at the deadline itself; its answer tells more
+# than a timeout here would, so it gets this much time to arrive.
+DEADLINE_GRACE_MS = 100.0
+
+
+class PeerPool:
+    """Sends messages to other nodes.
+
+    Args:
+        settings: Settings of this node.
+        clock: Time source.
+        hello: Identity that this node presents; the connection number is set
+            for each connection.
+        ssl_context: Client-side TLS, or None.
+    """
+
+    def __init__(
+        self,
+        settings: settings_schema.NodeSettings,
+        clock: Clock,
+        hello: wire.Hello,
+        ssl_context: ssl.SSLContext | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._hello = hello
+        self._ssl_context = ssl_context
+        self._connections_by_peer: dict[tuple[str, int], PeerConnection] = {}
+        self._opening_by_peer: dict[
+            tuple[str, int], asyncio.Task[PeerConnection]
+        ] = {}
+        self._connection_number = 0
+        self._background: set[asyncio.Task[None]] = set()
+
+    async def send(
+        self, candidate: Candidate, call: wire.Call, body: bytes
+    ) -> CallResult:
+        """Runs one attempt of a call at another node."""
+        try:
+            connection = await self._connect(candidate)
+        except UnreachableError:
+            return not_run(Reason.UNREACHABLE, unused=call.retry_allowance)
+        timeout_ms = call.deadline_left_ms + DEADLINE_GRACE_MS
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                frame = await connection.request(Kind.CALL, call.encode(), body)
+            return _read_reply(frame)
+        except ConnectionLostError:
+            return await self._resolve(
+                candidate, call, Reason.CONNECTION_LOST, 502
+            )
+        except TimeoutError:
+            return await self._resolve(candidate, call, Reason.DEADLINE, 504)
+        except MessageError:
+            connection.close()
+            return CallResult(Outcome.UNKNOWN, Reason.INTERNAL, 502)
+        except asyncio.CancelledError:
+            self._cancel_in_background(connection, call)
+            raise
+
+    async def request(
+        self, candidate: Candidate, kind: Kind, header: bytes, body: bytes = b""
+    ) -> Frame:
+        """Sends a control message and returns its answer.
+
+        Raises:
+            TransportError: The node did not answer in time.
+        """
+        connection = await self._connect(candidate)
+        timeout_s = self._settings.routing.cancel_timeout_ms / 1000.0
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await connection.request(kind, header, body)
+        except TimeoutError as error:
+            raise TransportError(
+                f"node {candidate.node_id} did not answer"
+            ) from error
+
+    def retain(self, peers: set[tuple[str, int]]) -> None:
+        """Closes connections to node incarnations that are gone."""
+        for peer in list(self._connections_by_peer):
+            if peer not in peers:
+                self._connections_by_peer[peer].close()
+
+    def close(self) -> None:
+        """Closes all connections."""
+        self.retain(set())
+
+    async def _resolve(
+        self, candidate: Candidate, call: wire.Call, reason: Reason, status: int
+    ) -> CallResult:
+        """Learns whether a call without an answer has started.
+
+        The new connection makes the other node drop the older one, so a call
+        that is still on its way there can never start afterwards.
+        """
+        cancel = wire.Cancel(call.call_id, abort=not call.run_once)
+        try:
+            frame = await self.request(candidate, Kind.CANCEL, cancel.encode())
+            result = wire.CancelResult.decode(frame.header)
+        except (TransportError, MessageError):
+            return CallResult(Outcome.UNKNOWN, reason, status, started=True)
+        if result.started:
+            return CallResult(Outcome.UNKNOWN, reason, status, started=True)
+        return not_run(reason, status)
+
+    def _cancel_in_background(
+        self, connection: PeerConnection, call: wire.Call
+    ) -> None:
+        """Tells the other node that nobody waits for the answer."""
+        cancel = wire.Cancel(call.call_id, abort=not call.run_once)
+
+        async def notify() -> None:
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    await connection.request(Kind.CANCEL, cancel.encode(), b"")
+            except (TransportError, TimeoutError):
+                logger.debug("cancel was not confirmed")
+
+        task = asyncio.ensure_future(notify())
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _connect(self, candidate: Candidate) -> PeerConnection:
+        peer = (candidate.node_id, candidate.incarnation)
+        connection = self._connections_by_peer.get(peer)
+        if connection is not None and not connection.is_closed:
+            return connection
+        opening = self._opening_by_peer.get(peer)
+        if opening is None:
+            opening = asyncio.ensure_future(self._open(candidate))
+            self._opening_by_peer[peer] = opening
+            opening.add_done_callback(
+                lambda _: self._opening_by_peer.pop(peer, None)
+            )
+        return await asyncio.shield(opening)
+
+    async def _open(self, candidate: Candidate) -> PeerConnection:
+        peer = (candidate.node_id, candidate.incarnation)
+        self._connection_number += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                connection = await self._handshake(
+                    candidate, self._connection_number
+                )
+        except (OSError, TimeoutError, TransportError, MessageError) as error:
+            raise UnreachableError(
+                f"cannot reach node {candidate.node_id}: {error}"
+            ) from error
+        self._connections_by_peer[peer] = connection
+        return connection
+
+    async def _handshake(
+        self, candidate: Candidate, number: int
+    ) -> PeerConnection:
+        loop = asyncio.get_running_loop()
+        greeting: asyncio.Future[wire.Hello] = loop.create_future()
+
+        def receive(_connection: PeerConnection, frame: Frame) -> None:
+            if frame.kind is Kind.HELLO and not greeting.done():
+                greeting.set_result(wire.Hello.decode(frame.header))
+
+        def forget(connection: PeerConnection) -> None:
+            peer = (candidate.node_id, candidate.incarnation)
+            if self._connections_by_peer.get(peer) is connection:
+                del self._connections_by_peer[peer]
+            if not greeting.done():
+                greeting.set_exception(ConnectionLostError("no greeting"))
+
+        _, connection = await loop.create_connection(
+            lambda: PeerConnection(
+                self._settings, self._clock, receive, forget
+            ),
+            candidate.address,
+            candidate.port,
+            ssl=self._ssl_context,
+        )
+        hello = wire.Hello(
+            frames.PROTOCOL_VERSION,
+            self._hello.node_id,
+            self._hello.incarnation,
+            number,
+        )
+        connection.send_frame(Kind.HELLO, 0, hello.encode())
+        connection.hello = await greeting
+        if (connection.hello.node_id, connection.hello.incarnation) != (
+            candidate.node_id,
+            candidate.incarnation,
+        ):
+            connection.close()
+            raise UnreachableError("another incarnation answered")
+        return connection
+
+
+def _read_reply(frame: Frame) -> CallResult:
+    reply = wire.Reply.decode(frame.header)
+    if reply.body_length != len(frame.payload):
+        return CallResult(Outcome.UNKNOWN, Reason.TRUNCATED, 502, started=True)
+    return CallResult(
+        outcome=Outcome(reply.outcome),
+        reason=Reason(reply.reason),
+        status=reply.status,
+        headers=reply.headers,
+        body=frame.payload,
+        unused_allowance=reply.unused_allowance,
+        failed_deeper=reply.failed_deeper,
+        started=reply.started,
+        load=reply.load,
+    )
--- /dev/null
+++ b/src/celeryfield/internal/transport/server.py
@@ -0,0 +1,266 @@
+"""Incoming connections from other nodes."""
+
+import asyncio
+import collections
+import dataclasses
+import logging
+import ssl
+from collections.abc import Awaitable, Callable
+
+from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.schema import settings as settings_schema
+from celeryfield.internal.schema import wire
+from celeryfield.internal.transport import frames
+from celeryfield.internal.transport.connection import PeerConnection
+from celeryfield.internal.transport.frames import Frame, Kind
+
+logger = logging.getLogger(__name__)
+
+# How long the end of a call is remembered for a cancel that arrives later.
+FINISHED_TTL_MS = 60_000.0
+MAX_FINISHED = 50_000
+
+
+@dataclasses.dataclass(slots=True)
+class RunState:
+    """Whether a call may have started at the upstream.
+
+    Attributes:
+        started: Set before the first byte is sent to the upstream.
+        task: The task that serves the call.
+    """
+
+    started: bool = False
+    task: asyncio.Task[None] | None = None
+
+
+HandleCall = Callable[[wire.Call, bytes, RunState], Awaitable[CallResult]]
+HandleControl = Callable[[Frame], Awaitable[tuple[Kind, bytes]]]
+"""Serves a control message; returns the kind and payload of the answer."""
+
+
+class PeerServer:
+    """Accepts connections and serves calls of other nodes.
+
+    Args:
+        settings: Settings of this node.
+        clock: Time source.
+        hello: Identity of this node.
+        handle_call: Serves one call.
+        handlers_by_kind: Serve control messages.
+        ssl_context: Server-side TLS, or None.
+    """
+
+    def __init__(
+        self,
+        settings: settings_schema.NodeSettings,
+        clock: Clock,
+        hello: wire.Hello,
+        handle_call: HandleCall,
+        handlers_by_kind: dict[Kind, HandleControl],
+        ssl_context: ssl.SSLContext | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._hello = hello
+        self._handle_call = handle_call
+        self._handlers_by_kind = handlers_by_kind
+        self._ssl_context = ssl_context
+        self._connections_by_peer: dict[tuple[str, int], PeerConnection] = {}
+        self._connections: set[PeerConnection] = set()
+        self._running_by_call: dict[str, RunState] = {}
+        # Values are (time of the end, whether the call had started).
+        self._finished_by_call: collections.OrderedDict[
+            str, tuple[float, bool]
+        ] = collections.OrderedDict()
+        self._forgotten_until_ms = 0.0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> int:
+        """Opens the listener and returns its port."""
+        listen = self._settings.listen
+        self._server = await asyncio.get_running_loop().create_server(
+            self._accept,
+            self._settings.node.address,
+            listen.peer_port,
+            ssl=self._ssl_context,
+        )
+        return self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Closes the listener and all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    @property
+    def running_count(self) -> int:
+        """Number of calls being served."""
+        return len(self._running_by_call)
+
+    def _accept(self) -> PeerConnection:
+        connection = PeerConnection(
+            self._settings, self._clock, self._receive, self._forget
+        )
+        self._connections.add(connection)
+        return connection
+
+    def _forget(self, connection: PeerConnection) -> None:
+        self._connections.discard(connection)
+        peer = _peer_of(connection)
+        if self._connections_by_peer.get(peer) is connection:
+            del self._connections_by_peer[peer]
+
+    def _receive(self, connection: PeerConnection, frame: Frame) -> None:
+        if frame.kind is Kind.HELLO:
+            self._greet(connection, wire.Hello.decode(frame.header))
+        elif connection.hello is None:
+            raise frames.FrameError("first frame is not a hello")
+        elif frame.kind is Kind.CALL:
+            self._start_call(connection, frame)
+        elif frame.kind is Kind.CANCEL:
+            self._cancel(connection, frame)
+        elif frame.kind in self._handlers_by_kind:
+            self._spawn(self._control(connection, frame))
+        else:
+            raise frames.FrameError(f"unexpected {frame.kind.name} frame")
+
+    def _greet(self, connection: PeerConnection, hello: wire.Hello) -> None:
+        if hello.protocol_version != frames.PROTOCOL_VERSION:
+            raise frames.FrameError(
+                f"protocol version {hello.protocol_version} is not supported"
+            )
+        connection.hello = hello
+        peer = _peer_of(connection)
+        older = self._connections_by_peer.get(peer)
+        if older is not None and older.hello is not None:
+            if older.hello.connection_number > hello.connection_number:
+                connection.close()
+                return
+            # Calls stuck in the older connection must not start once the
+            # peer has given them up.
+            older.close()
+        self._connections_by_peer[peer] = connection
+        answer = wire.Hello(
+            frames.PROTOCOL_VERSION,
+            self._hello.node_id,
+            self._hello.incarnation,
+        )
+        connection.send_frame(Kind.HELLO, 0, answer.encode())
+
+    def _start_call(self, connection: PeerConnection, frame: Frame) -> None:
+        call = wire.Call.decode(frame.header)
+        state = RunState()
+        if self._is_known(call.call_id):
+            self._spawn(
+                self._reply(
+                    connection, frame.stream_id, not_run(Reason.CANCELLED)
+                )
+            )
+            return
+        self._running_by_call[call.call_id] = state
+        state.task = self._spawn(
+            self._serve(connection, frame.stream_id, call, frame.payload, state)
+        )
+
+    def _is_known(self, call_id: str) -> bool:
+        return (
+            call_id in self._running_by_call
+            or call_id in self._finished_by_call
+        )
+
+    async def _serve(
+        self,
+        connection: PeerConnection,
+        stream_id: int,
+        call: wire.Call,
+        body: bytes,
+        state: RunState,
+    ) -> None:
+        try:
+            result = await self._handle_call(call, body, state)
+        except Exception:
+            logger.exception("call failed", extra={"call": call.call_id})
+            outcome = Outcome.UNKNOWN if state.started else Outcome.NOT_RUN
+            result = CallResult(outcome, Reason.INTERNAL, 500)
+        finally:
+            del self._running_by_call[call.call_id]
+            self._remember(call.call_id, state.started)
+        await self._reply(connection, stream_id, result)
+
+    async def _reply(
+        self, connection: PeerConnection, stream_id: int, result: CallResult
+    ) -> None:
+        reply = wire.Reply(
+            outcome=result.outcome,
+            reason=result.reason,
+            status=result.status,
+            headers=result.headers,
+            unused_allowance=result.unused_allowance,
+            failed_deeper=result.failed_deeper,
+            started=result.started,
+            load=result.load or wire.LoadReport(),
+            body_length=len(result.body),
+        )
+        await connection.send(
+            Kind.REPLY, stream_id, reply.encode(), result.body
+        )
+
+    def _cancel(self, connection: PeerConnection, frame: Frame) -> None:
+        """Answers whether a call has started; stops it if it has not."""
+        cancel = wire.Cancel.decode(frame.header)
+        state = self._running_by_call.get(cancel.call_id)
+        if state is not None:
+            started = state.started
+            if state.task is not None and (cancel.abort or not started):
+                state.task.cancel()
+        elif cancel.call_id in self._finished_by_call:
+            started = self._finished_by_call[cancel.call_id][1]
+        else:
+            started = self._clock.now_ms() < self._forgotten_until_ms
+            self._remember(cancel.call_id, started)
+        result = wire.CancelResult(cancel.call_id, started)
+        connection.send_frame(
+            Kind.CANCEL_RESULT, frame.stream_id, result.encode()
+        )
+
+    def _remember(self, call_id: str, started: bool) -> None:
+        now_ms = self._clock.now_ms()
+        finished = self._finished_by_call
+        finished[call_id] = (now_ms, started)
+        while finished:
+            ended_ms, _ = next(iter(finished.values()))
+            is_expired = now_ms - ended_ms > FINISHED_TTL_MS
+            if not is_expired and len(finished) <= MAX_FINISHED:
+                break
+            finished.popitem(last=False)
+            if not is_expired:
+                # Until the dropped end would have expired, an unknown call
+                # has to be reported as possibly started.
+                self._forgotten_until_ms = ended_ms + FINISHED_TTL_MS
+
+    async def _control(self, connection: PeerConnection, frame: Frame) -> None:
+        kind, payload = await self._handlers_by_kind[frame.kind](frame)
+        await connection.send(kind, frame.stream_id, b"", payload)
+
+    def _spawn(self, work: Awaitable[None]) -> asyncio.Task[None]:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish_task)
+        return task
+
+    def _finish_task(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.error("serving a peer failed", exc_info=task.exception())
+
+
+def _peer_of(connection: PeerConnection) -> tuple[str, int]:
+    if connection.hello is None:
+        return ("", 0)
+    return (connection.hello.node_id, connection.hello.incarnation)
--- /dev/null
+++ b/src/celeryfield/internal/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""The upstream beside this node: its announcements and the HTTP client."""
--- /dev/null
+++ b/src/celeryfield/internal/upstream/announcements.py
@@ -0,0 +1,82 @@
+"""What the upstream beside this node announces about itself."""
+
+import dataclasses
+from collections.abc import Callable
+from typing import Literal
+
+import pydantic
+
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.schema import settings as settings_schema
+
+State = Literal["starting", "ready", "draining"]
+
+
+class Announcement(pydantic.BaseModel):
+    """Body of ``POST /v1/announce``; the upstream repeats it as heartbeat.
+
+    Attributes:
+        service: Service that the upstream runs.
+        address: ``host:port`` of its HTTP listener.
+        slots: Calls it runs at once.
+        connections: Connections it accepts.
+        state: starting, ready or draining.
+        load: Calls in flight that it reports; may be late or wrong.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    service: str = pydantic.Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")
+    address: str = pydantic.Field(pattern=r"^[^/\s:]+:\d{1,5}$")
+    slots: int = pydantic.Field(ge=1, le=100_000)
+    connections: int = pydantic.Field(ge=1, le=100_000)
+    state: State = "ready"
+    load: int | None = pydantic.Field(default=None, ge=0)
+
+
+@dataclasses.dataclass(slots=True)
+class _Heard:
+    announcement: Announcement
+    heard_ms: float
+
+
+class UpstreamRegistry:
+    """The newest announcement, until it expires.
+
+    Args:
+        settings: Settings of this node.
+        clock: Time source.
+        on_change: Called when the announcement changes, or with None when the
+            upstream is gone.
+    """
+
+    def __init__(
+        self,
+        settings: settings_schema.NodeSettings,
+        clock: Clock,
+        on_change: Callable[[Announcement | None], None],
+    ) -> None:
+        self._ttl_ms = settings.dispatch.announce_ttl_ms
+        self._clock = clock
+        self._on_change = on_change
+        self._heard: _Heard | None = None
+
+    @property
+    def current(self) -> Announcement | None:
+        """The announcement in force, if any."""
+        return self._heard.announcement if self._heard else None
+
+    def accept(self, announcement: Announcement) -> None:
+        """Takes a heartbeat of the upstream."""
+        previous = self.current
+        self._heard = _Heard(announcement, self._clock.now_ms())
+        if previous != announcement:
+            self._on_change(announcement)
+
+    def expire(self) -> None:
+        """Drops an upstream that stopped announcing itself."""
+        if self._heard is None:
+            return
+        if self._clock.now_ms() - self._heard.heard_ms > self._ttl_ms:
+            self._heard = None
+            self._on_change(None)
--- /dev/null
+++ b/src/celeryfield/internal/upstream/client.py
@@ -0,0 +1,137 @@
+"""HTTP client of the upstream beside this node."""
+
+import asyncio
+
+import aiohttp
+
+from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.schema import settings as settings_schema
+from celeryfield.internal.schema import wire
+from celeryfield.internal.upstream import headers
+
+SHED_STATUS = 503
+FIRST_ERROR_STATUS = 500
+CONNECT_CHECK_TIMEOUT_S = 0.5
+
+
+class UpstreamClient:
+    """Sends calls to the upstream over a bounded pool of connections."""
+
+    def __init__(
+        self, settings: settings_schema.NodeSettings, clock: Clock
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._session: aiohttp.ClientSession | None = None
+        self._address = ""
+
+    def set_upstream(self, address: str, connections: int) -> None:
+        """Points the client at an announced upstream."""
+        if address == self._address and self._session is not None:
+            self._session.connector._limit = connections  # type: ignore
+            return
+        self._address = address
+        previous = self._session
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=connections, keepalive_timeout=60
+            ),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None),
+            skip_auto_headers=("user-agent", "accept-encoding"),
+        )
+        # The library would send a failed GET a second time on its own, which
+        # neither the retry allowance nor "not run" could account for.
+        self._session._retry_connection = False
+        if previous is not None:
+            asyncio.ensure_future(previous.close())  # noqa: RUF006
+
+    async def close(self) -> None:
+        """Closes all connections to the upstream."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def is_accepting(self) -> bool:
+        """Returns whether the upstream accepts a new connection."""
+        host, _, port = self._address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_CHECK_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
+    async def request(
+        self, call: wire.Call, body: bytes, traceparent: str, timeout_ms: float
+    ) -> CallResult:
+        """Runs a call; the whole answer is read before it is returned."""
+        if self._session is None:
+            return not_run(Reason.NO_UPSTREAM)
+        request_headers = headers.as_pairs(call.headers)
+        request_headers.append((headers.TRACEPARENT, traceparent))
+        request_headers.append((headers.TIMEOUT, str(int(timeout_ms))))
+        if call.idempotency_key:
+            request_headers.append(
+                (headers.IDEMPOTENCY_KEY, call.idempotency_key)
+            )
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                return await self._exchange(call, body, request_headers)
+        except TimeoutError:
+            return _started(Reason.DEADLINE, 504)
+        except aiohttp.ClientConnectorError:
+            return not_run(Reason.NO_UPSTREAM)
+        except (aiohttp.ClientPayloadError, aiohttp.ClientResponseError):
+            return _started(Reason.TRUNCATED, 502)
+        except (aiohttp.ClientError, OSError, ValueError):
+            return _started(Reason.CONNECTION_LOST, 502)
+
+    async def _exchange(
+        self,
+        call: wire.Call,
+        body: bytes,
+        request_headers: list[tuple[str, str]],
+    ) -> CallResult:
+        limit = self._settings.listen.max_body_bytes
+        async with self._session.request(
+            call.method,
+            f"http://{self._address}{call.path}",
+            headers=request_headers,
+            data=body or None,
+            allow_redirects=False,
+        ) as response:
+            parts: list[bytes] = []
+            size = 0
+            async for part in response.content.iter_any():
+                size += len(part)
+                if size > limit:
+                    response.close()
+                    return _started(Reason.TOO_LARGE, 502)
+                parts.append(part)
+            return _result_of(response, b"".join(parts))
+
+
+def _started(reason: Reason, status: int) -> CallResult:
+    return CallResult(Outcome.UNKNOWN, reason, status, started=True)
+
+
+def _result_of(response: aiohttp.ClientResponse, body: bytes) -> CallResult:
+    status = response.status
+    answer_headers = headers.forwarded(response.headers)
+    if response.headers.get(headers.UPSTREAM_OUTCOME) == Outcome.NOT_RUN:
+        return CallResult(
+            Outcome.NOT_RUN, Reason.UPSTREAM_SHED, status, answer_headers, body
+        )
+    if status < FIRST_ERROR_STATUS:
+        return CallResult(
+            Outcome.OK, Reason.NONE, status, answer_headers, body, started=True
+        )
+    reason = (
+        Reason.UPSTREAM_SHED if status == SHED_STATUS else Reason.UPSTREAM_ERROR
+    )
+    return CallResult(
+        Outcome.FAILED, reason, status, answer_headers, body, started=True
+    )
--- /dev/null
+++ b/src/celeryfield/internal/upstream/headers.py
@@ -0,0 +1,56 @@
+"""HTTP headers that calls carry."""
+
+from collections.abc import Iterable, Mapping
+
+from celeryfield.internal.schema import wire
+
+TENANT = "x-tenant"
+TIMEOUT = "x-request-timeout-ms"
+IDEMPOTENCY_KEY = "idempotency-key"
+TRACEPARENT = "traceparent"
+OUTCOME = "x-celeryfield-outcome"
+REASON = "x-celeryfield-reason"
+CALL_ID = "x-celeryfield-call-id"
+# An upstream that sheds a request before running it says so with the value
+# "not-run". The name differs from OUTCOME, which a careless upstream may copy
+# from the answer to one of its own calls.
+UPSTREAM_OUTCOME = "x-upstream-outcome"
+
+# Headers that belong to one connection (RFC 9110, section 7.6.1), and those
+# that a node sets itself.
+_NOT_FORWARDED = frozenset(
+    (
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        OUTCOME,
+        REASON,
+        CALL_ID,
+        TIMEOUT,
+        TRACEPARENT,
+        UPSTREAM_OUTCOME,
+    )
+)
+
+
+def forwarded(headers: Mapping[str, str]) -> tuple[wire.Header, ...]:
+    """Returns the headers that travel with a call or its answer."""
+    return tuple(
+        [
+            wire.Header(name, value)
+            for name, value in headers.items()
+            if name.lower() not in _NOT_FORWARDED
+        ]
+    )
+
+
+def as_pairs(headers: Iterable[wire.Header]) -> list[tuple[str, str]]:
+    """Returns headers in the form that HTTP libraries take."""
+    return [(header.name, header.value) for header in headers]
--- /dev/null
+++ b/tests/cover/test_transport.py
@@ -0,0 +1,199 @@
+"""Tests of calls between two nodes over loopback connections."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from celeryfield.internal.calls import CallResult, Candidate, Outcome, Reason
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.schema import settings as settings_schema
+from celeryfield.internal.schema import wire
+from celeryfield.internal.transport import frames
+from celeryfield.internal.transport.pool import PeerPool
+from celeryfield.internal.transport.server import PeerServer
+
+INCARNATION = 7
+
+
+def make_settings(**routing):
+    return settings_schema.NodeSettings.model_validate(
+        {
+            "node": {"id": "server", "zone": "z1", "region": "r1"},
+            "listen": {"peer_port": 0},
+            "routing": routing,
+        }
+    )
+
+
+@contextlib.asynccontextmanager
+async def serving(handle_call, **routing):
+    settings = make_settings(**routing)
+    clock = Clock()
+    server = PeerServer(
+        settings,
+        clock,
+        wire.Hello(1, "server", INCARNATION),
+        handle_call,
+        {},
+    )
+    port = await server.start()
+    pool = PeerPool(settings, clock, wire.Hello(1, "client", 1))
+    candidate = Candidate("server", INCARNATION, "127.0.0.1", port, "z1", "s")
+    try:
+        yield pool, candidate
+    finally:
+        pool.close()
+        await server.stop()
+
+
+def make_call(call_id="c1", timeout_ms=2000.0, **fields):
+    return wire.Call(call_id=call_id, deadline_left_ms=timeout_ms, **fields)
+
+
+async def test_matches_answers_that_arrive_out_of_order():
+    """Guards against answers reaching the wrong caller."""
+    release_first = asyncio.Event()
+
+    async def handle(call, body, state):
+        if call.call_id == "c0":
+            await release_first.wait()
+        elif call.call_id == "c9":
+            release_first.set()
+        return CallResult(Outcome.OK, body=body + call.call_id.encode())
+
+    async with serving(handle) as (pool, candidate):
+        results = await asyncio.gather(
+            *(
+                pool.send(candidate, make_call(f"c{i}"), b"x" * i * 40_000)
+                for i in range(10)
+            )
+        )
+    for i, result in enumerate(results):
+        assert result.body == b"x" * i * 40_000 + f"c{i}".encode()
+
+
+@pytest.mark.parametrize("size", [0, 65_535, 65_536, 65_537, 1_000_000])
+async def test_carries_bodies_of_any_frame_alignment(size):
+    """Guards against bodies cut or merged at frame limits."""
+
+    async def handle(call, body, state):
+        return CallResult(Outcome.OK, body=body)
+
+    async with serving(handle) as (pool, candidate):
+        result = await pool.send(candidate, make_call(), b"y" * size)
+    assert (result.outcome, len(result.body)) == (Outcome.OK, size)
+
+
+async def test_times_out_as_not_run_only_when_the_call_never_started():
+    """Guards against "not run" for a call that has reached the upstream."""
+
+    async def handle(call, body, state):
+        state.started = call.call_id == "started"
+        await asyncio.sleep(30)
+
+    async with serving(handle) as (pool, candidate):
+        queued, started = await asyncio.gather(
+            pool.send(candidate, make_call("queued", 50.0), b""),
+            pool.send(candidate, make_call("started", 50.0), b""),
+        )
+    assert (queued.outcome, queued.reason) == (Outcome.NOT_RUN, Reason.DEADLINE)
+    assert started.outcome is Outcome.UNKNOWN
+
+
+async def test_call_stuck_in_a_silent_connection_never_runs():
+    """Guards against a late frame running after "not run" was reported."""
+    ran = []
+
+    async def handle(call, body, state):
+        ran.append(call.call_id)
+        return CallResult(Outcome.OK)
+
+    async with serving(handle, silent_ms=50, silent_close_ms=100) as (
+        pool,
+        candidate,
+    ):
+        relay = SilentRelay(candidate.port)
+        port = await relay.start()
+        through_relay = Candidate(
+            "server", INCARNATION, "127.0.0.1", port, "z1", "s"
+        )
+        await pool.send(through_relay, make_call("before"), b"")
+        relay.is_holding = True
+        result = await pool.send(through_relay, make_call("stuck"), b"")
+        relay.release()
+        await asyncio.sleep(0.05)
+        after = await pool.send(through_relay, make_call("after"), b"")
+        await relay.stop()
+    assert result.outcome is Outcome.NOT_RUN
+    assert after.outcome is Outcome.OK
+    assert ran == ["before", "after"]
+
+
+class SilentRelay:
+    """Relays TCP; established connections can be held while new ones work."""
+
+    def __init__(self, target_port):
+        self.target_port = target_port
+        self.is_holding = False
+        self.held = []
+        self.tasks = []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        return self.server.sockets[0].getsockname()[1]
+
+    async def accept(self, reader, writer):
+        # Connections opened while older ones are held work normally.
+        can_hold = not self.is_holding
+        back, forth = await asyncio.open_connection(
+            "127.0.0.1", self.target_port
+        )
+        self.tasks.append(
+            asyncio.ensure_future(self.copy(reader, forth, can_hold))
+        )
+        self.tasks.append(
+            asyncio.ensure_future(self.copy(back, writer, can_hold))
+        )
+
+    async def copy(self, reader, writer, can_hold):
+        while data := await reader.read(65536):
+            if can_hold and self.is_holding:
+                self.held.append((writer, data))
+            else:
+                writer.write(data)
+
+    def release(self):
+        self.is_holding = False
+        for writer, data in self.held:
+            writer.write(data)
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        self.server.close()
+
+
+async def test_malformed_frames_end_only_their_own_connection():
+    """Guards against one broken peer taking the node down."""
+
+    async def handle(call, body, state):
+        return CallResult(Outcome.OK)
+
+    async with serving(handle) as (pool, candidate):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", candidate.port
+        )
+        writer.write(b"\xff" * 64)
+        assert await reader.read() == b""
+        hello = wire.Hello(1, "client", 1).encode()
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", candidate.port
+        )
+        writer.write(frames.encode_frame(frames.Kind.HELLO, 0, hello))
+        writer.write(frames.encode_frame(frames.Kind.CALL, 1, b"garbage"))
+        with contextlib.suppress(ConnectionError):
+            while await reader.read(1000):
+                pass
+        result = await pool.send(candidate, make_call(), b"")
+    assert result.outcome is Outcome.OK
