--- /dev/null
+++ b/src/celeryfield/internal/admin/auth.py
@@ -0,0 +1,51 @@
+"""Tokens of the administration API."""
+
+import hashlib
+import hmac
+import ipaddress
+
+from celeryfield import errors
+from celeryfield.internal.schema import settings as settings_schema
+
+_SCHEME = "Bearer "
+
+
+def check_exposure(settings: settings_schema.NodeSettings) -> None:
+    """Refuses an administration API that anybody could reach.
+
+    Raises:
+        SettingsError: The listener is not on loopback and has no token.
+    """
+    address = settings.listen.admin_address
+    if settings.admin.token_hashes or is_loopback(address):
+        return
+    raise errors.SettingsError(
+        f"[listen] admin_address = {address} needs [admin] token_hashes; "
+        "set at least one SHA-256 hash or listen on 127.0.0.1"
+    )
+
+
+def is_loopback(address: str | None) -> bool:
+    """Returns whether an address belongs to this machine only."""
+    try:
+        return ipaddress.ip_address(address or "").is_loopback
+    except ValueError:
+        return False
+
+
+def is_allowed(
+    settings: settings_schema.AdminSettings, authorization: str | None
+) -> bool:
+    """Returns whether a request carries an accepted token."""
+    if not settings.token_hashes:
+        return True
+    if authorization is None or not authorization.startswith(_SCHEME):
+        return False
+    token = authorization.removeprefix(_SCHEME)
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    # Every hash is compared, so that the time does not tell which one fits.
+    matches = [
+        hmac.compare_digest(digest, accepted.lower())
+        for accepted in settings.token_hashes
+    ]
+    return any(matches)
--- /dev/null
+++ b/src/celeryfield/internal/admin/server.py
@@ -0,0 +1,141 @@
+"""HTTP listener for operators, metrics and announcements of the upstream."""
+
+import json
+import ssl
+from collections.abc import Awaitable, Callable
+
+import pydantic
+from aiohttp import web
+from mode import Service
+
+from celeryfield.internal.admin import auth
+from celeryfield.internal.metrics import Metrics
+from celeryfield.internal.schema import settings as settings_schema
+from celeryfield.internal.upstream.announcements import (
+    Announcement,
+    UpstreamRegistry,
+)
+
+MAX_BODY_BYTES = 1_048_576
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class AdminServer(Service):
+    """Serves the administration API.
+
+    Args:
+        settings: Settings of this node.
+        registry: Takes announcements of the upstream.
+        metrics: Metrics of this node.
+        is_ready: Tells whether this node can serve callers.
+        routes: Further routes, each checked for a token.
+        ssl_context: Server-side TLS, or None.
+    """
+
+    def __init__(
+        self,
+        settings: settings_schema.NodeSettings,
+        registry: UpstreamRegistry,
+        metrics: Metrics,
+        is_ready: Callable[[], bool],
+        routes: list[web.RouteDef],
+        ssl_context: ssl.SSLContext | None = None,
+    ) -> None:
+        super().__init__()
+        auth.check_exposure(settings)
+        self.port = 0
+        self._settings = settings
+        self._registry = registry
+        self._metrics = metrics
+        self._is_ready = is_ready
+        self._routes = routes
+        self._ssl_context = ssl_context
+        self._runner: web.AppRunner | None = None
+
+    async def on_start(self) -> None:
+        """Opens the listener."""
+        app = web.Application(
+            middlewares=[self._guard], client_max_size=MAX_BODY_BYTES
+        )
+        app.add_routes(
+            [
+                web.post("/v1/announce", self._announce),
+                web.get("/healthz", self._health),
+                web.get("/metrics", self._render_metrics),
+                *self._routes,
+            ]
+        )
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        listen = self._settings.listen
+        site = web.TCPSite(
+            self._runner,
+            listen.admin_address,
+            listen.admin_port,
+            ssl_context=self._ssl_context,
+        )
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+
+    async def on_stop(self) -> None:
+        """Closes the listener."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    @web.middleware
+    async def _guard(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Checks the token and turns errors into JSON answers."""
+        if not self._is_allowed(request):
+            return error_response(
+                401, "unauthorized", "send Authorization: Bearer TOKEN"
+            )
+        try:
+            return await handler(request)
+        except web.HTTPException as error:
+            return error_response(error.status, "http", error.reason)
+        except pydantic.ValidationError as error:
+            problems = [
+                f"{'.'.join(map(str, item['loc']))}: {item['msg']}"
+                for item in error.errors()
+            ]
+            return error_response(400, "invalid", "; ".join(problems))
+
+    def _is_allowed(self, request: web.Request) -> bool:
+        if request.path == "/healthz":
+            return True
+        # The upstream beside this node announces itself without a token.
+        if request.path == "/v1/announce" and auth.is_loopback(request.remote):
+            return True
+        return auth.is_allowed(
+            self._settings.admin, request.headers.get("authorization")
+        )
+
+    async def _announce(self, request: web.Request) -> web.Response:
+        announcement = Announcement.model_validate_json(await request.read())
+        self._registry.accept(announcement)
+        return web.json_response({"accepted": True})
+
+    async def _health(self, _request: web.Request) -> web.Response:
+        is_ready = self._is_ready()
+        return web.json_response(
+            {"ready": is_ready}, status=200 if is_ready else 503
+        )
+
+    async def _render_metrics(self, _request: web.Request) -> web.Response:
+        return web.Response(
+            body=self._metrics.render(),
+            headers={"content-type": "text/plain; version=0.0.4"},
+        )
+
+
+def error_response(status: int, code: str, message: str) -> web.Response:
+    """Returns an error in the one form that the API uses."""
+    content = {"error": {"code": code, "message": message}}
+    return web.Response(
+        status=status,
+        body=json.dumps(content).encode(),
+        content_type="application/json",
+    )
--- /dev/null
+++ b/src/celeryfield/internal/gateway.py
@@ -0,0 +1,127 @@
+"""Joins routing, run-once work, other nodes and the local upstream."""
+
+import dataclasses
+from collections.abc import Callable
+
+from celeryfield.internal.calls import (
+    CallResult,
+    Candidate,
+    Outcome,
+    Reason,
+    not_run,
+)
+from celeryfield.internal.dispatch.dispatcher import Dispatcher
+from celeryfield.internal.idempotency.keys import KeyOwner
+from celeryfield.internal.idempotency.ledger import KeyLedger
+from celeryfield.internal.routing.executor import CallExecutor
+from celeryfield.internal.schema import wire
+from celeryfield.internal.transport.pool import PeerPool
+from celeryfield.internal.transport.server import RunState
+from celeryfield.internal.upstream import headers
+
+KEY_REQUIRED_STATUS = 428
+KEY_UNKNOWN_STATUS = 410
+# A re-send to the key's owner joins the run, so asking again is safe.
+KEY_OWNER_ATTEMPTS = 2
+
+FindOwner = Callable[[KeyOwner], Candidate | None]
+
+
+class Gateway:
+    """Runs calls that enter at this node or arrive from other nodes.
+
+    Args:
+        node_id: Id of this node.
+        ledger: Runs of the keys that this node owns.
+        dispatcher: Runs calls on the local upstream.
+        pool: Connections to other nodes.
+        find_owner: Returns where the owner of a key listens, if it is known;
+            follows planned handovers.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        ledger: KeyLedger,
+        dispatcher: Dispatcher,
+        pool: PeerPool,
+        find_owner: FindOwner,
+    ) -> None:
+        self._node_id = node_id
+        self._ledger = ledger
+        self._dispatcher = dispatcher
+        self._pool = pool
+        self._find_owner = find_owner
+        self._executor: CallExecutor | None = None
+
+    def set_executor(self, executor: CallExecutor) -> None:
+        """Completes the cycle between gateway and executor."""
+        self._executor = executor
+
+    async def call(self, call: wire.Call, body: bytes) -> CallResult:
+        """Runs a call that entered at this node."""
+        if not call.run_once:
+            return await self._executor.execute(call, body)
+        if not call.idempotency_key:
+            return self._with_fresh_key()
+        owner = self._ledger.owner_of(call.idempotency_key)
+        if owner.is_error():
+            return not_run(Reason.BAD_REQUEST, 400)
+        if self._ledger.serves(owner.ok):
+            return await self._run_once(call, body)
+        return await self._ask_owner(owner.ok, call, body)
+
+    async def serve(
+        self, call: wire.Call, body: bytes, state: RunState
+    ) -> CallResult:
+        """Runs a call that another node sent."""
+        if not call.to_key_owner:
+            return await self._dispatcher.run(call, body, state)
+        # The sender must not take a lost answer for "not run": the ledger
+        # may be running the call. It asks again with the same key instead.
+        state.started = True
+        return await self._run_once(
+            dataclasses.replace(call, to_key_owner=False), body
+        )
+
+    async def send(
+        self, candidate: Candidate, call: wire.Call, body: bytes
+    ) -> CallResult:
+        """Runs one attempt at a candidate, which may be this node."""
+        if candidate.node_id == self._node_id:
+            return await self._dispatcher.run(call, body, RunState())
+        return await self._pool.send(candidate, call, body)
+
+    async def _run_once(self, call: wire.Call, body: bytes) -> CallResult:
+        return await self._ledger.run_once(
+            call.idempotency_key,
+            call.fingerprint,
+            lambda: self._executor.execute(call, body),
+        )
+
+    async def _ask_owner(
+        self, owner: KeyOwner, call: wire.Call, body: bytes
+    ) -> CallResult:
+        """Forwards a call to the incarnation that issued its key."""
+        request = dataclasses.replace(call, to_key_owner=True)
+        result = _key_unknown()
+        for _ in range(KEY_OWNER_ATTEMPTS):
+            candidate = self._find_owner(owner)
+            if candidate is None:
+                return result
+            result = await self._pool.send(candidate, request, body)
+            if result.reason is Reason.UNREACHABLE:
+                # An earlier request with this key may have run there.
+                result = _key_unknown()
+            elif result.reason is not Reason.CONNECTION_LOST:
+                return result
+        return result
+
+    def _with_fresh_key(self) -> CallResult:
+        result = not_run(Reason.KEY_REQUIRED, KEY_REQUIRED_STATUS)
+        key = wire.Header(headers.IDEMPOTENCY_KEY, self._ledger.issue())
+        return dataclasses.replace(result, headers=(key,))
+
+
+def _key_unknown() -> CallResult:
+    return CallResult(Outcome.UNKNOWN, Reason.KEY_UNKNOWN, KEY_UNKNOWN_STATUS)
--- /dev/null
+++ b/src/celeryfield/internal/metrics.py
@@ -0,0 +1,107 @@
+"""Prometheus metrics of one node.
+
+Label values come from the file sets in force, and everything else is counted
+under ``other``, so that callers cannot grow the number of time series.
+"""
+
+import dataclasses
+from collections.abc import Callable
+
+import prometheus_client
+
+from celeryfield.internal.calls import CallResult
+from celeryfield.internal.schema import wire
+
+OTHER = "other"
+LATENCY_BUCKETS_S = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+)
+
+
+@dataclasses.dataclass(slots=True)
+class ClassTotals:
+    """What became of the calls of one class, for the status page."""
+
+    admitted: int = 0
+    shed: int = 0
+    ok: int = 0
+    failed: int = 0
+    unknown: int = 0
+
+
+class Metrics:
+    """Histograms per tenant and class, and totals per class.
+
+    Args:
+        is_known_tenant: Tells tenants of the file sets from others.
+    """
+
+    def __init__(self, is_known_tenant: Callable[[str], bool]) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self.totals_by_class: dict[str, ClassTotals] = {}
+        self._is_known_tenant = is_known_tenant
+        self._latency = prometheus_client.Histogram(
+            "celeryfield_call_seconds",
+            "Time from receiving a call to its whole answer.",
+            ("tenant", "class_name", "outcome"),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._in_flight = prometheus_client.Gauge(
+            "celeryfield_calls_in_flight",
+            "Calls of callers being served.",
+            registry=self.registry,
+        )
+        # A label look-up in the library costs several microseconds.
+        self._children_by_labels: dict[
+            tuple[str, str, str], prometheus_client.Histogram
+        ] = {}
+
+    def started(self) -> None:
+        """Counts a call that a caller sent."""
+        self._in_flight.inc()
+
+    def finished(
+        self, call: wire.Call, result: CallResult, duration_ms: float
+    ) -> None:
+        """Records the end of a call."""
+        self._in_flight.dec()
+        tenant = call.tenant if self._is_known_tenant(call.tenant) else OTHER
+        labels = (tenant, call.class_name or OTHER, str(result.outcome))
+        child = self._children_by_labels.get(labels)
+        if child is None:
+            child = self._latency.labels(*labels)
+            self._children_by_labels[labels] = child
+        child.observe(duration_ms / 1000.0)
+        self._count(call.class_name or OTHER, result)
+
+    def render(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def _count(self, class_name: str, result: CallResult) -> None:
+        totals = self.totals_by_class.get(class_name)
+        if totals is None:
+            totals = self.totals_by_class[class_name] = ClassTotals()
+        if result.outcome == "not-run":
+            totals.shed += 1
+            return
+        totals.admitted += 1
+        if result.outcome == "ok":
+            totals.ok += 1
+        elif result.outcome == "failed":
+            totals.failed += 1
+        else:
+            totals.unknown += 1
--- /dev/null
+++ b/src/celeryfield/standins/cluster.py
@@ -0,0 +1,248 @@
+"""Nodes as processes on loopback, with stand-ins around them.
+
+Used by the demo, the benchmarks and the tests that run real nodes. Every
+process is started and ended here, by its id.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+
+import aiohttp
+
+from celeryfield.standins.platform import PlatformStore
+from celeryfield.standins.upstream import (
+    Endpoint,
+    StandInUpstream,
+    UpstreamSpec,
+)
+
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 20.0
+LINE_LIMIT_BYTES = 1_048_576
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NodePlan:
+    """One node and the upstream beside it.
+
+    Attributes:
+        id: Id of the node.
+        service: Service of the upstream; empty for a node without one.
+        zone: Availability zone.
+        slots: Calls the upstream runs at once.
+        connections: Connections the upstream accepts.
+        endpoints: How the upstream serves its paths.
+        region: Region.
+    """
+
+    id: str
+    service: str = ""
+    zone: str = "z1"
+    slots: int = 16
+    connections: int = 100
+    endpoints: tuple[Endpoint, ...] = ()
+    region: str = "r1"
+
+
+class NodeProcess:
+    """One running ``celeryfield node``."""
+
+    def __init__(self, plan: NodePlan, settings_path: pathlib.Path) -> None:
+        self.plan = plan
+        self.caller_url = ""
+        self.admin_url = ""
+        self.peer_port = 0
+        self.log: list[dict] = []
+        self._settings_path = settings_path
+        self._process: asyncio.subprocess.Process | None = None
+        self._reader: asyncio.Task[None] | None = None
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self._process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has been started and has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self) -> None:
+        """Starts the process and waits until its listeners are open."""
+        self._process = await asyncio.create_subprocess_exec(
+            *_program(),
+            "node",
+            "--settings",
+            str(self._settings_path),
+            stdout=asyncio.subprocess.PIPE,
+            limit=LINE_LIMIT_BYTES,
+        )
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not self.caller_url:
+                line = await self._process.stdout.readline()
+                if not line:
+                    raise RuntimeError(f"node {self.plan.id} did not start")
+                self._take_line(line)
+        self._reader = asyncio.ensure_future(self._read_log())
+
+    async def stop(self) -> int:
+        """Asks for a graceful stop and returns the exit status."""
+        if self.is_running:
+            self.send(signal.SIGCONT)
+            self.send(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                status = await self._process.wait()
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            status = await self._process.wait()
+        await self._reader
+        return status
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal to the process."""
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(self._process.pid, number)
+
+    async def kill(self) -> None:
+        """Ends the process at once."""
+        self.send(signal.SIGKILL)
+        await self._process.wait()
+
+    async def _read_log(self) -> None:
+        while line := await self._process.stdout.readline():
+            self._take_line(line)
+
+    def _take_line(self, line: bytes) -> None:
+        try:
+            entry = json.loads(line)
+        except ValueError:
+            entry = {"message": line.decode(errors="replace")}
+        self.log.append(entry)
+        if entry.get("message") == "node started":
+            self.caller_url = f"http://127.0.0.1:{entry['caller_port']}"
+            self.admin_url = f"http://127.0.0.1:{entry['admin_port']}"
+            self.peer_port = entry["peer_port"]
+
+
+class Cluster:
+    """A platform stand-in, nodes as processes, and their upstreams.
+
+    Args:
+        plans: The nodes.
+        policy: Routing policy of all nodes.
+        settings: Further settings of all nodes, by section and key.
+    """
+
+    def __init__(
+        self,
+        plans: list[NodePlan],
+        policy: str = "adaptive",
+        settings: dict[str, dict[str, str]] | None = None,
+    ) -> None:
+        self.plans = plans
+        self.platform = PlatformStore()
+        self.nodes_by_id: dict[str, NodeProcess] = {}
+        self.upstreams_by_id: dict[str, StandInUpstream] = {}
+        self._policy = policy
+        self._settings = settings or {}
+        self._directory = tempfile.TemporaryDirectory(prefix="celeryfield-")
+        self.session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "Cluster":
+        """Starts everything and waits until all nodes are ready."""
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
+        await self.platform.start()
+        await asyncio.gather(*(self.start_node(plan) for plan in self.plans))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stops everything."""
+        await asyncio.gather(
+            *(node.stop() for node in self.nodes_by_id.values()),
+            return_exceptions=True,
+        )
+        for upstream in self.upstreams_by_id.values():
+            await upstream.stop()
+        await self.platform.stop()
+        await self.session.close()
+        self._directory.cleanup()
+
+    async def start_node(self, plan: NodePlan) -> None:
+        """Starts a node and its upstream."""
+        path = pathlib.Path(self._directory.name) / f"{plan.id}.ini"
+        path.write_text(self._settings_text(plan))
+        node = NodeProcess(plan, path)
+        self.nodes_by_id[plan.id] = node
+        await node.start()
+        if plan.service:
+            await self._start_upstream(plan, node)
+
+    async def wait_ready(self) -> None:
+        """Waits until every node has configuration and knows the others."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            for node in self.nodes_by_id.values():
+                while not await self._is_ready(node):  # noqa: ASYNC110
+                    await asyncio.sleep(0.05)
+
+    async def _is_ready(self, node: NodeProcess) -> bool:
+        async with self.session.get(f"{node.admin_url}/v1/status") as answer:
+            if answer.status != 200:
+                return False
+            status = await answer.json()
+        serving = {
+            plan.id
+            for plan in self.plans
+            if plan.service and self.nodes_by_id[plan.id].is_running
+        }
+        seen = {
+            candidate["node"]
+            for candidate in status["upstreams"]
+            if candidate["state"] == "ready"
+        }
+        return bool(status["configuration"]) and serving <= seen
+
+    async def _start_upstream(self, plan: NodePlan, node: NodeProcess) -> None:
+        upstream = StandInUpstream(
+            UpstreamSpec(
+                service=plan.service,
+                slots=plan.slots,
+                connections=plan.connections,
+                endpoints=plan.endpoints,
+                node_url=node.caller_url,
+                admin_url=node.admin_url,
+                seed=len(self.upstreams_by_id),
+            )
+        )
+        self.upstreams_by_id[plan.id] = upstream
+        await upstream.start()
+
+    def _settings_text(self, plan: NodePlan) -> str:
+        sections = {
+            "node": {"id": plan.id, "zone": plan.zone, "region": plan.region},
+            "listen": {"caller_port": 0, "peer_port": 0, "admin_port": 0},
+            "store": {"url": self.platform.url},
+            "routing": {"policy": self._policy},
+            "membership": {"probe_interval_ms": "200"},
+        }
+        for name, values in self._settings.items():
+            sections.setdefault(name, {}).update(values)
+        lines = []
+        for name, values in sections.items():
+            lines.append(f"[{name}]")
+            lines += [f"{key} = {value}" for key, value in values.items()]
+        return "\n".join(lines) + "\n"
+
+
+def _program() -> list[str]:
+    """Returns the command that runs this program again."""
+    return [sys.executable, "-m", "celeryfield"]
--- /dev/null
+++ b/src/celeryfield/standins/upstream.py
@@ -0,0 +1,231 @@
+"""A small upstream for the demo, tests and benchmarks.
+
+It runs a bounded number of requests at once, sends deeper calls to the node
+beside it, announces itself, and can be slowed, drained or crashed.
+"""
+
+import asyncio
+import dataclasses
+import hashlib
+import itertools
+import json
+import random
+import time
+
+import aiohttp
+from aiohttp import web
+
+ANNOUNCE_INTERVAL_S = 1.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DeeperCall:
+    """One call that the upstream makes while it serves a request."""
+
+    service: str
+    path: str
+    method: str = "GET"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Endpoint:
+    """How the upstream serves paths with one prefix.
+
+    Attributes:
+        prefix: Start of the path.
+        service_ms: Mean time of one request, without its deeper calls.
+        calls: Deeper calls, made one after another.
+        answer_bytes: Size of the filler in each answer.
+    """
+
+    prefix: str
+    service_ms: float = 5.0
+    calls: tuple[DeeperCall, ...] = ()
+    answer_bytes: int = 64
+
+
+@dataclasses.dataclass(slots=True)
+class UpstreamSpec:
+    """What a stand-in upstream runs and where its node listens."""
+
+    service: str
+    slots: int
+    connections: int
+    endpoints: tuple[Endpoint, ...]
+    node_url: str
+    admin_url: str
+    seed: int = 0
+    admin_token: str = ""
+
+
+@dataclasses.dataclass(slots=True)
+class Execution:
+    """One request that the upstream ran."""
+
+    service: str
+    path: str
+    key: str
+    body_hash: str
+    traceparent: str
+    started_s: float
+    ended_s: float | None = None
+
+
+class StandInUpstream:
+    """One upstream server on loopback."""
+
+    def __init__(self, spec: UpstreamSpec) -> None:
+        self.spec = spec
+        self.state = "ready"
+        self.slowdown = 1.0
+        self.port = 0
+        self.executions: list[Execution] = []
+        self.keeps_executions = True
+        self.crash_marker = ""
+        self.execution_count = 0
+        self._rng = random.Random(spec.seed)
+        self._slots = asyncio.Semaphore(spec.slots)
+        self._waiting = 0
+        self._runner: web.ServerRunner | None = None
+        self._session: aiohttp.ClientSession | None = None
+        self._announcer: asyncio.Task[None] | None = None
+        self._numbers = itertools.count()
+
+    async def start(self) -> None:
+        """Opens the listener and begins to announce itself."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0)
+        )
+        await self._listen(0)
+        self._announcer = asyncio.ensure_future(self._announce_forever())
+
+    async def stop(self) -> None:
+        """Stops announcing and closes the listener."""
+        if self._announcer is not None:
+            self._announcer.cancel()
+        await self._close_listener()
+        if self._session is not None:
+            await self._session.close()
+
+    async def set_state(self, state: str) -> None:
+        """Changes the announced state and announces it at once."""
+        self.state = state
+        await self.announce()
+
+    async def crash(self) -> None:
+        """Resets all connections and refuses new ones."""
+        for connection in list(self._runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        await self._close_listener()
+
+    async def restart(self) -> None:
+        """Listens again on the same port after a crash."""
+        await self._listen(self.port)
+
+    async def announce(self) -> None:
+        """Sends one heartbeat to the node."""
+        content = {
+            "service": self.spec.service,
+            "address": f"127.0.0.1:{self.port}",
+            "slots": self.spec.slots,
+            "connections": self.spec.connections,
+            "state": self.state,
+        }
+        async with self._session.post(
+            f"{self.spec.admin_url}/v1/announce", json=content
+        ) as response:
+            response.raise_for_status()
+
+    async def _listen(self, port: int) -> None:
+        server = web.Server(
+            self._handle, handler_cancellation=True, access_log=None
+        )
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", port, reuse_address=True)
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+
+    async def _close_listener(self) -> None:
+        if self._runner is not None:
+            runner, self._runner = self._runner, None
+            await runner.cleanup()
+
+    async def _announce_forever(self) -> None:
+        while True:
+            try:
+                await self.announce()
+            except aiohttp.ClientError:
+                # The node is not up yet or restarts.
+                await asyncio.sleep(ANNOUNCE_INTERVAL_S / 10)
+                continue
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        body = await request.read()
+        if self.crash_marker and self.crash_marker in request.path:
+            asyncio.ensure_future(self.crash())  # noqa: RUF006
+            await asyncio.sleep(1)
+        async with self._slots:
+            return await self._run(request, body)
+
+    async def _run(self, request: web.BaseRequest, body: bytes) -> web.Response:
+        execution = Execution(
+            self.spec.service,
+            request.path,
+            request.headers.get("idempotency-key", ""),
+            hashlib.sha256(body).hexdigest()[:16],
+            request.headers.get("traceparent", ""),
+            time.monotonic(),
+        )
+        self.execution_count += 1
+        if self.keeps_executions:
+            self.executions.append(execution)
+        endpoint = self._endpoint_of(request.path)
+        await asyncio.sleep(self._service_s(endpoint))
+        for deeper in endpoint.calls:
+            status = await self._call_deeper(deeper, request)
+            if status >= 400:
+                return web.json_response(
+                    {"failed": deeper.service, "status": status}, status=502
+                )
+        execution.ended_s = time.monotonic()
+        return self._answer(execution, endpoint)
+
+    def _answer(self, execution: Execution, endpoint: Endpoint) -> web.Response:
+        content = {
+            "service": self.spec.service,
+            "path": execution.path,
+            "key": execution.key,
+            "body_hash": execution.body_hash,
+            "number": next(self._numbers),
+            "filler": "x" * endpoint.answer_bytes,
+        }
+        return web.Response(
+            body=json.dumps(content).encode(), content_type="application/json"
+        )
+
+    async def _call_deeper(
+        self, deeper: DeeperCall, request: web.BaseRequest
+    ) -> int:
+        async with self._session.request(
+            deeper.method,
+            f"{self.spec.node_url}/{deeper.service}{deeper.path}",
+            headers={
+                "traceparent": request.headers.get("traceparent", ""),
+            },
+        ) as response:
+            await response.read()
+            return response.status
+
+    def _endpoint_of(self, path: str) -> Endpoint:
+        matches = [e for e in self.spec.endpoints if path.startswith(e.prefix)]
+        return max(matches, key=lambda e: len(e.prefix), default=Endpoint("/"))
+
+    def _service_s(self, endpoint: Endpoint) -> float:
+        # Half of the time is fixed, the rest is exponential, as in servers
+        # whose requests differ in size.
+        half_ms = endpoint.service_ms / 2
+        duration_ms = half_ms + self._rng.expovariate(1.0) * half_ms
+        return duration_ms * self.slowdown / 1000.0
