Add INI reader, file sets and the configuration manager

Cause: operators need every mistake of a file set reported at once, and nodes need one lookup from a request to its class that all nodes agree on. File sets carry the version since which a team holds each name, so that the older owner of a name is the same at every node. Schema: name claims, earlier writes, history and lease records; retry_allowance has a minimum of 0; a store watch waits 10 s instead of 30 s, because a watch whose connection went silent must be noticed within the 17 s that a change may take. Conclusion: the store client and watcher can build on AppliedFileSet.

--- /dev/null
+++ b/src/celeryfield/internal/config/fileset.py
@@ -0,0 +1,231 @@
+"""File sets: the compiled form of one team's directory of INI files."""
+
+import dataclasses
+import functools
+import pathlib
+import re
+from collections.abc import Mapping, Sequence
+
+from expression import Error, Ok, Result
+
+from celeryfield.internal.config import checks, sections
+from celeryfield.internal.config.paths import PathPattern, normal_path
+from celeryfield.internal.config.sections import NamedSections
+from celeryfield.internal.inifile import Problem, read_text
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.fileset import ClassSection, ServiceSection
+
+# The store holds values up to 1 MB; the rest of the object is names of the
+# set, earlier writes and message framing.
+MAX_FILE_SET_BYTES = 700_000
+_FILE_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,100}\.ini")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Rule:
+    """How one request is treated.
+
+    Attributes:
+        service: Name of the service.
+        class_name: Name of the class.
+        route_name: Route that matched, or an empty string for the default.
+        service_settings: Section of the service.
+        class_settings: Section of the class.
+        timeout_ms: Deadline of a request that brings none.
+    """
+
+    service: str
+    class_name: str
+    route_name: str
+    service_settings: ServiceSection
+    class_settings: ClassSection
+    timeout_ms: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _CompiledRoute:
+    """One route with its pattern."""
+
+    method: str
+    pattern: PathPattern
+    rule: Rule
+
+
+@dataclasses.dataclass(frozen=True)
+class AppliedFileSet:
+    """One file set with its version in the store.
+
+    Attributes:
+        message: The set as it is stored and exchanged.
+        sections: The validated sections.
+    """
+
+    message: wire.FileSet
+    sections: NamedSections
+
+    @property
+    def team(self) -> str:
+        """Returns the team that owns the set."""
+        return self.message.team
+
+    @property
+    def version(self) -> int:
+        """Returns the store's version of the set."""
+        return self.message.version
+
+    def since_version(self, kind: str, name: str) -> int:
+        """Returns the version since which the team has held a name."""
+        return self._versions_by_name.get((kind, name), 0) or self.version
+
+    @functools.cached_property
+    def _versions_by_name(self) -> Mapping[tuple[str, str], int]:
+        return {
+            (claim.kind, claim.name): claim.since_version
+            for claim in self.message.claims
+        }
+
+    @functools.cached_property
+    def _routes_by_service(self) -> Mapping[str, list[_CompiledRoute]]:
+        return _compile_routes(self.sections)
+
+    def rule_for(self, service: str, method: str, path: str) -> Rule | None:
+        """Returns the rule of a request, or none if it must be refused."""
+        settings = self.sections.services_by_name.get(service)
+        if settings is None:
+            return None
+        method = method.upper()
+        path = normal_path(path)
+        for route in self._routes_by_service.get(service, ()):
+            if route.method in ("*", method) and route.pattern.matches(path):
+                return route.rule
+        if not settings.default_class:
+            return None
+        return _make_rule(self.sections, service, settings.default_class, "")
+
+
+def _compile_routes(
+    named: NamedSections,
+) -> dict[str, list[_CompiledRoute]]:
+    """Returns the routes by service, the most specific first."""
+    routes_by_service: dict[str, list[_CompiledRoute]] = {}
+    for name, route in named.routes_by_name.items():
+        rule = _make_rule(named, route.service, route.class_name, name)
+        compiled = _CompiledRoute(
+            route.method.upper(), PathPattern(route.path), rule
+        )
+        routes_by_service.setdefault(route.service, []).append(compiled)
+    for routes in routes_by_service.values():
+        routes.sort(key=_specificity)
+    return routes_by_service
+
+
+def _specificity(route: _CompiledRoute) -> tuple[bool, int, bool, str]:
+    """Orders literal paths, longer patterns and exact methods first."""
+    return (
+        not route.pattern.is_literal,
+        -route.pattern.literal_length,
+        route.method == "*",
+        route.rule.route_name,
+    )
+
+
+def _make_rule(
+    named: NamedSections, service: str, class_name: str, route_name: str
+) -> Rule:
+    """Returns the rule of a service and class of one set."""
+    service_settings = named.services_by_name[service]
+    class_settings = named.classes_by_name[class_name]
+    timeout_ms = class_settings.timeout_ms or service_settings.timeout_ms
+    return Rule(
+        service=service,
+        class_name=class_name,
+        route_name=route_name,
+        service_settings=service_settings,
+        class_settings=class_settings,
+        timeout_ms=timeout_ms,
+    )
+
+
+def load_directory(
+    directory: pathlib.Path | str,
+) -> Result[AppliedFileSet, list[Problem]]:
+    """Reads and checks the ``*.ini`` files of a directory, as version 0."""
+    directory = pathlib.Path(directory)
+    paths = sorted(directory.glob("*.ini"))
+    if not paths:
+        reason = "holds no *.ini file; name the directory of a file set"
+        return Error([Problem(str(directory), "", "", reason)])
+    entries = []
+    problems: list[Problem] = []
+    for path in paths:
+        match read_text(path):
+            case Result(tag="ok", ok=text):
+                entries.append(wire.FileEntry(path.name, text))
+            case Result(error=file_problems):
+                problems += file_problems
+    if problems:
+        return Error(problems)
+    return compile_files(entries)
+
+
+def compile_files(
+    files: Sequence[wire.FileEntry],
+) -> Result[AppliedFileSet, list[Problem]]:
+    """Checks the files of a set that an operator offers."""
+    size = sum(len(entry.name) + len(entry.text.encode()) for entry in files)
+    if size > MAX_FILE_SET_BYTES:
+        reason = (
+            f"the set has {size} bytes, more than the {MAX_FILE_SET_BYTES} "
+            "that fit into one store object; split it between teams"
+        )
+        return Error([Problem("", "", "", reason)])
+    named, problems = sections.collect(files, allow_unknown=False)
+    problems += _check_file_names(files)
+    problems += checks.check(named)
+    if problems:
+        return Error(problems)
+    message = wire.FileSet(
+        team=named.fileset.team,
+        files=tuple(files),
+        claims=tuple(
+            wire.NameClaim(kind, name) for kind, name in named.claimed_names()
+        ),
+    )
+    return Ok(AppliedFileSet(message, named))
+
+
+def _check_file_names(files: Sequence[wire.FileEntry]) -> list[Problem]:
+    """Refuses names that are no plain INI file names, and repeated ones."""
+    problems = []
+    known_names = set()
+    for entry in files:
+        if not _FILE_NAME.fullmatch(entry.name):
+            reason = "is not a plain file name that ends with .ini"
+            problems.append(Problem(entry.name, "", "", reason))
+        if entry.name in known_names:
+            reason = "stands twice in the set; keep one of them"
+            problems.append(Problem(entry.name, "", "", reason))
+        known_names.add(entry.name)
+    return problems
+
+
+def from_wire(message: wire.FileSet) -> Result[AppliedFileSet, list[Problem]]:
+    """Compiles a set that was accepted by the store.
+
+    Keys and sections unknown to this program are ignored: the set was checked
+    when it was applied, possibly by a newer program, and refusing it would
+    leave this node with an older set.
+    """
+    named, problems = sections.collect(message.files, allow_unknown=True)
+    problems += checks.check(named)
+    if not problems and named.fileset.team != message.team:
+        reason = f"belongs to {named.fileset.team!r}, not {message.team!r}"
+        problems.append(Problem("", "fileset", "team", reason))
+    if problems:
+        return Error(problems)
+    return Ok(AppliedFileSet(message, named))
+
+
+def to_wire(applied: AppliedFileSet) -> wire.FileSet:
+    """Returns the message that peers and the store exchange."""
+    return applied.message
--- /dev/null
+++ b/src/celeryfield/internal/config/manager.py
@@ -0,0 +1,175 @@
+"""Configuration in force at one node."""
+
+import dataclasses
+import logging
+from collections.abc import Callable, Mapping
+
+from celeryfield.internal.config.fileset import AppliedFileSet, Rule
+from celeryfield.internal.schema.fileset import ClassSection, ServiceSection
+
+logger = logging.getLogger(__name__)
+
+OnChange = Callable[[AppliedFileSet], None]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NameConflict:
+    """A name that the sets of two teams define.
+
+    Attributes:
+        kind: service, class or tenant.
+        name: The name.
+        owner: Team whose section is in force.
+        other_team: Team whose section is ignored.
+    """
+
+    kind: str
+    name: str
+    owner: str
+    other_team: str
+
+    def __str__(self) -> str:
+        return (
+            f"[{self.kind} {self.name}] of team {self.other_team!r} is not in "
+            f"force: team {self.owner!r} has held the name for longer; "
+            "rename one of the two"
+        )
+
+
+class ConfigManager:
+    """Keeps the newest file set of each team.
+
+    The sets in force are a function of the newest versions alone, never of
+    the order in which they arrived, so all nodes come to the same result.
+
+    Attributes:
+        current_by_team: File sets in force.
+        conflicts: Names that more than one team defines.
+    """
+
+    def __init__(self) -> None:
+        self._sets_by_team: dict[str, AppliedFileSet] = {}
+        self._owners_by_name: dict[tuple[str, str], AppliedFileSet] = {}
+        self._callbacks: list[OnChange] = []
+        self.conflicts: tuple[NameConflict, ...] = ()
+
+    @property
+    def current_by_team(self) -> Mapping[str, AppliedFileSet]:
+        """Returns the file sets in force."""
+        return self._sets_by_team
+
+    @property
+    def versions_by_team(self) -> Mapping[str, int]:
+        """Returns the versions in force."""
+        return {
+            team: applied.version
+            for team, applied in self._sets_by_team.items()
+        }
+
+    def subscribe(self, on_change: OnChange) -> None:
+        """Calls back with each file set that comes into force."""
+        self._callbacks.append(on_change)
+
+    def offer(self, candidate: AppliedFileSet) -> bool:
+        """Applies a file set if its version is higher than the current one.
+
+        Returns:
+            Whether the candidate is now in force.
+        """
+        if not self._is_newer(candidate):
+            return False
+        self._sets_by_team[candidate.team] = candidate
+        self._rebuild()
+        logger.info(
+            "file set in force",
+            extra={"team": candidate.team, "version": candidate.version},
+        )
+        for callback in self._callbacks:
+            self._notify(callback, candidate)
+        return True
+
+    def rule_for(self, service: str, method: str, path: str) -> Rule | None:
+        """Returns the rule of a request, or none if it must be refused."""
+        owner = self._owners_by_name.get(("service", service))
+        if owner is None:
+            return None
+        rule = owner.rule_for(service, method, path)
+        if rule is None:
+            return None
+        class_owner = self._owners_by_name[("class", rule.class_name)]
+        if class_owner is owner:
+            return rule
+        return _with_class_of(rule, class_owner)
+
+    def service(self, name: str) -> ServiceSection | None:
+        """Returns the section of a service that is in force."""
+        owner = self._owners_by_name.get(("service", name))
+        return owner.sections.services_by_name[name] if owner else None
+
+    def tenant_weight(self, tenant: str) -> float:
+        """Returns the weight of a tenant; 1 if no set names it."""
+        owner = self._owners_by_name.get(("tenant", tenant))
+        return owner.sections.tenants_by_name[tenant].weight if owner else 1.0
+
+    def _is_newer(self, candidate: AppliedFileSet) -> bool:
+        """Tells whether a candidate may replace the current set."""
+        current = self._sets_by_team.get(candidate.team)
+        return candidate.version > (current.version if current else 0)
+
+    def _rebuild(self) -> None:
+        """Determines the owner of each name and the conflicts."""
+        claimants_by_name: dict[tuple[str, str], list[AppliedFileSet]] = {}
+        for applied in self._sets_by_team.values():
+            for name in applied.sections.claimed_names():
+                claimants_by_name.setdefault(name, []).append(applied)
+        owners_by_name = {}
+        conflicts = []
+        for (kind, name), claimants in claimants_by_name.items():
+            claimants.sort(
+                key=lambda applied, kind=kind, name=name: (
+                    applied.since_version(kind, name),
+                    applied.team,
+                )
+            )
+            owner, *others = claimants
+            owners_by_name[(kind, name)] = owner
+            conflicts += [
+                NameConflict(kind, name, owner.team, other.team)
+                for other in others
+            ]
+        self._owners_by_name = owners_by_name
+        self._report(tuple(conflicts))
+
+    def _report(self, conflicts: tuple[NameConflict, ...]) -> None:
+        """Logs conflicts that are new."""
+        for conflict in conflicts:
+            if conflict not in self.conflicts:
+                logger.warning("two teams define a name: %s", conflict)
+        self.conflicts = conflicts
+
+    def _notify(self, callback: OnChange, applied: AppliedFileSet) -> None:
+        """Calls one subscriber; its failure must not stop the others."""
+        try:
+            callback(applied)
+        except Exception:
+            logger.exception("a subscriber failed on a new file set")
+
+
+def _with_class_of(rule: Rule, class_owner: AppliedFileSet) -> Rule:
+    """Returns a rule with the class of the team that owns the class.
+
+    Work that its own team declared run-once stays so, because a conflict over
+    a name must never lead to a second run.
+    """
+    section: ClassSection = class_owner.sections.classes_by_name[
+        rule.class_name
+    ]
+    if rule.class_settings.run_once:
+        section = section.model_copy(
+            update={"run_once": True, "repeatable": False, "hedge": False}
+        )
+    longest_ms = rule.service_settings.timeout_ms
+    timeout_ms = min(section.timeout_ms or longest_ms, longest_ms)
+    return dataclasses.replace(
+        rule, class_settings=section, timeout_ms=timeout_ms
+    )
--- /dev/null
+++ b/src/celeryfield/internal/config/paths.py
@@ -0,0 +1,51 @@
+"""Path patterns of routes."""
+
+import posixpath
+import urllib.parse
+
+
+def normal_path(path: str) -> str:
+    """Returns the form of a path that is compared with patterns.
+
+    Upstreams decode percent escapes and ignore repeated slashes, dot segments
+    and trailing slashes. Comparing the raw text would let ``/%6frders`` run as
+    the default class although ``/orders`` is run-once.
+    """
+    bare = path.partition("?")[0].partition("#")[0]
+    decoded = urllib.parse.unquote(bare)
+    return posixpath.normpath("/" + decoded.lstrip("/"))
+
+
+class PathPattern:
+    """A path in which ``*`` stands for any text, including slashes.
+
+    Attributes:
+        is_literal: The pattern has no ``*``.
+        literal_length: Number of characters other than ``*``.
+    """
+
+    def __init__(self, pattern: str) -> None:
+        self.is_literal = "*" not in pattern
+        self.literal_length = len(pattern.replace("*", ""))
+        self._literal = normal_path(pattern) if self.is_literal else ""
+        self._parts = pattern.split("*")
+
+    def matches(self, path: str) -> bool:
+        """Tells whether a normal path matches."""
+        if self.is_literal:
+            return path == self._literal
+        # "/drawings/*" also covers the request "/drawings/".
+        return self._matches_parts(path) or self._matches_parts(path + "/")
+
+    def _matches_parts(self, path: str) -> bool:
+        """Finds the literal parts in order, in time linear in the path."""
+        first, *middle, last = self._parts
+        if not path.startswith(first):
+            return False
+        position = len(first)
+        for part in middle:
+            found = path.find(part, position)
+            if found < 0:
+                return False
+            position = found + len(part)
+        return path.endswith(last) and len(path) - len(last) >= position
--- /dev/null
+++ b/src/celeryfield/internal/config/sections.py
@@ -0,0 +1,167 @@
+"""Collects the named sections of the files of one set."""
+
+import dataclasses
+import re
+from collections.abc import Iterator, Sequence
+
+import pydantic
+from expression import Result
+
+from celeryfield.internal.inifile import (
+    Problem,
+    read_model,
+    read_sections,
+    suggest,
+)
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.fileset import (
+    ClassSection,
+    FileSetSection,
+    RouteSection,
+    ServiceSection,
+    TenantSection,
+)
+
+MODELS_BY_KIND: dict[str, type[pydantic.BaseModel]] = {
+    "service": ServiceSection,
+    "class": ClassSection,
+    "route": RouteSection,
+    "tenant": TenantSection,
+}
+# Names become metric labels and parts of URLs and store keys.
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+_MISSING_FILESET = FileSetSection(team="")
+
+
+@dataclasses.dataclass(slots=True)
+class NamedSections:
+    """The sections of one set by name.
+
+    Attributes:
+        fileset: Section [fileset].
+        files_by_section: File that defines a section, by its title. Titles
+            whose keys are invalid are included, so that references to them
+            are not reported a second time.
+    """
+
+    fileset: FileSetSection = _MISSING_FILESET
+    services_by_name: dict[str, ServiceSection] = dataclasses.field(
+        default_factory=dict
+    )
+    classes_by_name: dict[str, ClassSection] = dataclasses.field(
+        default_factory=dict
+    )
+    routes_by_name: dict[str, RouteSection] = dataclasses.field(
+        default_factory=dict
+    )
+    tenants_by_name: dict[str, TenantSection] = dataclasses.field(
+        default_factory=dict
+    )
+    files_by_section: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    def by_kind(self) -> dict[str, dict[str, pydantic.BaseModel]]:
+        """Returns the sections by kind and name."""
+        return {
+            "service": self.services_by_name,
+            "class": self.classes_by_name,
+            "route": self.routes_by_name,
+            "tenant": self.tenants_by_name,
+        }
+
+    def claimed_names(self) -> Iterator[tuple[str, str]]:
+        """Yields kind and name of each section that one team may own."""
+        for kind, sections_by_name in self.by_kind().items():
+            if kind != "route":
+                yield from ((kind, name) for name in sections_by_name)
+
+
+def collect(
+    files: Sequence[wire.FileEntry], allow_unknown: bool
+) -> tuple[NamedSections, list[Problem]]:
+    """Reads the sections of all files.
+
+    Args:
+        files: Names and texts.
+        allow_unknown: Ignore keys and kinds of section that are unknown.
+    """
+    named = NamedSections()
+    problems: list[Problem] = []
+    for entry in files:
+        parsed = read_sections(entry.name, entry.text)
+        problems += parsed.problems
+        for title, values in parsed.values_by_section.items():
+            problems += _add(named, entry.name, title, values, allow_unknown)
+    if "fileset" not in named.files_by_section:
+        reason = "required section is missing; add it with 'team = NAME'"
+        problems.append(Problem("", "fileset", "", reason))
+    return named, problems
+
+
+def _add(
+    named: NamedSections,
+    file: str,
+    title: str,
+    values_by_key: dict[str, str],
+    allow_unknown: bool,
+) -> list[Problem]:
+    """Validates one section and files it under its name."""
+    kind, _, name = title.partition(" ")
+    name = name.strip()
+    reason = _title_problem(kind, name)
+    if reason:
+        if allow_unknown and kind not in MODELS_BY_KIND:
+            return []
+        return [Problem(file, title, "", reason)]
+    title = f"{kind} {name}".strip()
+    first_file = named.files_by_section.setdefault(title, file)
+    if first_file != file:
+        reason = f"is also in {first_file}; keep one of them"
+        return [Problem(file, title, "", reason)]
+    model = MODELS_BY_KIND.get(kind, FileSetSection)
+    match read_model(model, file, title, values_by_key, allow_unknown):
+        case Result(tag="ok", ok=section):
+            return _store(named, file, kind, name, section)
+        case Result(error=problems):
+            return problems
+
+
+def _title_problem(kind: str, name: str) -> str:
+    """Returns what is wrong with a section title, or an empty string."""
+    if kind == "fileset":
+        return "takes no name; write [fileset]" if name else ""
+    if kind not in MODELS_BY_KIND:
+        known_kinds = [*MODELS_BY_KIND, "fileset"]
+        return f"unknown section; {suggest(kind, known_kinds)}"
+    if not _NAME.fullmatch(name):
+        return (
+            f"{name!r} is not a name; use 1 to 63 letters, digits, dots, "
+            "hyphens and underscores"
+        )
+    return ""
+
+
+def _store(
+    named: NamedSections,
+    file: str,
+    kind: str,
+    name: str,
+    section: pydantic.BaseModel,
+) -> list[Problem]:
+    """Files a validated section under its kind and name."""
+    if isinstance(section, FileSetSection):
+        named.fileset = section
+        if _NAME.fullmatch(section.team):
+            return []
+        reason = f"{section.team!r} is not a name; use letters and digits"
+        return [Problem(file, "fileset", "team", reason)]
+    if isinstance(section, ClassSection):
+        section = _without_implied_repeats(section)
+    named.by_kind()[kind][name] = section
+    return []
+
+
+def _without_implied_repeats(section: ClassSection) -> ClassSection:
+    """Makes a run-once class that says nothing of repeats not repeatable."""
+    if section.run_once and "repeatable" not in section.model_fields_set:
+        return section.model_copy(update={"repeatable": False})
+    return section
--- /dev/null
+++ b/src/celeryfield/internal/inifile.py
@@ -0,0 +1,287 @@
+"""Reads INI files into settings models and reports every problem at once."""
+
+import configparser
+import dataclasses
+import difflib
+import functools
+import ipaddress
+import math
+import pathlib
+from collections.abc import Collection, Iterable, Mapping
+from typing import TypeVar
+
+import pydantic
+from expression import Error, Ok, Result
+
+from celeryfield.internal.schema.settings import NodeSettings
+
+# A file that is not INI at all would otherwise yield one problem per line.
+MAX_SYNTAX_PROBLEMS = 100
+# configparser merges its default section into all others; no file can name
+# this one, so [DEFAULT] is an ordinary (unknown) section.
+_UNUSED_DEFAULT_SECTION = "\n"
+_CHOICES_BY_KEY = {
+    ("routing", "policy"): ("adaptive", "baseline"),
+    ("log", "level"): ("debug", "info", "warning", "error"),
+}
+_ADDRESS_KEYS = (("node", "address"), ("listen", "admin_address"))
+_PORT_KEYS = (
+    ("listen", "caller_port"),
+    ("listen", "peer_port"),
+    ("listen", "admin_port"),
+)
+MAX_PORT = 65535
+
+ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Problem:
+    """One reason why a file cannot be used.
+
+    Attributes:
+        file: Name of the file.
+        section: Section, or an empty string for the whole file.
+        key: Key, or an empty string for the whole section.
+        reason: What is wrong and what to do next.
+    """
+
+    file: str
+    section: str
+    key: str
+    reason: str
+
+    def __str__(self) -> str:
+        where = [self.file]
+        if self.section:
+            where.append(f"[{self.section}]")
+        if self.key:
+            where.append(self.key)
+        return f"{', '.join(where)}: {self.reason}"
+
+
+@dataclasses.dataclass(slots=True)
+class Sections:
+    """Key-value pairs of one file by section, with the syntax problems."""
+
+    values_by_section: dict[str, dict[str, str]]
+    problems: list[Problem]
+
+
+def suggest(name: str, known_names: Iterable[str]) -> str:
+    """Returns a hint that names the nearest known name, or all of them."""
+    names = sorted(known_names)
+    matches = difflib.get_close_matches(name, names, n=1)
+    if matches:
+        return f"did you mean {matches[0]!r}?"
+    return f"known names: {', '.join(names)}" if names else "none is known"
+
+
+def read_text(path: pathlib.Path) -> Result[str, list[Problem]]:
+    """Reads a UTF-8 text file."""
+    try:
+        return Ok(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        reason = f"cannot be read: {error.strerror}"
+    except UnicodeDecodeError as error:
+        reason = f"is not UTF-8 text at byte {error.start}; save it as UTF-8"
+    return Error([Problem(path.name, "", "", reason)])
+
+
+def read_sections(file: str, text: str) -> Sections:
+    """Parses INI text, continuing behind each line that is wrong.
+
+    configparser stops at the first fault, so the faulty lines are taken out
+    and the rest is parsed again until no fault remains.
+    """
+    lines = text.splitlines()
+    problems: list[Problem] = []
+    repeated_sections: set[str] = set()
+    while len(problems) < MAX_SYNTAX_PROBLEMS:
+        parser = configparser.ConfigParser(
+            interpolation=None,
+            delimiters=("=",),
+            default_section=_UNUSED_DEFAULT_SECTION,
+        )
+        try:
+            parser.read_string("\n".join(lines), source=file)
+        except configparser.DuplicateSectionError as error:
+            # The keys below the repeated header must not be mixed into the
+            # first section, so they get a section of their own.
+            placeholder = f"{error.section}\t{error.lineno}"
+            repeated_sections.add(placeholder)
+            lines[error.lineno - 1] = f"[{placeholder}]"
+            reason = f"line {error.lineno} repeats the section; merge the two"
+            problems.append(Problem(file, error.section, "", reason))
+        except configparser.DuplicateOptionError as error:
+            lines[error.lineno - 1] = "#"
+            section = error.section.split("\t")[0]
+            reason = f"line {error.lineno} repeats the key; keep one of them"
+            problems.append(Problem(file, section, error.option, reason))
+        except configparser.MissingSectionHeaderError as error:
+            lines[error.lineno - 1] = "#"
+            reason = f"line {error.lineno} stands before the first [section]"
+            problems.append(Problem(file, "", "", reason))
+        except configparser.ParsingError as error:
+            for line_number, _ in error.errors:
+                lines[line_number - 1] = "#"
+                reason = f"line {line_number} is not 'key = value'"
+                problems.append(Problem(file, "", "", reason))
+        else:
+            values_by_section = {
+                section: dict(parser[section])
+                for section in parser.sections()
+                if section not in repeated_sections
+            }
+            return Sections(values_by_section, problems)
+    return Sections({}, problems)
+
+
+def read_model(
+    model: type[ModelT],
+    file: str,
+    section: str,
+    values_by_key: Mapping[str, str],
+    allow_unknown: bool = False,
+) -> Result[ModelT, list[Problem]]:
+    """Validates the keys of one section.
+
+    Args:
+        model: Settings model of the section.
+        file: Name of the file, for problems.
+        section: Name of the section, for problems.
+        values_by_key: The section as text.
+        allow_unknown: Ignore keys that the model does not know.
+    """
+    known_keys = model.model_fields
+    problems = []
+    if not allow_unknown:
+        problems = [
+            Problem(file, section, key, f"unknown; {suggest(key, known_keys)}")
+            for key in values_by_key
+            if key not in known_keys
+        ]
+    known_values = {
+        key: value for key, value in values_by_key.items() if key in known_keys
+    }
+    try:
+        checked = _checked_model(model).model_validate(
+            known_values, context={"section": section}
+        )
+    except pydantic.ValidationError as error:
+        for detail in error.errors():
+            key = str(detail["loc"][0]) if detail["loc"] else ""
+            reason = _reason(detail, known_values.get(key))
+            problems.append(Problem(file, section, key, reason))
+        return Error(problems)
+    if problems:
+        return Error(problems)
+    return Ok(model.model_construct(checked.model_fields_set, **dict(checked)))
+
+
+@functools.cache
+def _checked_model(model: type[ModelT]) -> type[ModelT]:
+    """Returns a model that also makes the checks of ``_check_value``.
+
+    They run as field validators, so that they are reported even if another
+    key of the section is wrong.
+    """
+    validator = pydantic.field_validator("*", mode="after")(_check_value)
+    return pydantic.create_model(
+        f"Checked{model.__name__}",
+        __base__=model,
+        __validators__={"check_value": validator},
+    )
+
+
+def _reason(detail: Mapping, value: str | None) -> str:
+    """Returns the reason of one validation error."""
+    if detail["type"] == "missing":
+        return "required but missing; add it"
+    message = detail["msg"].removeprefix("Value error, ")
+    message = message[:1].lower() + message[1:]
+    return f"{value!r} is not accepted: {message}"
+
+
+def load_node_settings(
+    path: pathlib.Path | str,
+) -> Result[NodeSettings, list[Problem]]:
+    """Reads the settings file of a node."""
+    path = pathlib.Path(path)
+    match read_text(path):
+        case Result(tag="ok", ok=text):
+            return parse_node_settings(path.name, text)
+        case Result(error=problems):
+            return Error(problems)
+
+
+def parse_node_settings(
+    file: str, text: str
+) -> Result[NodeSettings, list[Problem]]:
+    """Validates the text of a node's settings file."""
+    sections = read_sections(file, text)
+    fields = NodeSettings.model_fields
+    problems = list(sections.problems)
+    problems += _unknown_sections(file, sections.values_by_section, fields)
+    settings_by_section = {}
+    for section, field in fields.items():
+        values = sections.values_by_section.get(section)
+        if values is None and not field.is_required():
+            continue
+        if values is None:
+            reason = "required section is missing; add it"
+            problems.append(Problem(file, section, "", reason))
+            continue
+        match read_model(field.annotation, file, section, values):
+            case Result(tag="ok", ok=settings):
+                settings_by_section[section] = settings
+            case Result(error=section_problems):
+                problems += section_problems
+    if problems:
+        return Error(problems)
+    return Ok(NodeSettings(**settings_by_section))
+
+
+def _unknown_sections(
+    file: str, sections: Iterable[str], known_names: Collection[str]
+) -> list[Problem]:
+    """Reports sections that no settings field has."""
+    return [
+        Problem(
+            file, name, "", f"unknown section; {suggest(name, known_names)}"
+        )
+        for name in sections
+        if name not in known_names
+    ]
+
+
+def _check_value(value: object, info: pydantic.ValidationInfo) -> object:
+    """Checks what the schema cannot express.
+
+    Raises:
+        ValueError: The value is not among the choices, not a finite number,
+            not an IP address or not a port.
+    """
+    section_key = (info.context["section"], info.field_name)
+    reason = ""
+    choices = _CHOICES_BY_KEY.get(section_key)
+    if choices and value not in choices:
+        reason = f"use one of {', '.join(choices)}"
+    elif isinstance(value, float) and not math.isfinite(value):
+        reason = "not a finite number"
+    elif section_key in _ADDRESS_KEYS and not _is_address(value):
+        reason = "not an IP address"
+    elif section_key in _PORT_KEYS and not 0 <= value <= MAX_PORT:
+        reason = f"not a port; use 0 to {MAX_PORT}"
+    if reason:
+        raise ValueError(reason)
+    return value
+
+
+def _is_address(text: str) -> bool:
+    """Tells whether a text is an IP address."""
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
--- a/src/celeryfield/internal/schema/fileset.capnp
+++ b/src/celeryfield/internal/schema/fileset.capnp
@@ -30,7 +30,7 @@
   runOnce @1 :Bool = false $doc("Requests must not run more than once.");
   repeatable @2 :Bool = true $doc("Requests may be sent again after they have started.");
   longRunning @3 :Bool = false $doc("Requests run many times longer than others.");
-  retryAllowance @4 :UInt32 = 3 $maximum(100) $doc("Extra attempts in the whole chain of a root call.");
+  retryAllowance @4 :UInt32 = 3 $minimum(0) $maximum(100) $doc("Extra attempts in the whole chain of a root call.");
   retryRatio @5 :Float64 = 0.1 $minimum(0) $maximum(1) $doc("Retries per first attempt at one node.");
   hedge @6 :Bool = false $doc("Send a second attempt when the first is slow.");
   timeoutMs @7 :Float64 = 0 $unit("ms") $minimum(0) $doc("Deadline of requests without one; 0 takes the service's.");
--- a/src/celeryfield/internal/schema/fileset.py
+++ b/src/celeryfield/internal/schema/fileset.py
@@ -70,6 +70,7 @@
     )
     retry_allowance: int = Field(
         default=3,
+        ge=0,
         le=100,
         description="Extra attempts in the whole chain of a root call.",
     )
--- a/src/celeryfield/internal/schema/settings.capnp
+++ b/src/celeryfield/internal/schema/settings.capnp
@@ -30,7 +30,7 @@
   timeoutMs @1 :Float64 = 2000 $unit("ms") $minimum(1) $doc("Deadline of one call.");
   callsPerSecond @2 :Float64 = 2 $minimum(0.01) $doc("Budget of this node.");
   burst @3 :UInt32 = 20 $minimum(1) $doc("Calls that may be made at once.");
-  watchSeconds @4 :Float64 = 30 $unit("s") $minimum(1) $doc("Longest wait of one watch call.");
+  watchSeconds @4 :Float64 = 10 $unit("s") $minimum(1) $doc("Longest wait of one watch call.");
 }
 
 struct DispatchSettings $doc("Section [dispatch]: admission to the local upstream.") {
--- a/src/celeryfield/internal/schema/settings.py
+++ b/src/celeryfield/internal/schema/settings.py
@@ -63,7 +63,7 @@
         default=20, ge=1, description="Calls that may be made at once."
     )
     watch_seconds: float = Field(
-        default=30.0,
+        default=10.0,
         ge=1,
         description="Longest wait of one watch call. Unit: s.",
     )
--- a/src/celeryfield/internal/schema/wire.capnp
+++ b/src/celeryfield/internal/schema/wire.capnp
@@ -83,6 +83,17 @@
   text @1 :Text;
 }
 
+struct NameClaim $doc("A name that a team's file set defines.") {
+  kind @0 :Text $doc("service, class or tenant.");
+  name @1 :Text;
+  sinceVersion @2 :UInt64 $doc("Version that first held the name without a break; 0 stands for the version of this set.");
+}
+
+struct WriteRecord $doc("An earlier write of the same object.") {
+  writeId @0 :Text;
+  version @1 :UInt64;
+}
+
 struct FileSet $doc("A file set with its version in the store.") {
   team @0 :Text;
   version @1 :UInt64 $doc("0 if the peer has none.");
@@ -90,4 +101,20 @@
   author @3 :Text;
   appliedAtMs @4 :UInt64 $unit("ms since the epoch");
   files @5 :List(FileEntry);
+  claims @6 :List(NameClaim) $doc("Names of this set; the oldest claim decides between teams.");
+  earlierWrites @7 :List(WriteRecord) $doc("Latest earlier writes, newest first; lets a writer recognise a write that was superseded.");
+}
+
+struct FileSetHistory $doc("Earlier file sets of one team, newest first.") {
+  writeId @0 :Text;
+  entries @1 :List(FileSet);
+}
+
+struct LeaseRecord $doc("Value of one lease in the store.") {
+  holderId @0 :Text $doc("Node that holds the lease; empty after a release.");
+  incarnation @1 :UInt64;
+  epoch @2 :UInt64 $doc("Increases each time the lease is taken.");
+  writeId @3 :Text $doc("Unique id of the write.");
+  address @4 :Text;
+  port @5 :UInt16;
 }
--- a/src/celeryfield/internal/schema/wire.py
+++ b/src/celeryfield/internal/schema/wire.py
@@ -555,6 +555,96 @@
             raise MessageError(message) from error
 
 
+@dataclasses.dataclass(slots=True)
+class NameClaim:
+    """A name that a team's file set defines.
+
+    Attributes:
+        kind: service, class or tenant.
+        since_version: Version that first held the name without a break; 0 stands for the version of this set.
+    """
+
+    kind: str = ""
+    name: str = ""
+    since_version: int = 0
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.kind = self.kind
+        builder.name = self.name
+        builder.sinceVersion = self.since_version
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.NameClaim.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "NameClaim":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.kind,
+            reader.name,
+            reader.sinceVersion,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "NameClaim":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.NameClaim.from_bytes(data) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed NameClaim message"
+            raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class WriteRecord:
+    """An earlier write of the same object."""
+
+    write_id: str = ""
+    version: int = 0
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.writeId = self.write_id
+        builder.version = self.version
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.WriteRecord.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "WriteRecord":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.writeId,
+            reader.version,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "WriteRecord":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.WriteRecord.from_bytes(data) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed WriteRecord message"
+            raise MessageError(message) from error
+
+
 @dataclasses.dataclass(slots=True)
 class FileSet:
     """A file set with its version in the store.
@@ -563,6 +653,8 @@
         version: 0 if the peer has none.
         write_id: Unique id of the write that produced the version.
         applied_at_ms: Unit: ms since the epoch.
+        claims: Names of this set; the oldest claim decides between teams.
+        earlier_writes: Latest earlier writes, newest first; lets a writer recognise a write that was superseded.
     """
 
     team: str = ""
@@ -571,6 +663,8 @@
     author: str = ""
     applied_at_ms: int = 0
     files: tuple[FileEntry, ...] = ()
+    claims: tuple[NameClaim, ...] = ()
+    earlier_writes: tuple[WriteRecord, ...] = ()
 
     def fill(self, builder: Any) -> None:
         """Copies the fields into a message builder."""
@@ -583,6 +677,14 @@
             items = builder.init("files", len(self.files))
             for index, item in enumerate(self.files):
                 item.fill(items[index])
+        if self.claims:
+            items = builder.init("claims", len(self.claims))
+            for index, item in enumerate(self.claims):
+                item.fill(items[index])
+        if self.earlier_writes:
+            items = builder.init("earlierWrites", len(self.earlier_writes))
+            for index, item in enumerate(self.earlier_writes):
+                item.fill(items[index])
 
     def encode(self) -> bytes:
         """Returns the message as bytes."""
@@ -600,6 +702,8 @@
             reader.author,
             reader.appliedAtMs,
             tuple([FileEntry.read(item) for item in reader.files]),
+            tuple([NameClaim.read(item) for item in reader.claims]),
+            tuple([WriteRecord.read(item) for item in reader.earlierWrites]),
         )
 
     @classmethod
@@ -615,3 +719,106 @@
         except (capnp.KjException, ValueError) as error:
             message = "malformed FileSet message"
             raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class FileSetHistory:
+    """Earlier file sets of one team, newest first."""
+
+    write_id: str = ""
+    entries: tuple[FileSet, ...] = ()
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.writeId = self.write_id
+        if self.entries:
+            items = builder.init("entries", len(self.entries))
+            for index, item in enumerate(self.entries):
+                item.fill(items[index])
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.FileSetHistory.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "FileSetHistory":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.writeId,
+            tuple([FileSet.read(item) for item in reader.entries]),
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "FileSetHistory":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.FileSetHistory.from_bytes(data) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed FileSetHistory message"
+            raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class LeaseRecord:
+    """Value of one lease in the store.
+
+    Attributes:
+        holder_id: Node that holds the lease; empty after a release.
+        epoch: Increases each time the lease is taken.
+        write_id: Unique id of the write.
+    """
+
+    holder_id: str = ""
+    incarnation: int = 0
+    epoch: int = 0
+    write_id: str = ""
+    address: str = ""
+    port: int = 0
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.holderId = self.holder_id
+        builder.incarnation = self.incarnation
+        builder.epoch = self.epoch
+        builder.writeId = self.write_id
+        builder.address = self.address
+        builder.port = self.port
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.LeaseRecord.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "LeaseRecord":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.holderId,
+            reader.incarnation,
+            reader.epoch,
+            reader.writeId,
+            reader.address,
+            reader.port,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "LeaseRecord":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.LeaseRecord.from_bytes(data) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed LeaseRecord message"
+            raise MessageError(message) from error
--- /dev/null
+++ b/tests/cover/test_config_fileset.py
@@ -0,0 +1,180 @@
+import itertools
+
+import pytest
+
+from celeryfield.internal.config import fileset
+from celeryfield.internal.config.diff import diff_sets, format_diff
+from celeryfield.internal.config.manager import ConfigManager
+from celeryfield.internal.schema import wire
+
+BASE = """
+[fileset]
+team = pipes
+[service order]
+timeout_ms = 4000
+default_class = lookup
+[class placement]
+run_once = yes
+priority = 90
+timeout_ms = 3000
+[class lookup]
+[route place]
+service = order
+method = POST
+path = /orders
+class_name = placement
+[route items]
+service = order
+path = /orders/*/items
+class_name = lookup
+"""
+
+
+def compiled(*texts):
+    entries = [
+        wire.FileEntry(f"f{i}.ini", text) for i, text in enumerate(texts)
+    ]
+    return fileset.compile_files(entries)
+
+
+def stored(text, version, **fields):
+    message = compiled(text).ok.message
+    message.version = version
+    for name, value in fields.items():
+        setattr(message, name, value)
+    return fileset.from_wire(wire.FileSet.decode(message.encode())).ok
+
+
+@pytest.mark.parametrize(
+    ("addition", "section", "key", "part"),
+    [
+        ("[class a]\nrun_once=1\nrepeatable=1", "class a", "repeatable", "may"),
+        ("[class a]\nrun_once=1\nhedge=1", "class a", "hedge", "repeatable"),
+        ("[class a]\nretry_allowance=-1", "class a", "retry_allowance", "-1"),
+        ("[class a]\nretry_allowance=26", "class a", "retry_allowance", "25"),
+        ("[class a]\nretry_allowance=0\nhedge=1", "class a", "hedge", "raise"),
+        ("[class a]\nhedge=1\nlong_running=1", "class a", "hedge", "twice"),
+        ("[class order]\n[class order]", "class order", "", "repeats"),
+        ("[service order]", "service order", "", "also in f0.ini"),
+        ("[servise x]", "servise x", "", "'service'"),
+        ("[service a b]", "service a b", "", "not a name"),
+        ("[service s]\ncalls = s", "service s", "calls", "itself"),
+        (
+            "[service s]\ndefault_class=lokup",
+            "service s",
+            "default_class",
+            "'lookup'",
+        ),
+        (
+            "[route r]\nservice=oder\nclass_name=lookup",
+            "route r",
+            "service",
+            "'order'",
+        ),
+        (
+            "[route r]\nservice=order\nclass_name=lookup\nmethod=PSOT",
+            "route r",
+            "method",
+            "'POST'",
+        ),
+        (
+            "[route r]\nservice=order\nclass_name=lookup\nmethod=post\n"
+            "path=/orders/",
+            "route r",
+            "path",
+            "[route place]",
+        ),
+        (
+            "[class s]\ntimeout_ms=5000\n"
+            "[route r]\nservice=order\nclass_name=s\npath=/s",
+            "route r",
+            "class_name",
+            "longest deadline",
+        ),
+        ("[fileset]\nteam = x", "fileset", "", "also in"),
+    ],
+)
+def test_rejects_contradictions_across_files(addition, section, key, part):
+    problems = compiled(BASE, addition).error
+    assert [(p.section, p.key) for p in problems] == [(section, key)]
+    assert part in problems[0].reason
+
+
+def test_rejects_sets_that_exceed_a_store_object():
+    [problem] = compiled(BASE, "#" * fileset.MAX_FILE_SET_BYTES).error
+    assert "split" in problem.reason
+
+
+@pytest.mark.parametrize(
+    "path",
+    ["/orders", "/orders/", "//orders", "/%6frders?x=1", "/a/../orders"],
+)
+def test_spellings_of_a_path_have_the_same_class(path):
+    # Guards against a run-once request that passes as a repeatable one.
+    rule = compiled(BASE).ok.rule_for("order", "post", path)
+    assert rule.class_name == "placement"
+    assert not rule.class_settings.repeatable
+    assert rule.timeout_ms == 3000
+
+
+def test_lookup_prefers_specific_routes_and_falls_back():
+    applied = compiled(BASE).ok
+    assert applied.rule_for("order", "GET", "/orders/7/items").route_name
+    assert applied.rule_for("order", "GET", "/orders").class_name == "lookup"
+    assert applied.rule_for("order", "GET", "/orders").timeout_ms == 4000
+    assert applied.rule_for("other", "GET", "/orders") is None
+
+
+def test_accepts_stored_sets_of_a_newer_program():
+    # Guards against an older node that keeps old rules during an upgrade.
+    message = compiled(BASE).ok.message
+    text = BASE.replace("[class lookup]", "[class lookup]\nnew_key = 1")
+    message.files = (wire.FileEntry("f0.ini", text + "[new_kind x]\n"),)
+    assert fileset.from_wire(message).is_ok()
+    assert compiled(text).is_error()
+
+
+def test_older_claim_wins_whatever_the_order_of_arrival():
+    text = BASE.replace("pipes", "bells").replace("priority = 90", "")
+    text = text.replace("run_once = yes", "long_running = yes")
+    claim = wire.NameClaim("class", "placement", 3)
+    offers = [
+        stored(BASE, 5),
+        stored(text, 7, claims=(claim,)),
+        stored(BASE, 9, claims=(wire.NameClaim("service", "order", 5),)),
+    ]
+    for order in itertools.permutations(offers):
+        manager = ConfigManager()
+        for offer in order:
+            manager.offer(offer)
+        assert manager.versions_by_team == {"pipes": 9, "bells": 7}
+        conflicts = {(c.kind, c.name): c.owner for c in manager.conflicts}
+        assert conflicts == {
+            ("service", "order"): "pipes",
+            ("class", "placement"): "bells",
+            ("class", "lookup"): "bells",
+        }
+        rule = manager.rule_for("order", "POST", "/orders")
+        # The class of the older owner, but the work stays run-once.
+        assert rule.class_settings.long_running
+        assert rule.class_settings.run_once
+
+
+def test_one_failing_subscriber_does_not_stop_the_others():
+    manager = ConfigManager()
+    seen = []
+    manager.subscribe(lambda applied: 1 / 0)
+    manager.subscribe(seen.append)
+    assert manager.offer(stored(BASE, 4))
+    assert [applied.version for applied in seen] == [4]
+
+
+def test_diff_names_sections_keys_and_values():
+    changed = BASE.replace("priority = 90", "priority = 80")
+    changed += "[tenant web]\nweight = 2\n"
+    changes = diff_sets(compiled(BASE).ok, compiled(changed).ok)
+    assert format_diff(changes).splitlines() == [
+        "~ [class placement] priority: 90 -> 80",
+        "+ [tenant web]",
+        "+ [tenant web] weight: none -> 2",
+    ]
