--- /dev/null
+++ b/src/celeryfield/internal/store/answers.py
@@ -0,0 +1,114 @@
+"""Decodes the HTTP answers of the store."""
+
+import base64
+import binascii
+import dataclasses
+
+import aiohttp
+import pydantic
+from expression import Error, Ok, Result
+
+from celeryfield.internal.store.errors import (
+    StoreError,
+    StoreRejectedError,
+    StoreUnavailableError,
+)
+
+# Decoding holds a listing about three times in the 256 MB of a node.
+MAX_LISTED_BYTES = 32_000_000
+# Versions fit into 64 bits.
+MAX_VERSION_DIGITS = 20
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoreObject:
+    """One object of the store.
+
+    Attributes:
+        key: Key of the object.
+        version: The store's version.
+        value: Content.
+    """
+
+    key: str
+    version: int
+    value: bytes
+
+
+class _ListedObject(pydantic.BaseModel):
+    """One object in an answer of the store."""
+
+    key: str
+    version: int = pydantic.Field(ge=1)
+    value: str
+
+
+class _Listing(pydantic.BaseModel):
+    """Answer to a list or watch."""
+
+    objects: list[_ListedObject]
+
+
+@dataclasses.dataclass(slots=True)
+class StoreAnswer:
+    """HTTP answer of the store."""
+
+    status: int
+    version: int
+    body: bytes
+
+
+async def read_answer(response: aiohttp.ClientResponse) -> StoreAnswer:
+    """Reads status, version and body of a response."""
+    content = await _read_bounded(response)
+    version = _read_version(response.headers.get("x-version", ""))
+    return StoreAnswer(response.status, version, content)
+
+
+def decode_listing(
+    answer: StoreAnswer,
+) -> Result[list[StoreObject], StoreError]:
+    """Decodes an answer that holds several objects."""
+    if answer.status != 200:
+        return Error(unexpected_answer(answer))
+    try:
+        listing = _Listing.model_validate_json(answer.body)
+        return Ok([_decode(listed) for listed in listing.objects])
+    except (pydantic.ValidationError, binascii.Error) as error:
+        return Error(StoreUnavailableError(f"malformed answer: {error}"))
+
+
+def unexpected_answer(answer: StoreAnswer) -> StoreError:
+    """Returns the error of an answer that a read cannot use."""
+    if 400 <= answer.status < 500:
+        return StoreRejectedError(f"store refused the call: {answer.status}")
+    return StoreUnavailableError(f"store answered {answer.status}")
+
+
+async def _read_bounded(response: aiohttp.ClientResponse) -> bytes:
+    """Reads a body up to the largest accepted size.
+
+    Raises:
+        aiohttp.ClientPayloadError: The body is larger.
+    """
+    chunks = []
+    size = 0
+    async for chunk in response.content.iter_any():
+        size += len(chunk)
+        if size > MAX_LISTED_BYTES:
+            message = f"answer exceeds {MAX_LISTED_BYTES} bytes"
+            raise aiohttp.ClientPayloadError(message)
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
+def _read_version(text: str) -> int:
+    """Returns the version in a header, or 0 if it holds none."""
+    is_version = text.isdecimal() and len(text) <= MAX_VERSION_DIGITS
+    return int(text) if is_version else 0
+
+
+def _decode(listed: _ListedObject) -> StoreObject:
+    """Converts one listed object."""
+    value = base64.b64decode(listed.value, validate=True)
+    return StoreObject(listed.key, listed.version, value)
--- /dev/null
+++ b/src/celeryfield/internal/store/applier.py
@@ -0,0 +1,332 @@
+"""Applies file sets to the store by conditional update."""
+
+import dataclasses
+import logging
+import uuid
+from collections.abc import Sequence
+
+from expression import Error, Ok, Result
+
+from celeryfield.errors import CeleryfieldError
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.config import fileset
+from celeryfield.internal.config.diff import Change, diff_sets
+from celeryfield.internal.config.fileset import AppliedFileSet
+from celeryfield.internal.inifile import Problem
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.base import MessageError
+from celeryfield.internal.store.client import StoreClient, StoreObject
+from celeryfield.internal.store.errors import (
+    StoreConflictError,
+    StoreError,
+    StoreOutcomeUnknownError,
+)
+
+logger = logging.getLogger(__name__)
+
+CONFIG_PREFIX = "config/"
+HISTORY_PREFIX = "history/"
+# Writes of the same team that may follow within the time in which a writer
+# reads its own write back; operators are far slower than that.
+MAX_EARLIER_WRITES = 16
+MAX_HISTORY_SETS = 10
+# Leaves room for the framing of a value of at most 1 MB.
+MAX_HISTORY_BYTES = 900_000
+MAX_HISTORY_ATTEMPTS = 3
+
+
+class ApplyError(CeleryfieldError):
+    """A file set that was not applied, or not provably so."""
+
+
+class ApplyConflictError(ApplyError):
+    """Another operator changed the set first; nothing was written.
+
+    Attributes:
+        current: The set in the store, or none if it cannot be read.
+        changes: What the refused set would change in the current one.
+    """
+
+    def __init__(
+        self,
+        team: str,
+        expected_version: int,
+        current_version: int,
+        current: AppliedFileSet | None,
+        changes: list[Change],
+    ) -> None:
+        super().__init__(
+            f"file set of team {team!r} has version {current_version}, not "
+            f"{expected_version}; review the diff and apply against the "
+            "current version"
+        )
+        self.current_version = current_version
+        self.current = current
+        self.changes = changes
+
+
+class ApplyUnavailableError(ApplyError):
+    """The store is unavailable; nothing was written."""
+
+
+class ApplyUnknownError(ApplyError):
+    """The set may or may not be, or still become, the current one."""
+
+
+class ApplyRejectedError(ApplyError):
+    """The set has problems; nothing was written.
+
+    Attributes:
+        problems: Every problem found.
+    """
+
+    def __init__(self, problems: list[Problem]) -> None:
+        super().__init__("\n".join(str(problem) for problem in problems))
+        self.problems = problems
+
+
+@dataclasses.dataclass(slots=True)
+class _StoredSet:
+    """A file set in the store, as far as it can be decoded."""
+
+    version: int = 0
+    message: wire.FileSet | None = None
+    applied: AppliedFileSet | None = None
+
+
+def decode_stored(found: StoreObject) -> Result[wire.FileSet, MessageError]:
+    """Decodes a stored set and fills in its version."""
+    try:
+        message = wire.FileSet.decode(found.value)
+    except MessageError as error:
+        return Error(error)
+    if found.key != f"{CONFIG_PREFIX}{message.team}":
+        return Error(MessageError(f"{found.key} holds team {message.team!r}"))
+    message.version = found.version
+    return Ok(message)
+
+
+class FileSetApplier:
+    """Writes file sets and their history."""
+
+    def __init__(self, client: StoreClient, clock: Clock) -> None:
+        self._client = client
+        self._clock = clock
+
+    async def apply(
+        self,
+        files: Sequence[wire.FileEntry],
+        expected_version: int,
+        author: str,
+    ) -> Result[AppliedFileSet, ApplyError]:
+        """Makes a file set the current one of its team.
+
+        Args:
+            files: Names and texts.
+            expected_version: Version that the operator saw; 0 for none.
+            author: Name of the operator, for the history.
+        """
+        compiled = fileset.compile_files(files)
+        if compiled.is_error():
+            return Error(ApplyRejectedError(compiled.error))
+        candidate = compiled.ok
+        listed = await self._client.list(CONFIG_PREFIX)
+        if listed.is_error():
+            return Error(ApplyUnavailableError(str(listed.error)))
+        stored_by_team = _decode_all(listed.ok)
+        current = stored_by_team.pop(candidate.team, _StoredSet())
+        if current.version != expected_version:
+            return _conflict(candidate, expected_version, current)
+        problems = _foreign_names(candidate, stored_by_team)
+        if problems:
+            return Error(ApplyRejectedError(problems))
+        message = self._prepare(candidate.message, current, author)
+        written = await self._client.put_recognised(
+            f"{CONFIG_PREFIX}{candidate.team}",
+            message.encode(),
+            expected_version,
+            _read_writes,
+        )
+        if written.is_error():
+            return await self._failure(
+                candidate, expected_version, written.error
+            )
+        message.version = written.ok.version
+        await self._record(message)
+        return Ok(AppliedFileSet(message, candidate.sections))
+
+    async def history(
+        self, team: str
+    ) -> Result[tuple[wire.FileSet, ...], ApplyError]:
+        """Returns the latest sets of a team, newest first."""
+        found = await self._client.get(f"{HISTORY_PREFIX}{team}")
+        if found.is_error():
+            return Error(ApplyUnavailableError(str(found.error)))
+        return Ok(_decode_history(found.ok))
+
+    def _prepare(
+        self, message: wire.FileSet, current: _StoredSet, author: str
+    ) -> wire.FileSet:
+        """Returns the message to store, built upon the current one."""
+        # Version 0 marks the beginning of the team's writes.
+        earlier = (wire.WriteRecord(),)
+        since_by_name: dict[tuple[str, str], int] = {}
+        if current.message is not None:
+            previous = wire.WriteRecord(
+                current.message.write_id, current.version
+            )
+            earlier = (previous, *current.message.earlier_writes)
+            since_by_name = {
+                (claim.kind, claim.name): claim.since_version or current.version
+                for claim in current.message.claims
+            }
+        elif current.version:
+            earlier = (wire.WriteRecord(version=current.version),)
+        claims = [
+            dataclasses.replace(
+                claim,
+                since_version=since_by_name.get((claim.kind, claim.name), 0),
+            )
+            for claim in message.claims
+        ]
+        return dataclasses.replace(
+            message,
+            write_id=uuid.uuid4().hex,
+            author=author,
+            applied_at_ms=self._clock.wall_ms(),
+            claims=tuple(claims),
+            earlier_writes=earlier[:MAX_EARLIER_WRITES],
+        )
+
+    async def _failure(
+        self,
+        candidate: AppliedFileSet,
+        expected_version: int,
+        error: StoreError,
+    ) -> Result[AppliedFileSet, ApplyError]:
+        """Converts an error of the store."""
+        if isinstance(error, StoreOutcomeUnknownError):
+            return Error(ApplyUnknownError(str(error)))
+        if not isinstance(error, StoreConflictError):
+            return Error(ApplyUnavailableError(str(error)))
+        found = await self._client.get(error.key)
+        current = _StoredSet(version=error.current_version)
+        if found.is_ok() and found.ok is not None:
+            current = _decode(found.ok)
+        return _conflict(candidate, expected_version, current)
+
+    async def _record(self, message: wire.FileSet) -> None:
+        """Adds a set to the history; the applied set stands without it."""
+        key = f"{HISTORY_PREFIX}{message.team}"
+        for _ in range(MAX_HISTORY_ATTEMPTS):
+            found = await self._client.get(key)
+            if found.is_error():
+                break
+            expected_version = found.ok.version if found.ok else 0
+            known = _decode_history(found.ok)
+            if any(entry.write_id == message.write_id for entry in known):
+                return
+            value = _bounded_history(message, known)
+            written = await self._client.put(key, value, expected_version)
+            if written.is_ok():
+                return
+        logger.warning(
+            "history lacks an applied file set",
+            extra={"team": message.team, "version": message.version},
+        )
+
+
+def _read_writes(value: bytes) -> list[wire.WriteRecord]:
+    """Returns the writes recorded in a stored set, newest first."""
+    try:
+        message = wire.FileSet.decode(value)
+    except MessageError:
+        return []
+    return [wire.WriteRecord(message.write_id), *message.earlier_writes]
+
+
+def _decode_all(objects: Sequence[StoreObject]) -> dict[str, _StoredSet]:
+    """Returns the stored sets by team."""
+    return {
+        found.key.removeprefix(CONFIG_PREFIX): _decode(found)
+        for found in objects
+    }
+
+
+def _decode(found: StoreObject) -> _StoredSet:
+    """Decodes one stored set; a broken one can still be replaced."""
+    decoded = decode_stored(found)
+    if decoded.is_error():
+        logger.warning("%s cannot be read: %s", found.key, decoded.error)
+        return _StoredSet(found.version)
+    compiled = fileset.from_wire(decoded.ok)
+    applied = compiled.ok if compiled.is_ok() else None
+    return _StoredSet(found.version, decoded.ok, applied)
+
+
+def _conflict(
+    candidate: AppliedFileSet, expected_version: int, current: _StoredSet
+) -> Result[AppliedFileSet, ApplyError]:
+    """Returns the answer to the loser of a race."""
+    changes = diff_sets(current.applied, candidate)
+    return Error(
+        ApplyConflictError(
+            candidate.team,
+            expected_version,
+            current.version,
+            current.applied,
+            changes,
+        )
+    )
+
+
+def _foreign_names(
+    candidate: AppliedFileSet, stored_by_team: dict[str, _StoredSet]
+) -> list[Problem]:
+    """Reports names that belong to other teams.
+
+    Two teams that claim a name at the same moment both pass here; the nodes
+    then let the older claim win and report the conflict.
+    """
+    owners_by_name = {
+        (claim.kind, claim.name): team
+        for team, stored in stored_by_team.items()
+        if stored.message is not None
+        for claim in stored.message.claims
+    }
+    problems = []
+    for kind, name in candidate.sections.claimed_names():
+        owner = owners_by_name.get((kind, name))
+        if owner is not None:
+            title = f"{kind} {name}"
+            file = candidate.sections.files_by_section[title]
+            reason = f"belongs to team {owner!r}; choose another name"
+            problems.append(Problem(file, title, "", reason))
+    return problems
+
+
+def _decode_history(found: StoreObject | None) -> tuple[wire.FileSet, ...]:
+    """Decodes a history; a broken one starts again."""
+    if found is None:
+        return ()
+    try:
+        return wire.FileSetHistory.decode(found.value).entries
+    except MessageError as error:
+        logger.warning("%s cannot be read: %s", found.key, error)
+        return ()
+
+
+def _bounded_history(
+    message: wire.FileSet, known: Sequence[wire.FileSet]
+) -> bytes:
+    """Returns an encoded history without the sets that do not fit."""
+    entries = sorted(
+        [message, *known], key=lambda entry: entry.version, reverse=True
+    )[:MAX_HISTORY_SETS]
+    while True:
+        value = wire.FileSetHistory(
+            write_id=message.write_id, entries=tuple(entries)
+        ).encode()
+        if len(value) <= MAX_HISTORY_BYTES or len(entries) == 1:
+            return value
+        entries.pop()
--- /dev/null
+++ b/src/celeryfield/internal/store/budget.py
@@ -0,0 +1,65 @@
+"""Budget of store calls per node, and the delay between attempts."""
+
+import random
+
+from celeryfield.internal.clock import Clock
+
+FIRST_DELAY_MS = 200.0
+# A recovered store must be noticed well within the 17 s that a configuration
+# change may take to be in force.
+LONGEST_DELAY_MS = 8_000.0
+
+
+class CallBudget:
+    """A token bucket; each call to the store takes one token."""
+
+    def __init__(
+        self, calls_per_second: float, burst: int, clock: Clock
+    ) -> None:
+        self._calls_per_ms = calls_per_second / 1000.0
+        self._burst = float(burst)
+        self._clock = clock
+        self._tokens = float(burst)
+        self._filled_ms = clock.now_ms()
+
+    async def acquire(self, longest_wait_ms: float) -> bool:
+        """Takes a token, waiting for one if need be.
+
+        Tokens may be promised ahead, so callers are served in order.
+
+        Returns:
+            Whether a token was taken; if not, nothing was spent.
+        """
+        self._fill()
+        wait_ms = (1.0 - self._tokens) / self._calls_per_ms
+        if wait_ms > longest_wait_ms:
+            return False
+        self._tokens -= 1.0
+        if wait_ms > 0:
+            await self._clock.sleep_ms(wait_ms)
+        return True
+
+    def _fill(self) -> None:
+        """Adds the tokens that are due."""
+        now_ms = self._clock.now_ms()
+        due = (now_ms - self._filled_ms) * self._calls_per_ms
+        self._tokens = min(self._burst, self._tokens + due)
+        self._filled_ms = now_ms
+
+
+class Backoff:
+    """Doubling delays with full jitter, so that nodes do not act in step."""
+
+    def __init__(self, random_source: random.Random) -> None:
+        self._random = random_source
+        self._bound_ms = FIRST_DELAY_MS
+
+    def reset(self) -> None:
+        """Starts again with the shortest delay, after a success."""
+        self._bound_ms = FIRST_DELAY_MS
+
+    def next_delay_ms(self) -> float:
+        """Returns the delay before the next attempt."""
+        delay_ms = self._random.uniform(0.1, 1.0) * self._bound_ms
+        self._bound_ms = min(self._bound_ms * 2, LONGEST_DELAY_MS)
+        return delay_ms
--- /dev/null
+++ b/src/celeryfield/internal/store/client.py
@@ -0,0 +1,303 @@
+"""Typed client of the platform's object API."""
+
+import asyncio
+import random
+import urllib.parse
+from collections.abc import Callable, Sequence
+
+import aiohttp
+from expression import Error, Ok, Result
+
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.settings import StoreSettings
+from celeryfield.internal.store.answers import (
+    StoreAnswer,
+    StoreObject,
+    decode_listing,
+    read_answer,
+    unexpected_answer,
+)
+from celeryfield.internal.store.budget import Backoff, CallBudget
+from celeryfield.internal.store.errors import (
+    StoreConflictError,
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreRejectedError,
+    StoreUnavailableError,
+)
+
+# Attempts to learn the outcome of a write before it is reported as unknown.
+MAX_RECOGNITION_ROUNDS = 3
+
+# Returns the writes recorded in a value, newest first. The first entry is the
+# write of the value itself, whose version is that of the object. A last entry
+# with version 0 says that nothing precedes the entries before it.
+ReadWrites = Callable[[bytes], Sequence[wire.WriteRecord]]
+
+# The name ``list`` is a method inside the client.
+StoreObjects = list[StoreObject]
+
+
+class StoreClient:
+    """Calls the store with a deadline and within the node's budget."""
+
+    def __init__(
+        self,
+        settings: StoreSettings,
+        clock: Clock,
+        random_source: random.Random | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._random = random_source or random.Random()
+        self._budget = CallBudget(
+            settings.calls_per_second, settings.burst, clock
+        )
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    def new_backoff(self) -> Backoff:
+        """Returns delays for a caller that repeats failed calls."""
+        return Backoff(self._random)
+
+    async def get(self, key: str) -> Result[StoreObject | None, StoreError]:
+        """Reads one object; none if it does not exist."""
+        match await self._read(_object_path(key), {}, 0.0):
+            case Result(tag="ok", ok=answer):
+                pass
+            case Result(error=error):
+                return Error(error)
+        if answer.status == 404:
+            return Ok(None)
+        if answer.status == 200 and answer.version > 0:
+            return Ok(StoreObject(key, answer.version, answer.body))
+        return Error(unexpected_answer(answer))
+
+    async def list(self, prefix: str) -> Result[StoreObjects, StoreError]:
+        """Reads all objects whose keys start with a prefix."""
+        return await self._listing("/objects", {"prefix": prefix}, 0.0)
+
+    async def watch(
+        self, prefix: str, after_version: int
+    ) -> Result[StoreObjects, StoreError]:
+        """Waits for objects under a prefix with versions above a bound.
+
+        Returns:
+            The changed objects; none if the wait ended without a change.
+        """
+        wait_ms = self._settings.watch_seconds * 1000.0
+        query = {
+            "prefix": prefix,
+            "after": str(after_version),
+            "wait_ms": str(int(wait_ms)),
+        }
+        return await self._listing("/watch", query, wait_ms)
+
+    async def put(
+        self, key: str, value: bytes, expected_version: int
+    ) -> Result[StoreObject, StoreError]:
+        """Writes an object whose version is the expected one; 0 creates it.
+
+        The write is sent once. An unknown outcome stays unknown; use
+        ``put_recognised`` to find it out.
+        """
+        timeout_ms = self._settings.timeout_ms
+        if not await self._budget.acquire(timeout_ms):
+            return Error(StoreUnavailableError(_BUDGET_SPENT))
+        query = {"expected_version": str(expected_version)}
+        try:
+            answer = await self._request(
+                "PUT", _object_path(key), query, timeout_ms, value
+            )
+        except aiohttp.ClientConnectorError as error:
+            return Error(StoreUnavailableError(f"no connection: {error}"))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Error(StoreOutcomeUnknownError(f"no answer: {error!r}"))
+        if answer.status == 200 and answer.version > 0:
+            return Ok(StoreObject(key, answer.version, value))
+        if answer.status == 409:
+            return Error(
+                StoreConflictError(key, expected_version, answer.version)
+            )
+        if 400 <= answer.status < 500:
+            return Error(
+                StoreRejectedError(f"write of {key!r}: {answer.status}")
+            )
+        # A gateway may have passed the write on before it failed.
+        return Error(
+            StoreOutcomeUnknownError(f"store answered {answer.status}")
+        )
+
+    async def put_recognised(
+        self,
+        key: str,
+        value: bytes,
+        expected_version: int,
+        read_writes: ReadWrites,
+    ) -> Result[StoreObject, StoreError]:
+        """Writes an object and finds out what became of the write.
+
+        The value holds a unique write id. After an unknown outcome or a
+        conflict the object is read back: the write succeeded if the object or
+        its recorded earlier writes name the id, and failed if the record
+        reaches back to the expected version without it. An object that still
+        has the expected version proves nothing, since the write may be on its
+        way; it is sent again, and at most one of the two can take effect.
+        """
+        write_id = read_writes(value)[0].write_id
+        backoff = self.new_backoff()
+        result = await self.put(key, value, expected_version)
+        for _ in range(MAX_RECOGNITION_ROUNDS):
+            if result.is_ok() or not isinstance(
+                result.error, _UNDECIDED_ERRORS
+            ):
+                return result
+            found = await self.get(key)
+            if found.is_error():
+                await self._clock.sleep_ms(backoff.next_delay_ms())
+                continue
+            version = _recognise(
+                found.ok, write_id, expected_version, read_writes
+            )
+            if version is None:
+                return Error(_undecided(key, write_id))
+            if version > 0:
+                return Ok(StoreObject(key, version, value))
+            current_version = found.ok.version if found.ok else 0
+            if current_version != expected_version:
+                conflict = StoreConflictError(
+                    key, expected_version, current_version
+                )
+                return Error(conflict)
+            again = await self.put(key, value, expected_version)
+            # A refusal of this attempt says nothing about the first one.
+            if again.is_ok() or isinstance(again.error, _UNDECIDED_ERRORS):
+                result = again
+        return Error(_undecided(key, write_id))
+
+    async def _listing(
+        self, path: str, query: dict[str, str], wait_ms: float
+    ) -> Result[StoreObjects, StoreError]:
+        """Reads and decodes an answer that holds several objects."""
+        match await self._read(path, query, wait_ms):
+            case Result(tag="ok", ok=answer):
+                pass
+            case Result(error=error):
+                return Error(error)
+        return decode_listing(answer)
+
+    async def _read(
+        self, path: str, query: dict[str, str], wait_ms: float
+    ) -> Result[StoreAnswer, StoreError]:
+        """Makes a call that changes nothing."""
+        timeout_ms = self._settings.timeout_ms
+        if not await self._budget.acquire(timeout_ms):
+            return Error(StoreUnavailableError(_BUDGET_SPENT))
+        try:
+            return Ok(
+                await self._request("GET", path, query, wait_ms + timeout_ms)
+            )
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Error(StoreUnavailableError(f"no answer: {error!r}"))
+
+    async def _request(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        timeout_ms: float,
+        body: bytes | None = None,
+    ) -> StoreAnswer:
+        """Makes one HTTP request.
+
+        Raises:
+            aiohttp.ClientError: The connection failed or the answer is broken.
+            TimeoutError: The deadline passed.
+        """
+        if self._session is None:
+            self._session = aiohttp.ClientSession(raise_for_status=False)
+        url = f"{self._settings.url.rstrip('/')}{path}"
+        if query:
+            url = f"{url}?{urllib.parse.urlencode(query)}"
+        async with (
+            asyncio.timeout(timeout_ms / 1000.0),
+            self._session.request(
+                method,
+                url,
+                data=body,
+                allow_redirects=False,
+                middlewares=(_send_once,),
+            ) as response,
+        ):
+            return await read_answer(response)
+
+
+class _LostAnswerError(aiohttp.ClientError):
+    """The connection ended before the answer arrived."""
+
+
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keeps aiohttp from sending a request again by itself.
+
+    aiohttp repeats a PUT whose connection closed before the answer. If the
+    first one took effect, the second one meets a conflict, or a refused
+    connection, and would be reported as a write without effect.
+
+    Raises:
+        _LostAnswerError: The connection closed; aiohttp does not repeat this.
+    """
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise _LostAnswerError(str(error)) from error
+
+
+_UNDECIDED_ERRORS = (StoreConflictError, StoreOutcomeUnknownError)
+_BUDGET_SPENT = "the call budget of this node is spent; try again later"
+
+
+def _object_path(key: str) -> str:
+    """Returns the URL path of an object."""
+    return f"/objects/{urllib.parse.quote(key)}"
+
+
+def _undecided(key: str, write_id: str) -> StoreOutcomeUnknownError:
+    """Returns the error of a write whose outcome could not be learned."""
+    return StoreOutcomeUnknownError(
+        f"write {write_id} of {key!r} may or may not have taken effect; "
+        "read the object before writing again"
+    )
+
+
+def _recognise(
+    found: StoreObject | None,
+    write_id: str,
+    expected_version: int,
+    read_writes: ReadWrites,
+) -> int | None:
+    """Returns the version that a write produced.
+
+    Returns:
+        The version, 0 if the object shows that the write has had no effect so
+        far, or none if the object does not tell.
+    """
+    if found is None or found.version == expected_version:
+        return 0
+    own, *earlier = read_writes(found.value) or [wire.WriteRecord()]
+    if own.write_id == write_id:
+        return found.version
+    for record in earlier:
+        if record.write_id == write_id:
+            return record.version
+    if any(record.version <= expected_version for record in earlier):
+        return 0
+    return None
--- /dev/null
+++ b/src/celeryfield/internal/store/seeds.py
@@ -0,0 +1,241 @@
+"""Seed leases: the nodes of each zone through which others join."""
+
+import dataclasses
+import logging
+import random
+from collections.abc import Callable, Iterable
+
+import mode
+from expression import Result
+
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.settings import (
+    IdentitySettings,
+    MembershipSettings,
+)
+from celeryfield.internal.store.client import StoreClient, StoreObject
+from celeryfield.internal.store.leases import (
+    Lease,
+    LeaseObserver,
+    read_record,
+)
+
+logger = logging.getLogger(__name__)
+
+SEED_PREFIX = "seeds/"
+# Three renewals per lease: one or two may fail without losing it.
+RENEWALS_PER_LEASE = 3
+# All nodes of a zone that hold no lease start looking at its slots this often
+# together, however many they are. Unit: ms between looks in a zone.
+ZONE_CHECK_INTERVAL_MS = 2_000.0
+# A holder reads the seeds again after this many renewals. Two nodes that took
+# the first leases at the same time would otherwise never hear of each other.
+RENEWALS_PER_READ = 10
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SeedAddress:
+    """A node that others may join through.
+
+    Attributes:
+        node_id: Id of the node.
+        zone: Availability zone of the node.
+        address: IP address.
+        port: Port for other nodes.
+    """
+
+    node_id: str
+    zone: str
+    address: str
+    port: int
+
+
+class SeedLeases(mode.Service):
+    """Keeps the seed leases of this node's zone held.
+
+    Holders watch the configuration and are listed as seeds for new nodes. No
+    safety property depends on these leases. Holders renew; every other node
+    looks at the slots rarely, so that the store calls of a zone do not grow
+    with its number of nodes.
+    """
+
+    def __init__(
+        self,
+        client: StoreClient,
+        identity: IdentitySettings,
+        peer_port: int,
+        incarnation: int,
+        settings: MembershipSettings,
+        clock: Clock,
+        random_source: random.Random,
+        zone_size: Callable[[], int] = lambda: 1,
+    ) -> None:
+        """Creates the service.
+
+        Args:
+            client: Client of the store.
+            identity: Identity of this node.
+            peer_port: Port for other nodes.
+            incarnation: Incarnation of this node.
+            settings: Lease time and slots per zone.
+            clock: Clock of this node.
+            random_source: Source of jitter.
+            zone_size: Returns the number of nodes known in the own zone.
+        """
+        super().__init__()
+        self._client = client
+        self._identity = identity
+        self._settings = settings
+        self._clock = clock
+        self._random = random_source
+        self._zone_size = zone_size
+        self._observer = LeaseObserver(settings.lease_ms, clock)
+        self._backoff = client.new_backoff()
+        self._seeds: tuple[SeedAddress, ...] = ()
+        self._renewals = 0
+        self._must_confirm = False
+        self._holder = wire.LeaseRecord(
+            holder_id=identity.id,
+            incarnation=incarnation,
+            address=identity.address,
+            port=peer_port,
+        )
+        self._leases_by_key = {
+            key: Lease(client, key, self._holder, settings.lease_ms, clock)
+            for key in self._slot_keys()
+        }
+
+    def holds_lease(self) -> bool:
+        """Tells whether this node holds a seed lease right now."""
+        return any(lease.is_held() for lease in self._leases_by_key.values())
+
+    def seed_addresses(self) -> tuple[SeedAddress, ...]:
+        """Returns the holders last seen in all zones, this node excluded.
+
+        They stay known through an outage of the store.
+        """
+        return self._seeds
+
+    async def on_stop(self) -> None:
+        """Frees the lease of a node that leaves."""
+        for lease in self._leases_by_key.values():
+            await lease.release()
+
+    @mode.Service.task
+    async def _keep(self) -> None:
+        """Renews the own lease or looks for one that has expired."""
+        # Nodes that start together must not reach for a slot in step.
+        first_ms = self._settings.lease_ms / (RENEWALS_PER_LEASE * 3)
+        await self._clock.sleep_ms(self._random.uniform(0, first_ms))
+        while not self.should_stop:
+            await self._clock.sleep_ms(await self.run_once())
+
+    async def run_once(self) -> float:
+        """Makes one step and returns the delay before the next one. Unit: ms.
+
+        A holder renews with one write and rarely reads. Every other node reads
+        the slots of all zones, and reads them again a lease time later, since
+        it takes two reads to see that a lease has expired.
+        """
+        held = [
+            lease for lease in self._leases_by_key.values() if lease.is_held()
+        ]
+        renewal_ms = self._settings.lease_ms / RENEWALS_PER_LEASE
+        if held and await held[0].renew():
+            self._backoff.reset()
+            self._renewals += 1
+            if self._renewals % RENEWALS_PER_READ == 1:
+                await self._read_slots()
+            return renewal_ms
+        read_start_ms = self._clock.now_ms()
+        found_by_key = await self._read_slots()
+        if found_by_key is None:
+            return self._backoff.next_delay_ms()
+        self._backoff.reset()
+        if await self._take_one(found_by_key, read_start_ms):
+            self._renewals = 0
+            return renewal_ms
+        self._must_confirm = not self._must_confirm
+        return self._check_delay_ms()
+
+    async def _read_slots(self) -> dict[str, StoreObject] | None:
+        """Reads the slots of all zones; none if the store is unavailable."""
+        match await self._client.list(SEED_PREFIX):
+            case Result(tag="ok", ok=objects):
+                self._seeds = self._read_seeds(objects)
+                return {found.key: found for found in objects}
+            case Result(error=error):
+                logger.info("seed leases cannot be read: %s", error)
+                return None
+
+    async def _take_one(
+        self, found_by_key: dict[str, StoreObject], read_start_ms: float
+    ) -> bool:
+        """Tries to take one slot that is free; a lost race ends the step."""
+        # The loop must not stop early: each observation counts.
+        free_keys = [
+            key
+            for key in self._slot_keys()
+            if self._is_free(found_by_key.get(key), read_start_ms)
+        ]
+        if not free_keys:
+            return False
+        own_keys = [
+            key for key in free_keys if self._is_own(found_by_key.get(key))
+        ]
+        key = self._random.choice(own_keys or free_keys)
+        return await self._leases_by_key[key].take(found_by_key.get(key))
+
+    def _is_free(self, found: StoreObject | None, read_start_ms: float) -> bool:
+        """Tells whether a slot may be taken."""
+        if found is None:
+            return True
+        expired = self._observer.is_expired(found, read_start_ms)
+        is_released = not read_record(found.value).holder_id
+        return expired or is_released or self._is_own(found)
+
+    def _is_own(self, found: StoreObject | None) -> bool:
+        """Tells whether this incarnation wrote a slot.
+
+        This is so after a renewal whose answer was lost, or an outage of the
+        store longer than the lease.
+        """
+        if found is None:
+            return False
+        record = read_record(found.value)
+        return (record.holder_id, record.incarnation) == (
+            self._holder.holder_id,
+            self._holder.incarnation,
+        )
+
+    def _slot_keys(self) -> list[str]:
+        """Returns the keys of the own zone's slots."""
+        return [
+            f"{SEED_PREFIX}{self._identity.zone}/{slot}"
+            for slot in range(self._settings.seeds_per_zone)
+        ]
+
+    def _check_delay_ms(self) -> float:
+        """Returns the jittered delay until this node looks again."""
+        delay_ms = self._settings.lease_ms
+        if not self._must_confirm:
+            zone_ms = ZONE_CHECK_INTERVAL_MS * self._zone_size()
+            delay_ms = max(delay_ms, zone_ms)
+        return delay_ms * self._random.uniform(1.0, 1.5)
+
+    def _read_seeds(
+        self, objects: Iterable[StoreObject]
+    ) -> tuple[SeedAddress, ...]:
+        """Returns the addresses in the lease records."""
+        seeds = []
+        for found in objects:
+            zone = found.key.removeprefix(SEED_PREFIX).rpartition("/")[0]
+            record = read_record(found.value)
+            if record.holder_id not in ("", self._holder.holder_id):
+                seeds.append(
+                    SeedAddress(
+                        record.holder_id, zone, record.address, record.port
+                    )
+                )
+        return tuple(seeds)
--- /dev/null
+++ b/src/celeryfield/internal/store/watcher.py
@@ -0,0 +1,104 @@
+"""Brings file sets from the store into force at this node."""
+
+import logging
+from collections.abc import Callable
+
+import mode
+from expression import Result
+
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.config import fileset
+from celeryfield.internal.config.manager import ConfigManager
+from celeryfield.internal.store.applier import CONFIG_PREFIX, decode_stored
+from celeryfield.internal.store.client import StoreClient, StoreObject
+
+logger = logging.getLogger(__name__)
+
+# How soon a new lease holder starts to watch.
+HOLDER_CHECK_MS = 1_000.0
+
+
+class ConfigWatcher(mode.Service):
+    """Watches the store while this node holds a lease.
+
+    Other nodes read the store once at start; later versions reach them from
+    their peers.
+    """
+
+    def __init__(
+        self,
+        client: StoreClient,
+        manager: ConfigManager,
+        holds_lease: Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        """Creates the service.
+
+        Args:
+            client: Client of the store.
+            manager: Receives the versions found.
+            holds_lease: Tells whether this node holds a seed lease.
+            clock: Clock of this node.
+        """
+        super().__init__()
+        self._client = client
+        self._manager = manager
+        self._holds_lease = holds_lease
+        self._clock = clock
+        self._backoff = client.new_backoff()
+        self._seen_version = 0
+
+    @mode.Service.task
+    async def _run(self) -> None:
+        """Reads the store at start, then watches while a lease is held."""
+        while not self.should_stop:
+            if await self.read_all():
+                break
+            if self._manager.current_by_team and not self._holds_lease():
+                # The neighbours have provided a configuration; an unavailable
+                # store needs no further calls from this node.
+                break
+            await self._clock.sleep_ms(self._backoff.next_delay_ms())
+        while not self.should_stop:
+            if not self._holds_lease():
+                await self._clock.sleep_ms(HOLDER_CHECK_MS)
+            elif not await self.watch_once():
+                await self._clock.sleep_ms(self._backoff.next_delay_ms())
+
+    async def read_all(self) -> bool:
+        """Reads every file set; returns whether the store answered."""
+        return self._take(await self._client.list(CONFIG_PREFIX))
+
+    async def watch_once(self) -> bool:
+        """Waits for one change; returns whether the store answered.
+
+        A watch that was cut off has missed nothing: the next one asks for all
+        versions above the last one seen.
+        """
+        return self._take(
+            await self._client.watch(CONFIG_PREFIX, self._seen_version)
+        )
+
+    def _take(self, result: Result) -> bool:
+        """Offers the sets of an answer."""
+        match result:
+            case Result(tag="ok", ok=objects):
+                self._backoff.reset()
+                for found in objects:
+                    self._offer(found)
+                return True
+            case Result(error=error):
+                logger.info("configuration cannot be read: %s", error)
+                return False
+
+    def _offer(self, found: StoreObject) -> None:
+        """Offers one set; a broken one leaves the current set in force."""
+        self._seen_version = max(self._seen_version, found.version)
+        match decode_stored(found).map_error(str).bind(fileset.from_wire):
+            case Result(tag="ok", ok=applied):
+                self._manager.offer(applied)
+            case Result(error=reason):
+                logger.error(
+                    "stored file set cannot be used",
+                    extra={"key": found.key, "reason": str(reason)},
+                )
--- /dev/null
+++ b/src/celeryfield/standins/platform.py
@@ -0,0 +1,283 @@
+"""Embedded stand-in of the platform's object API, with switchable faults.
+
+``GET /objects/KEY`` and ``PUT /objects/KEY?expected_version=N`` read and
+conditionally write one object; the version travels in ``x-version``.
+``GET /objects?prefix=P`` lists objects and
+``GET /watch?prefix=P&after=R&wait_ms=W`` waits until an object under the
+prefix has a version above R. Lists and watches answer JSON with base64 values.
+"""
+
+import asyncio
+import base64
+import collections
+import dataclasses
+import random
+from collections.abc import Collection
+
+from aiohttp import web
+
+MAX_VALUE_BYTES = 1_000_000
+# The aiohttp limit counts the body only; a value of the full size must pass.
+_CLIENT_MAX_BYTES = MAX_VALUE_BYTES + 1
+MAX_WAIT_MS = 60_000
+CALL_KINDS = ("get", "put", "list", "watch")
+
+
+@dataclasses.dataclass(slots=True)
+class PlatformFaults:
+    """Faults in force; shares are chances per call, drawn from the seed.
+
+    Attributes:
+        down: Calls are refused or cut off without effect.
+        delay_ms: Longest delay before a call takes effect. Unit: ms.
+        stalled_kinds: Kinds of call that are held before they take effect.
+        lost_answer_share: Writes that take effect but are never answered.
+        drop_watch_share: Watches that are cut off at once.
+        longest_wait_ms: Upper bound for the wait of watches. Unit: ms.
+    """
+
+    down: bool = False
+    delay_ms: float = 0.0
+    stalled_kinds: frozenset[str] = frozenset()
+    lost_answer_share: float = 0.0
+    drop_watch_share: float = 0.0
+    longest_wait_ms: float = MAX_WAIT_MS
+
+
+@dataclasses.dataclass(slots=True)
+class StoredObject:
+    """One object of the store.
+
+    Attributes:
+        version: Revision of the write that produced the value.
+        value: Content.
+    """
+
+    version: int
+    value: bytes
+
+
+class PlatformStore:
+    """Serves the object API on a loopback port.
+
+    Attributes:
+        objects_by_key: Content of the store.
+        revision: Number of the last write; versions never repeat.
+        calls_by_kind: Calls received, by the names in ``CALL_KINDS``.
+        faults: Faults in force.
+    """
+
+    def __init__(self, seed: int = 0) -> None:
+        self.objects_by_key: dict[str, StoredObject] = {}
+        self.revision = 0
+        self.calls_by_kind: collections.Counter[str] = collections.Counter()
+        self.faults = PlatformFaults()
+        self._random = random.Random(seed)
+        self._changed = asyncio.Event()
+        self._running = asyncio.Event()
+        self._running.set()
+        self._watch_transports: set[asyncio.BaseTransport] = set()
+        self._lost_answers_due = 0
+        self._runner: web.AppRunner | None = None
+        self._port = 0
+
+    @property
+    def url(self) -> str:
+        """Returns the base URL."""
+        return f"http://127.0.0.1:{self._port}"
+
+    @property
+    def total_calls(self) -> int:
+        """Returns the number of calls received."""
+        return self.calls_by_kind.total()
+
+    async def start(self, port: int = 0) -> None:
+        """Listens on a loopback port; 0 takes a free one."""
+        app = web.Application(client_max_size=_CLIENT_MAX_BYTES)
+        app.router.add_get("/objects", self._list)
+        app.router.add_get("/objects/{key:.+}", self._get)
+        app.router.add_put("/objects/{key:.+}", self._put)
+        app.router.add_get("/watch", self._watch)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", port)
+        await site.start()
+        self._port = self._runner.addresses[0][1]
+
+    async def stop(self) -> None:
+        """Stops listening; the content stays for a later start."""
+        self.set_stalled(False)
+        self.drop_watches()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def set_down(self, down: bool) -> None:
+        """Starts or ends an outage; waiting watches are cut off."""
+        self.faults.down = down
+        if down:
+            self.drop_watches()
+
+    def set_delay(self, delay_ms: float) -> None:
+        """Delays each call by a random time up to a bound."""
+        self.faults.delay_ms = delay_ms
+
+    def set_stalled(
+        self, stalled: bool, kinds: Collection[str] = CALL_KINDS
+    ) -> None:
+        """Holds calls before they take effect; they proceed afterwards.
+
+        A write whose caller has given up still takes effect then.
+
+        Args:
+            stalled: Whether calls are held from now on.
+            kinds: Kinds of call that are held.
+        """
+        self.faults.stalled_kinds = frozenset(kinds if stalled else ())
+        if stalled:
+            self._running.clear()
+        else:
+            self._running.set()
+
+    def lose_answers(self, count: int) -> None:
+        """Leaves the next writes without an answer, after their effect."""
+        self._lost_answers_due = count
+
+    def set_lost_answers(self, share: float) -> None:
+        """Leaves a random share of writes without an answer."""
+        self.faults.lost_answer_share = share
+
+    def drop_watches(self) -> None:
+        """Cuts off the watches that are waiting."""
+        for transport in self._watch_transports:
+            transport.abort()
+        self._watch_transports.clear()
+        self._notify()
+
+    async def _get(self, request: web.Request) -> web.Response:
+        """Answers one object."""
+        await self._admit("get", request)
+        found = self.objects_by_key.get(request.match_info["key"])
+        if found is None:
+            return web.Response(status=404)
+        return web.Response(
+            body=found.value, headers={"x-version": str(found.version)}
+        )
+
+    async def _put(self, request: web.Request) -> web.Response:
+        """Writes one object if its version is the expected one."""
+        value = await request.read()
+        await self._admit("put", request)
+        if len(value) > MAX_VALUE_BYTES:
+            return web.Response(status=413)
+        key = request.match_info["key"]
+        expected_version = _number(request, "expected_version")
+        current = self.objects_by_key.get(key)
+        current_version = current.version if current else 0
+        if expected_version != current_version:
+            headers = {"x-version": str(current_version)}
+            return web.Response(status=409, headers=headers)
+        self.revision += 1
+        self.objects_by_key[key] = StoredObject(self.revision, value)
+        self._notify()
+        if self._loses_answer():
+            _cut_off(request)
+        return web.Response(headers={"x-version": str(self.revision)})
+
+    async def _list(self, request: web.Request) -> web.Response:
+        """Answers all objects under a prefix."""
+        await self._admit("list", request)
+        return self._objects_response(request.query.get("prefix", ""), 0)
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        """Waits for a version above the given revision."""
+        await self._admit("watch", request)
+        if self._random.random() < self.faults.drop_watch_share:
+            _cut_off(request)
+            return web.Response(status=503)
+        prefix = request.query.get("prefix", "")
+        after = _number(request, "after")
+        wait_ms = min(_number(request, "wait_ms"), self.faults.longest_wait_ms)
+        transport = request.transport
+        if transport is None:
+            return web.Response(status=503)
+        self._watch_transports.add(transport)
+        try:
+            async with asyncio.timeout(wait_ms / 1000.0):
+                await self._wait_for_change(transport, prefix, after)
+        except TimeoutError:
+            pass
+        finally:
+            self._watch_transports.discard(transport)
+        return self._objects_response(prefix, after)
+
+    async def _wait_for_change(
+        self, transport: asyncio.BaseTransport, prefix: str, after: int
+    ) -> None:
+        """Returns when an object has changed or the connection is gone."""
+        while not transport.is_closing() and not any(
+            key.startswith(prefix) and found.version > after
+            for key, found in self.objects_by_key.items()
+        ):
+            await self._changed.wait()
+
+    async def _admit(self, kind: str, request: web.Request) -> None:
+        """Counts a call and applies the faults that precede its effect.
+
+        Raises:
+            web.HTTPServiceUnavailable: The store is down.
+        """
+        self.calls_by_kind[kind] += 1
+        if self.faults.delay_ms > 0:
+            delay_ms = self._random.uniform(0, self.faults.delay_ms)
+            await asyncio.sleep(delay_ms / 1000.0)
+        if kind in self.faults.stalled_kinds:
+            await self._running.wait()
+        if self.faults.down:
+            if self._random.random() < 0.5:
+                _cut_off(request)
+            raise web.HTTPServiceUnavailable
+
+    def _loses_answer(self) -> bool:
+        """Tells whether the answer to the current write is lost."""
+        if self._lost_answers_due > 0:
+            self._lost_answers_due -= 1
+            return True
+        return self._random.random() < self.faults.lost_answer_share
+
+    def _objects_response(self, prefix: str, after: int) -> web.Response:
+        """Returns objects under a prefix with a version above a bound."""
+        objects = [
+            {
+                "key": key,
+                "version": found.version,
+                "value": base64.b64encode(found.value).decode(),
+            }
+            for key, found in sorted(self.objects_by_key.items())
+            if key.startswith(prefix) and found.version > after
+        ]
+        return web.json_response(
+            {"revision": self.revision, "objects": objects}
+        )
+
+    def _notify(self) -> None:
+        """Wakes all waiting watches."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def _number(request: web.Request, name: str) -> int:
+    """Reads a number from the query.
+
+    Raises:
+        web.HTTPBadRequest: It is missing or not a number.
+    """
+    text = request.query.get(name, "")
+    if not text.isdecimal():
+        raise web.HTTPBadRequest(text=f"{name}={text!r} is not a number")
+    return int(text)
+
+
+def _cut_off(request: web.Request) -> None:
+    """Closes the connection of a request without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
--- /dev/null
+++ b/tests/cover/store_helpers.py
@@ -0,0 +1,54 @@
+"""Shared set-up of the store and configuration tests."""
+
+import asyncio
+import contextlib
+
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.settings import StoreSettings
+from celeryfield.internal.store.client import StoreClient
+from celeryfield.standins.platform import PlatformStore
+
+
+class HastyClock(Clock):
+    """A clock whose sleeps end at once, for delays between attempts."""
+
+    async def sleep_ms(self, duration_ms):
+        await asyncio.sleep(0)
+
+
+def make_client(platform, clock=None, **settings):
+    values = {"burst": 1_000_000, "watch_seconds": 1.0} | settings
+    store_settings = StoreSettings(url=platform.url, **values)
+    return StoreClient(store_settings, clock or HastyClock())
+
+
+@contextlib.asynccontextmanager
+async def store_and_client(**settings):
+    platform = PlatformStore(seed=1)
+    await platform.start()
+    client = make_client(platform, **settings)
+    try:
+        yield platform, client
+    finally:
+        await client.close()
+        await platform.stop()
+
+
+def files(team, mark="first", extra=""):
+    """Returns a small valid set; the mark tells sets of one team apart."""
+    text = (
+        f"[fileset]\nteam = {team}\ndescription = {mark}\n"
+        f"[service {team}-desk]\n[class {team}-read]\n{extra}"
+    )
+    return (wire.FileEntry("main.ini", text),)
+
+
+async def wait_until(condition, steps=4000):
+    """Waits for a condition that other tasks bring about."""
+    for _ in range(steps):
+        if condition():
+            return
+        await asyncio.sleep(0.005)
+    message = "the condition did not come about"
+    raise AssertionError(message)
--- /dev/null
+++ b/tests/cover/test_store_client.py
@@ -0,0 +1,267 @@
+import asyncio
+
+import pytest
+from store_helpers import (
+    HastyClock,
+    files,
+    make_client,
+    store_and_client,
+    wait_until,
+)
+
+from celeryfield.internal.clock import ManualClock
+from celeryfield.internal.config.fileset import MAX_FILE_SET_BYTES
+from celeryfield.internal.schema import wire
+from celeryfield.internal.store import applier as applier_module
+from celeryfield.internal.store.applier import FileSetApplier
+from celeryfield.internal.store.budget import CallBudget
+from celeryfield.internal.store.errors import (
+    StoreConflictError,
+    StoreOutcomeUnknownError,
+    StoreRejectedError,
+    StoreUnavailableError,
+)
+from celeryfield.standins.platform import MAX_VALUE_BYTES, PlatformStore
+
+KEY = "config/pipes"
+
+
+async def test_versions_conditions_and_counts():
+    async with store_and_client() as (platform, client):
+        assert (await client.get(KEY)).ok is None
+        first = (await client.put(KEY, b"a" * MAX_VALUE_BYTES, 0)).ok
+        refused = (await client.put(KEY, b"b", 0)).error
+        assert isinstance(refused, StoreConflictError)
+        assert refused.current_version == first.version
+        second = (await client.put(KEY, b"b", first.version)).ok
+        assert second.version > first.version
+        assert (await client.list("config/")).ok == [second]
+        assert (await client.list("other/")).ok == []
+        too_large = await client.put(KEY, b"b" * (MAX_VALUE_BYTES + 1), 2)
+        assert isinstance(too_large.error, StoreRejectedError)
+        assert platform.calls_by_kind == {"get": 1, "put": 4, "list": 2}
+
+
+@pytest.mark.parametrize("fault", ["cut off", "stalled"])
+async def test_a_write_is_sent_once_and_never_guessed(fault):
+    # Guards against aiohttp repeating a PUT, which turns an effective write
+    # into a conflict or a refused connection.
+    async with store_and_client(timeout_ms=200) as (platform, client):
+        await client.get(KEY)  # The write goes over a used connection.
+        if fault == "cut off":
+            platform.lose_answers(1)
+        else:
+            platform.set_stalled(True)
+        result = await client.put(KEY, b"a", 0)
+        assert isinstance(result.error, StoreOutcomeUnknownError)
+        assert platform.calls_by_kind["put"] == 1
+
+
+async def test_a_write_that_finds_no_listener_had_no_effect():
+    async with store_and_client() as (platform, client):
+        await platform.stop()
+        result = await client.put(KEY, b"a", 0)
+        assert isinstance(result.error, StoreUnavailableError)
+
+
+async def test_reads_fail_as_unavailable():
+    async with store_and_client(timeout_ms=200) as (platform, client):
+        platform.set_down(True)
+        for _ in range(4):  # Covers refusals and cut connections.
+            error = (await client.get(KEY)).error
+            assert isinstance(error, StoreUnavailableError)
+        platform.set_down(False)
+        platform.set_stalled(True)
+        error = (await client.list("config/")).error
+        assert isinstance(error, StoreUnavailableError)
+        platform.set_stalled(False)
+
+
+async def test_watch_returns_changes_and_survives_being_cut_off():
+    async with store_and_client() as (platform, client):
+        written = (await client.put(KEY, b"a", 0)).ok
+        assert (await client.watch("config/", 0)).ok == [written]
+        waiting = asyncio.create_task(client.watch("config/", written.version))
+        await wait_until(lambda: platform.calls_by_kind["watch"] == 2)
+        await client.put("other/x", b"x", 0)
+        platform.drop_watches()
+        assert isinstance((await waiting).error, StoreUnavailableError)
+        changed = (await client.put(KEY, b"b", written.version)).ok
+        watched = await client.watch("config/", written.version)
+        assert watched.ok == [changed]
+        assert (await client.watch("config/", changed.version)).ok == []
+
+
+async def test_budget_makes_callers_wait_and_refuses_beyond_the_deadline():
+    clock = ManualClock()
+    budget = CallBudget(calls_per_second=2.0, burst=2, clock=clock)
+    assert await budget.acquire(0)
+    assert await budget.acquire(0)
+    assert not await budget.acquire(499)
+    waiting = asyncio.create_task(budget.acquire(500))
+    await asyncio.sleep(0)
+    assert not waiting.done()
+    assert not await budget.acquire(999)  # The next token is promised.
+    clock.advance(500)
+    assert await waiting
+
+
+def record(write_id, *earlier):
+    return wire.FileSet(
+        team="pipes",
+        write_id=write_id,
+        earlier_writes=tuple(wire.WriteRecord(*pair) for pair in earlier),
+    ).encode()
+
+
+READ_WRITES = applier_module._read_writes
+
+
+async def test_recognises_a_write_whose_answer_was_lost():
+    async with store_and_client() as (platform, client):
+        platform.lose_answers(1)
+        result = await client.put_recognised(KEY, record("w"), 0, READ_WRITES)
+        assert result.ok.version == 1
+        assert platform.calls_by_kind["put"] == 1
+
+
+class InterferingClient:
+    """Runs a step of another writer directly before a read-back."""
+
+    def __init__(self, client, step):
+        self._get = client.get
+        self._step = step
+        client.get = self.get
+
+    async def get(self, key):
+        await self._step()
+        return await self._get(key)
+
+
+@pytest.mark.parametrize(
+    ("successor", "expected"),
+    [
+        (record("x", ("mine", 1), ("", 0)), "ok"),
+        (record("x", ("other", 1), ("", 0)), StoreConflictError),
+        (record("x", ("other", 1)), StoreOutcomeUnknownError),
+        (b"broken", StoreOutcomeUnknownError),
+    ],
+)
+async def test_a_superseded_write_is_recognised_or_unknown(successor, expected):
+    # Guards against telling the writer of a superseded set that it lost.
+    async with store_and_client() as (platform, client):
+        platform.lose_answers(1)
+
+        async def supersede():
+            await make_client(platform).put(KEY, successor, 1)
+
+        InterferingClient(client, supersede)
+        mine = record("mine", ("", 0))
+        result = await client.put_recognised(KEY, mine, 0, READ_WRITES)
+        if expected == "ok":
+            assert result.ok.version == 1
+        else:
+            assert isinstance(result.error, expected)
+
+
+async def test_a_write_that_arrives_late_is_not_reported_as_lost():
+    # Guards against concluding from an unchanged version that a write which
+    # is still on its way has failed.
+    async with store_and_client(timeout_ms=150) as (platform, client):
+        platform.set_stalled(True, kinds=["put"])
+        reads = []
+
+        async def release_at_second_read():
+            reads.append(platform.revision)
+            if len(reads) == 2:
+                platform.set_stalled(False)
+
+        InterferingClient(client, release_at_second_read)
+        result = await client.put_recognised(
+            KEY, record("w", ("", 0)), 0, READ_WRITES
+        )
+        assert reads[:2] == [0, 0]
+        assert result.ok.version == 1
+        await wait_until(lambda: platform.calls_by_kind["put"] >= 2)
+        assert platform.revision == 1
+
+
+async def test_apply_reports_conflict_with_the_current_set_and_a_diff():
+    async with store_and_client() as (_, client):
+        applier = FileSetApplier(client, HastyClock())
+        first = (await applier.apply(files("pipes", "one"), 0, "ann")).ok
+        late = (await applier.apply(files("pipes", "two"), 0, "bob")).error
+        assert isinstance(late, applier_module.ApplyConflictError)
+        assert late.current.version == first.version
+        assert [str(change) for change in late.changes] == [
+            "~ [fileset] description: one -> two"
+        ]
+
+
+async def test_apply_refuses_problems_and_names_of_other_teams():
+    async with store_and_client() as (platform, client):
+        applier = FileSetApplier(client, HastyClock())
+        assert (await applier.apply(files("pipes"), 0, "ann")).is_ok()
+        taken = files("bells", extra="[service pipes-desk]\n")
+        for refused, key in ((taken, "service pipes-desk"), ((), "fileset")):
+            error = (await applier.apply(refused, 0, "bob")).error
+            assert isinstance(error, applier_module.ApplyRejectedError)
+            assert [p.section for p in error.problems] == [key]
+        assert platform.objects_by_key.keys() == {KEY, "history/pipes"}
+
+
+async def test_apply_tells_unavailable_from_unknown():
+    async with store_and_client(timeout_ms=100) as (platform, client):
+        applier = FileSetApplier(client, HastyClock())
+        platform.set_down(True)
+        down = (await applier.apply(files("pipes"), 0, "ann")).error
+        assert isinstance(down, applier_module.ApplyUnavailableError)
+        platform.set_down(False)
+        put = client.put
+
+        async def put_then_outage(*arguments):
+            platform.lose_answers(1)
+            result = await put(*arguments)
+            platform.set_down(True)
+            return result
+
+        client.put = put_then_outage
+        lost = (await applier.apply(files("pipes"), 0, "ann")).error
+        assert isinstance(lost, applier_module.ApplyUnknownError)
+        assert platform.revision == 1
+
+
+async def test_claims_and_history_follow_the_writes_within_bounds():
+    async with store_and_client() as (platform, client):
+        applier = FileSetApplier(client, HastyClock())
+        padding = "#" * (MAX_FILE_SET_BYTES // 3)
+        version = 0
+        versions = []
+        for index in range(applier_module.MAX_HISTORY_SETS + 3):
+            extra = f"[class added]\n{padding}" if index > 8 else ""
+            applied = await applier.apply(
+                files("pipes", str(index), extra), version, "ann"
+            )
+            version = applied.ok.version
+            versions.append(version)
+        history = (await applier.history("pipes")).ok
+        assert [entry.version for entry in history] == versions[:-4:-1]
+        assert len(platform.objects_by_key["history/pipes"].value) < 1_000_000
+        assert applied.ok.since_version("class", "pipes-read") == versions[0]
+        assert applied.ok.since_version("class", "added") == versions[9]
+
+
+async def test_same_seed_draws_the_same_faults():
+    async def outcomes():
+        platform = PlatformStore(seed=7)
+        await platform.start()
+        client = make_client(platform)
+        platform.set_lost_answers(0.5)
+        answers = [(await client.put(f"k/{i}", b"", 0)) for i in range(20)]
+        await client.close()
+        await platform.stop()
+        return [answer.is_ok() for answer in answers]
+
+    first = await outcomes()
+    assert first == await outcomes()
+    assert len(set(first)) == 2
