Add the node process, status, demo and latency benchmark

Cause: the modules have to be joined into one process that can be tried. Change: node wiring with ordered start and graceful stop, directory of members for routing and key owners, stand-in cluster of processes, demo, bench/latency.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks on loopback: real nodes, stand-in upstreams and callers."""
--- /dev/null
+++ b/src/celeryfield/cli/node.py
@@ -0,0 +1,70 @@
+"""The command that runs one node."""
+
+import asyncio
+import gc
+import pathlib
+import signal
+from typing import Annotated
+
+import typer
+
+from celeryfield.cli.exits import ExitCode, fail
+from celeryfield.errors import CeleryfieldError
+from celeryfield.internal import logs
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.inifile import load_node_settings
+from celeryfield.internal.node import Node
+from celeryfield.internal.schema import settings as settings_schema
+
+# Collections walk all tracked objects. Calls leave few cycles behind, so
+# collecting rarely costs little memory and keeps pauses out of the p99.
+GC_THRESHOLDS = (50_000, 20, 50)
+
+
+class NodeCrashedError(CeleryfieldError):
+    """A service of the node ended with an error that nothing handles."""
+
+
+def node(
+    settings: Annotated[
+        pathlib.Path, typer.Option(help="INI file with the node's settings.")
+    ],
+) -> None:
+    """Runs the node beside one upstream until SIGTERM."""
+    loaded = load_node_settings(settings)
+    if loaded.is_error():
+        fail(ExitCode.INVALID, [str(problem) for problem in loaded.error])
+    logs.configure(loaded.ok)
+    try:
+        asyncio.run(_run(loaded.ok))
+    except (CeleryfieldError, OSError) as error:
+        fail(ExitCode.FAILED, [str(error)])
+
+
+async def _run(settings: settings_schema.NodeSettings) -> None:
+    """Runs a node; a second signal ends it without waiting for calls."""
+    signals: asyncio.Queue[int] = asyncio.Queue()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, signals.put_nowait, number)
+    running = Node(settings, Clock())
+    await running.start()
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+    first_signal = asyncio.ensure_future(signals.get())
+    # A node without one of its services would mislead callers and peers.
+    crashed = asyncio.ensure_future(running.wait_until_stopped())
+    await _first_of(first_signal, crashed)
+    if running.crashed:
+        raise NodeCrashedError(f"the node crashed: {running.crash_reason!r}")
+    draining = asyncio.ensure_future(running.drain())
+    await _first_of(draining, asyncio.ensure_future(signals.get()))
+    await running.stop()
+
+
+async def _first_of(*tasks: asyncio.Future[object]) -> None:
+    """Waits for the first task and cancels the others."""
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
--- a/src/celeryfield/internal/calls.py
+++ b/src/celeryfield/internal/calls.py
@@ -115,5 +115,7 @@
     between admit part of it, chosen by a hash of the root id, so that all hops
     of a chain shed the same root calls and no admitted chain fails deeper.
     """
-    sub_rank = xxhash.xxh32_intdigest(call.root_id) % RANKS_PER_PRIORITY
+    sub_rank = (
+        xxhash.xxh32_intdigest(call.root_id.encode()) % RANKS_PER_PRIORITY
+    )
     return call.priority * RANKS_PER_PRIORITY + sub_rank
--- a/src/celeryfield/internal/config/manager.py
+++ b/src/celeryfield/internal/config/manager.py
@@ -106,6 +106,15 @@
         owner = self._owners_by_name.get(("service", name))
         return owner.sections.services_by_name[name] if owner else None
 
+    def class_section(self, name: str) -> ClassSection | None:
+        """Returns the section of a class that is in force."""
+        owner = self._owners_by_name.get(("class", name))
+        return owner.sections.classes_by_name[name] if owner else None
+
+    def knows_tenant(self, tenant: str) -> bool:
+        """Returns whether any set names the tenant."""
+        return ("tenant", tenant) in self._owners_by_name
+
     def tenant_weight(self, tenant: str) -> float:
         """Returns the weight of a tenant; 1 if no set names it."""
         owner = self._owners_by_name.get(("tenant", tenant))
--- /dev/null
+++ b/src/celeryfield/internal/node.py
@@ -0,0 +1,293 @@
+"""One node: builds its services and starts and stops them in order."""
+
+import logging
+import random
+
+from aiohttp import web
+from mode import Service
+
+from celeryfield.internal import tls
+from celeryfield.internal.admin.server import AdminServer
+from celeryfield.internal.admin.status import node_status
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.config.distribution import ConfigDistributor
+from celeryfield.internal.config.manager import ConfigManager
+from celeryfield.internal.directory import Directory
+from celeryfield.internal.dispatch.admission import AdmissionController
+from celeryfield.internal.dispatch.dispatcher import Dispatcher
+from celeryfield.internal.frontend.ingress import Ingress
+from celeryfield.internal.frontend.server import Frontend
+from celeryfield.internal.gateway import Gateway
+from celeryfield.internal.idempotency.ledger import KeyLedger
+from celeryfield.internal.membership.records import (
+    SeedAddress as GossipAddress,
+)
+from celeryfield.internal.membership.service import Membership
+from celeryfield.internal.metrics import Metrics
+from celeryfield.internal.routing.balancer import Balancer
+from celeryfield.internal.routing.chains import ChainTable
+from celeryfield.internal.routing.executor import CallExecutor
+from celeryfield.internal.routing.levels import LevelTable
+from celeryfield.internal.schema import gossip, wire
+from celeryfield.internal.schema import settings as settings_schema
+from celeryfield.internal.store.client import StoreClient
+from celeryfield.internal.store.seeds import SeedLeases
+from celeryfield.internal.store.watcher import ConfigWatcher
+from celeryfield.internal.transport import frames
+from celeryfield.internal.transport.errors import UnreachableError
+from celeryfield.internal.transport.frames import Frame, Kind
+from celeryfield.internal.transport.pool import PeerPool
+from celeryfield.internal.transport.server import PeerServer
+from celeryfield.internal.upstream.announcements import (
+    Announcement,
+    UpstreamRegistry,
+)
+from celeryfield.internal.upstream.client import UpstreamClient
+
+logger = logging.getLogger(__name__)
+
+EXPIRY_CHECK_MS = 500.0
+IDLE_CHECK_MS = 20.0
+# Gossip reaches every sender well within this time; until then they are
+# refused with "not-run" and go elsewhere.
+LEAVE_SPREAD_MS = 500.0
+
+
+class Node(Service):
+    """The process beside one upstream.
+
+    Args:
+        settings: Settings of this node.
+        clock: Time source.
+    """
+
+    def __init__(
+        self, settings: settings_schema.NodeSettings, clock: Clock
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.clock = clock
+        self.config = ConfigManager()
+        self.metrics = Metrics(self.config.knows_tenant)
+        self._random = random.Random()
+        self._tls = tls.load_contexts(settings.tls)
+        self._hello = wire.Hello(frames.PROTOCOL_VERSION, settings.node.id)
+        self._start_ms = clock.wall_ms()
+        self._build_calls()
+        self._build_listeners()
+
+    def _build_calls(self) -> None:
+        """Builds what every call passes through."""
+        settings, clock = self.settings, self.clock
+        self.levels = LevelTable(settings, clock)
+        self.chains = ChainTable(clock, self.levels)
+        self.balancer = Balancer(settings, clock)
+        self.admission = AdmissionController(settings, clock)
+        self.admission.set_tenant_weights(self.config.tenant_weight)
+        self.upstream = UpstreamClient(settings, clock)
+        self.registry = UpstreamRegistry(settings, clock, self._on_announcement)
+        self.ledger = KeyLedger(
+            settings, clock, settings.node.id, self._start_ms
+        )
+        self.pool = PeerPool(
+            settings, clock, self._hello, self._tls.peer_client
+        )
+        self.dispatcher = Dispatcher(
+            clock, self.admission, self.chains, self.upstream
+        )
+        self.gateway = Gateway(
+            settings.node.id,
+            self.ledger,
+            self.dispatcher,
+            self.pool,
+            lambda owner: self.directory.find_owner(owner),
+        )
+        self.executor = CallExecutor(
+            settings,
+            clock,
+            self.balancer,
+            self.gateway.send,
+            self.config.class_section,
+            self.levels,
+        )
+        self.gateway.set_executor(self.executor)
+
+    def _build_listeners(self) -> None:
+        settings, clock = self.settings, self.clock
+        self.distributor = ConfigDistributor(self.config, self._fetch_config)
+        self.peer_server = PeerServer(
+            settings,
+            clock,
+            self._hello,
+            self.gateway.serve,
+            {Kind.FETCH_CONFIG: self.distributor.serve},
+            self._tls.peer_server,
+        )
+        ingress = Ingress(
+            settings, self._start_ms, self.config, self.chains, self.gateway
+        )
+        self.frontend = Frontend(
+            settings, clock, self.metrics, ingress, self._tls.http
+        )
+        self.admin = AdminServer(
+            settings,
+            self.registry,
+            self.metrics,
+            lambda: self.is_ready,
+            [web.get("/v1/status", self._serve_status)],
+            self._tls.http,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this node has a configuration and is not leaving."""
+        return bool(self.config.current_by_team) and not self.is_leaving
+
+    async def on_start(self) -> None:
+        """Opens the listeners and joins the other nodes."""
+        self.is_leaving = False
+        port = await self.peer_server.start()
+        self._build_membership(port)
+        await self.add_runtime_dependency(self.membership)
+        self._hello.incarnation = self.membership.incarnation
+        await self._start_store(port)
+        await self.add_runtime_dependency(self.frontend)
+        await self.add_runtime_dependency(self.admin)
+        logger.info(
+            "node started",
+            extra={
+                "caller_port": self.frontend.port,
+                "peer_port": port,
+                "admin_port": self.admin.port,
+            },
+        )
+
+    def _build_membership(self, port: int) -> None:
+        listen = self.settings.listen.model_copy(update={"peer_port": port})
+        settings = self.settings.model_copy(update={"listen": listen})
+        self.membership = Membership(
+            settings, self.clock, random.Random(), self._seed_addresses
+        )
+        self.directory = Directory(self.membership.members_by_id, self.balancer)
+        self.membership.subscribe(self._on_members)
+        self.membership.subscribe_versions(
+            lambda member, versions: self.distributor.learn_versions(
+                member.id, versions
+            )
+        )
+        self.config.subscribe(
+            lambda _: self.membership.set_config_versions(
+                self.config.versions_by_team
+            )
+        )
+
+    async def _start_store(self, port: int) -> None:
+        self.store: StoreClient | None = None
+        self.seeds: SeedLeases | None = None
+        if not self.settings.store.url:
+            return
+        self.store = StoreClient(self.settings.store, self.clock)
+        self.seeds = SeedLeases(
+            self.store,
+            self.settings.node,
+            port,
+            self._start_ms,
+            self.settings.membership,
+            self.clock,
+            self._random,
+            self._zone_size,
+        )
+        watcher = ConfigWatcher(
+            self.store, self.config, self.seeds.holds_lease, self.clock
+        )
+        await self.add_runtime_dependency(self.seeds)
+        await self.add_runtime_dependency(watcher)
+
+    async def on_shutdown(self) -> None:
+        """Closes what the services use, after they have stopped."""
+        self.pool.close()
+        await self.peer_server.stop()
+        await self.upstream.close()
+        if self.store is not None:
+            await self.store.close()
+
+    async def drain(self) -> None:
+        """Stops taking work and waits until everything in flight has ended."""
+        logger.info("node is leaving")
+        self.is_leaving = True
+        self._publish()
+        self.admission.drain()
+        self.frontend.drain()
+        await self.clock.sleep_ms(LEAVE_SPREAD_MS)
+        while self.frontend.in_flight or self.peer_server.running_count:
+            await self.clock.sleep_ms(IDLE_CHECK_MS)
+        await self.admission.wait_idle()
+        await self.membership.leave()
+        logger.info("node has left")
+
+    def _on_announcement(self, announcement: Announcement | None) -> None:
+        """Follows the upstream's own word about itself."""
+        if announcement is None:
+            logger.warning("the upstream stopped announcing itself")
+            self.admission.set_capacity(0, 0, "gone")
+        else:
+            self.upstream.set_upstream(
+                announcement.address, announcement.connections
+            )
+            self.admission.set_capacity(
+                announcement.slots,
+                announcement.connections,
+                announcement.state,
+                announcement.service,
+            )
+        self._publish()
+
+    def _publish(self) -> None:
+        """Tells other nodes what this node serves."""
+        current = self.registry.current
+        services = []
+        if current is not None:
+            services.append(
+                gossip.Announcement(
+                    service=current.service,
+                    state=current.state,
+                    slots=current.slots,
+                    connections=current.connections,
+                )
+            )
+        self.membership.update_local(
+            services, "leaving" if self.is_leaving else "alive"
+        )
+
+    def _on_members(self) -> None:
+        self._hello.incarnation = self.membership.incarnation
+        self.directory.refresh()
+        self.pool.retain(self.directory.peers())
+
+    async def _seed_addresses(self) -> list[GossipAddress]:
+        if self.seeds is None:
+            return []
+        return [
+            GossipAddress(seed.address, seed.port)
+            for seed in self.seeds.seed_addresses()
+        ]
+
+    def _zone_size(self) -> int:
+        zone = self.settings.node.zone
+        members = self.membership.members_by_id.values()
+        return sum(1 for member in members if member.zone == zone)
+
+    async def _fetch_config(self, member_id: str, header: bytes) -> Frame:
+        candidate = self.directory.find(member_id)
+        if candidate is None:
+            raise UnreachableError(f"member {member_id} is gone")
+        return await self.pool.request(candidate, Kind.FETCH_CONFIG, header)
+
+    async def _serve_status(self, _request: web.Request) -> web.Response:
+        return web.json_response(node_status(self))
+
+    @Service.task
+    async def _expire_upstream(self) -> None:
+        while not self.should_stop:
+            await self.clock.sleep_ms(EXPIRY_CHECK_MS)
+            self.registry.expire()
--- a/src/celeryfield/internal/upstream/announcements.py
+++ b/src/celeryfield/internal/upstream/announcements.py
@@ -46,7 +46,7 @@
     Args:
         settings: Settings of this node.
         clock: Time source.
-        on_change: Called when the announcement changes, or with None when the
+        on_heartbeat: Called with each announcement, or with None when the
             upstream is gone.
     """
 
@@ -54,11 +54,11 @@
         self,
         settings: settings_schema.NodeSettings,
         clock: Clock,
-        on_change: Callable[[Announcement | None], None],
+        on_heartbeat: Callable[[Announcement | None], None],
     ) -> None:
         self._ttl_ms = settings.dispatch.announce_ttl_ms
         self._clock = clock
-        self._on_change = on_change
+        self._on_heartbeat = on_heartbeat
         self._heard: _Heard | None = None
 
     @property
@@ -68,10 +68,8 @@
 
     def accept(self, announcement: Announcement) -> None:
         """Takes a heartbeat of the upstream."""
-        previous = self.current
         self._heard = _Heard(announcement, self._clock.now_ms())
-        if previous != announcement:
-            self._on_change(announcement)
+        self._on_heartbeat(announcement)
 
     def expire(self) -> None:
         """Drops an upstream that stopped announcing itself."""
@@ -79,4 +77,4 @@
             return
         if self._clock.now_ms() - self._heard.heard_ms > self._ttl_ms:
             self._heard = None
-            self._on_change(None)
+            self._on_heartbeat(None)
--- a/src/celeryfield/standins/cluster.py
+++ b/src/celeryfield/standins/cluster.py
@@ -16,12 +16,20 @@
 
 import aiohttp
 
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.config.fileset import load_directory
+from celeryfield.internal.schema.settings import StoreSettings
+from celeryfield.internal.store.applier import CONFIG_PREFIX, FileSetApplier
+from celeryfield.internal.store.client import StoreClient
 from celeryfield.standins.platform import PlatformStore
 from celeryfield.standins.upstream import (
     Endpoint,
     StandInUpstream,
     UpstreamSpec,
 )
+from celeryfield.standins.upstream_process import UpstreamProcess
+
+Upstream = StandInUpstream | UpstreamProcess
 
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
@@ -139,6 +147,7 @@
         plans: The nodes.
         policy: Routing policy of all nodes.
         settings: Further settings of all nodes, by section and key.
+        upstream_processes: Run each upstream in a process of its own.
     """
 
     def __init__(
@@ -146,11 +155,15 @@
         plans: list[NodePlan],
         policy: str = "adaptive",
         settings: dict[str, dict[str, str]] | None = None,
+        upstream_processes: bool = False,
     ) -> None:
         self.plans = plans
         self.platform = PlatformStore()
         self.nodes_by_id: dict[str, NodeProcess] = {}
-        self.upstreams_by_id: dict[str, StandInUpstream] = {}
+        self.upstreams_by_id: dict[str, Upstream] = {}
+        self._upstream_type = (
+            UpstreamProcess if upstream_processes else StandInUpstream
+        )
         self._policy = policy
         self._settings = settings or {}
         self._directory = tempfile.TemporaryDirectory(prefix="celeryfield-")
@@ -187,6 +200,24 @@
         if plan.service:
             await self._start_upstream(plan, node)
 
+    async def apply(self, directory: pathlib.Path) -> int:
+        """Applies a file set and returns its version."""
+        loaded = load_directory(directory)
+        if loaded.is_error():
+            raise RuntimeError("\n".join(map(str, loaded.error)))
+        clock = Clock()
+        client = StoreClient(StoreSettings(url=self.platform.url), clock)
+        team = loaded.ok.team
+        found = await client.get(f"{CONFIG_PREFIX}{team}")
+        version = found.ok.version if found.ok else 0
+        applied = await FileSetApplier(client, clock).apply(
+            loaded.ok.message.files, version, "stand-in"
+        )
+        await client.close()
+        if applied.is_error():
+            raise RuntimeError(str(applied.error))
+        return applied.ok.version
+
     async def wait_ready(self) -> None:
         """Waits until every node has configuration and knows the others."""
         async with asyncio.timeout(START_TIMEOUT_S):
@@ -194,11 +225,14 @@
                 while not await self._is_ready(node):  # noqa: ASYNC110
                     await asyncio.sleep(0.05)
 
-    async def _is_ready(self, node: NodeProcess) -> bool:
+    async def status(self, node: NodeProcess) -> dict:
+        """Returns the status of one node."""
         async with self.session.get(f"{node.admin_url}/v1/status") as answer:
-            if answer.status != 200:
-                return False
-            status = await answer.json()
+            answer.raise_for_status()
+            return await answer.json()
+
+    async def _is_ready(self, node: NodeProcess) -> bool:
+        status = await self.status(node)
         serving = {
             plan.id
             for plan in self.plans
@@ -212,7 +246,7 @@
         return bool(status["configuration"]) and serving <= seen
 
     async def _start_upstream(self, plan: NodePlan, node: NodeProcess) -> None:
-        upstream = StandInUpstream(
+        upstream = self._upstream_type(
             UpstreamSpec(
                 service=plan.service,
                 slots=plan.slots,
--- a/src/celeryfield/standins/upstream.py
+++ b/src/celeryfield/standins/upstream.py
@@ -107,6 +107,10 @@
         if self._session is not None:
             await self._session.close()
 
+    async def set_slowdown(self, factor: float) -> None:
+        """Multiplies the time of every request."""
+        self.slowdown = factor
+
     async def set_state(self, state: str) -> None:
         """Changes the announced state and announces it at once."""
         self.state = state
--- /dev/null
+++ b/src/celeryfield/standins/upstream_process.py
@@ -0,0 +1,148 @@
+"""A stand-in upstream in a process of its own.
+
+The parent writes one JSON command a line to standard input and reads one JSON
+answer a line from standard output. The process ends when its input closes.
+"""
+
+import asyncio
+import dataclasses
+import json
+import sys
+from typing import Any
+
+from celeryfield.standins.upstream import (
+    DeeperCall,
+    Endpoint,
+    StandInUpstream,
+    UpstreamSpec,
+)
+
+LINE_LIMIT_BYTES = 256 * 1_048_576
+
+
+class UpstreamProcess:
+    """Starts and controls one upstream process."""
+
+    def __init__(self, spec: UpstreamSpec) -> None:
+        self.spec = spec
+        self.port = 0
+        self._process: asyncio.subprocess.Process | None = None
+        self._lock = asyncio.Lock()
+
+    async def start(self) -> None:
+        """Starts the process; it begins to announce itself."""
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "celeryfield.standins.upstream_process",
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            limit=LINE_LIMIT_BYTES,
+        )
+        answer = await self._ask("start", spec=dataclasses.asdict(self.spec))
+        self.port = answer["port"]
+
+    async def stop(self) -> None:
+        """Ends the process."""
+        if self._process.returncode is None:
+            self._process.stdin.close()
+            await self._process.wait()
+
+    async def set_state(self, state: str) -> None:
+        """Changes the announced state and announces it at once."""
+        await self._ask("state", state=state)
+
+    async def set_slowdown(self, factor: float) -> None:
+        """Multiplies the time of every request."""
+        await self._ask("slowdown", factor=factor)
+
+    async def crash(self) -> None:
+        """Resets all connections and refuses new ones."""
+        await self._ask("crash")
+
+    async def restart(self) -> None:
+        """Listens again on the same port after a crash."""
+        await self._ask("restart")
+
+    async def executions(self) -> list[dict[str, Any]]:
+        """Returns every request that the upstream ran."""
+        return (await self._ask("executions"))["executions"]
+
+    async def execution_count(self) -> int:
+        """Returns how many requests the upstream ran."""
+        return (await self._ask("count"))["count"]
+
+    async def _ask(self, command: str, **arguments: Any) -> dict[str, Any]:
+        line = json.dumps({"command": command, **arguments}).encode() + b"\n"
+        async with self._lock:
+            self._process.stdin.write(line)
+            await self._process.stdin.drain()
+            answer = await self._process.stdout.readline()
+        if not answer:
+            raise RuntimeError("the upstream process ended")
+        return json.loads(answer)
+
+
+async def _serve() -> None:
+    """Runs the commands of the parent until its pipe closes."""
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader(limit=LINE_LIMIT_BYTES)
+    await loop.connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    upstream: StandInUpstream | None = None
+    while line := await reader.readline():
+        request = json.loads(line)
+        if request["command"] == "start":
+            upstream = StandInUpstream(_spec_of(request["spec"]))
+            await upstream.start()
+            answer = {"port": upstream.port}
+        else:
+            answer = await _run_command(upstream, request)
+        sys.stdout.write(json.dumps(answer) + "\n")
+        sys.stdout.flush()
+    if upstream is not None:
+        await upstream.stop()
+
+
+async def _run_command(
+    upstream: StandInUpstream, request: dict[str, Any]
+) -> dict[str, Any]:
+    match request["command"]:
+        case "state":
+            await upstream.set_state(request["state"])
+        case "slowdown":
+            upstream.slowdown = request["factor"]
+        case "crash":
+            await upstream.crash()
+        case "restart":
+            await upstream.restart()
+        case "count":
+            return {"count": upstream.execution_count}
+        case "executions":
+            return {
+                "executions": [
+                    dataclasses.asdict(item) for item in upstream.executions
+                ]
+            }
+    return {}
+
+
+def _spec_of(content: dict[str, Any]) -> UpstreamSpec:
+    """Rebuilds a spec from JSON."""
+    endpoints = tuple(
+        Endpoint(
+            **{
+                **endpoint,
+                "calls": tuple(
+                    DeeperCall(**deeper) for deeper in endpoint["calls"]
+                ),
+            }
+        )
+        for endpoint in content["endpoints"]
+    )
+    return UpstreamSpec(**{**content, "endpoints": endpoints})
+
+
+if __name__ == "__main__":
+    asyncio.run(_serve())
