Add the admission controller of the upstream

Cause: calls must be admitted to the upstream so that important work survives overload and long or crashing requests do not harm others.

--- /dev/null
+++ b/src/celeryfield/internal/dispatch/admission.py
@@ -0,0 +1,337 @@
+"""Admission of calls to the local upstream."""
+
+import asyncio
+import functools
+
+from expression import Error, Ok, Result
+
+from celeryfield.internal.calls import Reason
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.dispatch.control import LoadControl
+from celeryfield.internal.dispatch.permits import (
+    EndKind,
+    Permit,
+    Rejection,
+    RunEnd,
+)
+from celeryfield.internal.dispatch.queue import Waiter, WaitQueue, WeightOf
+from celeryfield.internal.dispatch.slots import SlotUse
+from celeryfield.internal.dispatch.solo import SoloTurns
+from celeryfield.internal.dispatch.suspects import SuspectTable, Verdict
+from celeryfield.internal.dispatch.upstream import (
+    GONE,
+    READY,
+    STARTING,
+    UpstreamState,
+    usable_state,
+)
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.settings import NodeSettings
+
+# While calls wait, expired ones are rejected and a rising limit takes effect
+# within this time.
+SWEEP_MS = 5.0
+
+
+class AdmissionController:
+    """Decides when and whether calls run on one upstream.
+
+    With the routing policy "baseline" every call is admitted at once while
+    the upstream is there.
+
+    Attributes:
+        suspects: Requests that ran when the upstream crashed; gossip reads
+            and merges its entries.
+    """
+
+    def __init__(self, settings: NodeSettings, clock: Clock) -> None:
+        dispatch = settings.dispatch
+        max_long = max(1, int(dispatch.queue_length * dispatch.long_share))
+        self.suspects = SuspectTable(dispatch)
+        self._clock = clock
+        self._admits_all = settings.routing.policy == "baseline"
+        self._upstream = UpstreamState()
+        self._slots = SlotUse(dispatch.long_share)
+        self._queue = WaitQueue(dispatch.queue_length, max_long)
+        self._control = LoadControl(
+            dispatch, self._slots, self._queue, clock.now_ms()
+        )
+        self._limit = self._control.limit
+        self._times = self._control.times
+        self._solo = SoloTurns()
+        self._sweeper: asyncio.Task[None] | None = None
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    def set_tenant_weights(self, weight_of: WeightOf) -> None:
+        """Sets the function that returns the weight of a tenant."""
+        self._queue.weight_of = weight_of
+        self._solo.queue.weight_of = weight_of
+
+    def set_capacity(
+        self, slots: int, connections: int, state: str, service: str = ""
+    ) -> None:
+        """Takes over an announcement of the upstream.
+
+        Args:
+            slots: Calls the upstream runs at once.
+            connections: Connections the upstream accepts.
+            state: starting, ready or draining; anything else means gone.
+            service: Service named in load reports.
+        """
+        now_ms = self._clock.now_ms()
+        capacity = min(slots, connections)
+        state = usable_state(state, capacity)
+        previous = self._upstream.announce(state)
+        self._upstream.service = service or self._upstream.service
+        if state in (STARTING, READY):
+            self._limit.set_capacity(capacity)
+            self._note_temperature(previous, state, now_ms)
+        self._advance(now_ms)
+
+    def report_busy_slots(self, busy_slots: int) -> None:
+        """Lowers the limit by busy slots the controller did not fill."""
+        self._limit.report_busy(busy_slots)
+
+    def drain(self) -> None:
+        """Refuses new work for good, whatever the upstream announces."""
+        self._upstream.leaving = True
+        self._advance(self._clock.now_ms())
+
+    async def acquire(self, call: wire.Call) -> Result[Permit, Rejection]:
+        """Waits until a call may run.
+
+        Returns:
+            A permit, which must be released, or the reason why the call was
+            refused without having run.
+        """
+        now_ms = self._clock.now_ms()
+        reason = self._upstream.refusal
+        if reason is not None:
+            return Error(Rejection(reason))
+        if self._admits_all:
+            return Ok(self._grant(call, now_ms))
+        self._control.adjust_if_due(now_ms)
+        limit = self._limit.current(now_ms)
+        verdict = self.suspects.verdict(call.fingerprint, now_ms)
+        can_start = verdict is Verdict.CLEAR and self._can_start(call, limit)
+        reason = self._refusal(call, verdict, can_start, limit, now_ms)
+        if reason is not None:
+            return Error(Rejection(reason))
+        if can_start:
+            return Ok(self._grant(call, now_ms))
+        return await self._wait(call, verdict, now_ms)
+
+    def release(self, permit: Permit, end: RunEnd) -> None:
+        """Gives a permit back; a second release has no effect."""
+        if permit.released:
+            return
+        permit.released = True
+        now_ms = self._clock.now_ms()
+        self._record_suspicion(permit, end, now_ms)
+        self._control.record_end(permit.call.class_name, end, now_ms)
+        self._slots.remove(permit)
+        if permit.alone:
+            self._solo.end(now_ms)
+        self._advance(now_ms)
+
+    def load_report(self) -> wire.LoadReport:
+        """Returns the load for answers to other nodes."""
+        now_ms = self._clock.now_ms()
+        self._control.adjust_if_due(now_ms)
+        service = self._upstream.service
+        level = wire.ServiceLevel(service, self._control.level.level)
+        return wire.LoadReport(
+            self._upstream.current,
+            self._slots.count,
+            self._queued(),
+            self._limit.current(now_ms),
+            (level,) if service else (),
+        )
+
+    async def wait_idle(self) -> None:
+        """Waits until no call is running or waiting."""
+        await self._idle.wait()
+
+    def _note_temperature(
+        self, previous: str, state: str, now_ms: float
+    ) -> None:
+        """Starts or holds the slow start of an upstream that is cold."""
+        if state == STARTING and previous != STARTING:
+            self._limit.hold_cold()
+            self._times.forget_best(now_ms)
+        elif state == READY and previous == GONE:
+            self._limit.hold_cold()
+            self._limit.start_ramp(now_ms)
+            self._times.forget_best(now_ms)
+        elif state == READY and previous == STARTING:
+            self._limit.start_ramp(now_ms)
+
+    def _refusal(
+        self,
+        call: wire.Call,
+        verdict: Verdict,
+        can_start: bool,
+        limit: int,
+        now_ms: float,
+    ) -> Reason | None:
+        """Returns why a call is refused before it is queued."""
+        if verdict is Verdict.REFUSE:
+            return Reason.SUSPECT
+        is_admitted = self._control.offer(call)
+        if not is_admitted and not can_start:
+            return Reason.OVERLOAD
+        needed_ms = self._times.expected_ms(call.class_name, now_ms)
+        if not can_start:
+            ahead_ms = self._queue.cost_ahead_ms(
+                call, self._control.is_overloaded
+            )
+            needed_ms += ahead_ms / self._slots.slots_for(call, limit)
+        return Reason.DEADLINE if call.deadline_left_ms <= needed_ms else None
+
+    def _can_start(self, call: wire.Call, limit: int) -> bool:
+        """Returns whether a call may start without waiting."""
+        if self._slots.count >= limit or self._solo.is_blocking:
+            return False
+        if call.long_running:
+            has_slot = self._slots.has_long_slot(limit, call.priority)
+            return has_slot and self._queue.count == 0
+        return self._queue.count == self._queue.long_count
+
+    def _grant(
+        self,
+        call: wire.Call,
+        now_ms: float,
+        queued_ms: float = 0.0,
+        alone: bool = False,
+    ) -> Permit:
+        permit = Permit(call, now_ms, queued_ms, alone)
+        self._slots.add(permit)
+        self._limit.note_in_flight(self._slots.count)
+        self._idle.clear()
+        return permit
+
+    async def _wait(
+        self, call: wire.Call, verdict: Verdict, now_ms: float
+    ) -> Result[Permit, Rejection]:
+        waiter = self._new_waiter(call, now_ms)
+        queue = self._solo.queue if verdict is Verdict.ALONE else self._queue
+        if not queue.add(waiter, self._control.is_overloaded):
+            return Error(Rejection(Reason.QUEUE_FULL))
+        self._idle.clear()
+        self._control.note_wait()
+        if self._sweeper is None or self._sweeper.done():
+            self._sweeper = asyncio.create_task(self._sweep())
+        self._dispatch(now_ms)
+        try:
+            decision = await waiter.decision
+        except asyncio.CancelledError:
+            self._abandon(waiter)
+            raise
+        if isinstance(decision, Permit):
+            return Ok(decision)
+        return Error(Rejection(decision))
+
+    def _new_waiter(self, call: wire.Call, now_ms: float) -> Waiter:
+        expected_ms = self._times.expected_ms(call.class_name, now_ms)
+        return Waiter(
+            call,
+            now_ms,
+            now_ms + call.deadline_left_ms - expected_ms,
+            self._times.mean_ms(call.class_name),
+            asyncio.get_running_loop().create_future(),
+        )
+
+    def _abandon(self, waiter: Waiter) -> None:
+        """Undoes the wait of a cancelled task."""
+        decision = waiter.decision
+        if decision.done() and not decision.cancelled():
+            permit = decision.result()
+            if isinstance(permit, Permit):
+                self.release(permit, RunEnd(0.0, EndKind.CANCELLED))
+            return
+        self._queue.remove(waiter)
+        self._solo.queue.remove(waiter)
+        self._advance(self._clock.now_ms())
+
+    def _advance(self, now_ms: float) -> None:
+        """Brings the queue up to date with the state and the limit."""
+        if self._queued():
+            self._serve_waiters(now_ms)
+        if self._slots.count == 0 and not self._queued():
+            self._idle.set()
+
+    def _serve_waiters(self, now_ms: float) -> None:
+        reason = self._upstream.refusal
+        if reason is None:
+            self._dispatch(now_ms)
+            return
+        self._queue.reject_all(reason)
+        self._solo.queue.reject_all(reason)
+
+    def _dispatch(self, now_ms: float) -> None:
+        """Starts waiters while slots are free."""
+        self._queue.expire(now_ms)
+        self._solo.queue.expire(now_ms)
+        limit = self._limit.current(now_ms)
+        while self._slots.count < limit and not self._solo.is_running:
+            if self._solo.claims(now_ms, self._slots):
+                if self._slots.count > 0:
+                    break
+                self._start_alone(now_ms)
+                continue
+            waiter = self._queue.pop(
+                functools.partial(self._slots.has_long_slot, limit),
+                self._control.is_overloaded,
+            )
+            if waiter is None:
+                break
+            self._start(waiter, now_ms)
+        self._control.note_delay(limit)
+
+    def _start(self, waiter: Waiter, now_ms: float) -> None:
+        """Starts a waiter, unless it became a suspect while it waited."""
+        verdict = self.suspects.verdict(waiter.call.fingerprint, now_ms)
+        if verdict is Verdict.CLEAR:
+            self._decide(waiter, now_ms, alone=False)
+        elif verdict is Verdict.REFUSE:
+            self._queue.reject(waiter, Reason.SUSPECT)
+        elif not self._solo.queue.add(waiter, newest_first=False):
+            self._queue.reject(waiter, Reason.QUEUE_FULL)
+
+    def _start_alone(self, now_ms: float) -> None:
+        waiter = self._solo.next_waiter()
+        verdict = self.suspects.verdict(waiter.call.fingerprint, now_ms)
+        if verdict is Verdict.REFUSE:
+            self._solo.queue.reject(waiter, Reason.SUSPECT)
+            return
+        alone = verdict is Verdict.ALONE
+        if alone:
+            self._solo.begin()
+        self._decide(waiter, now_ms, alone)
+
+    def _decide(self, waiter: Waiter, now_ms: float, alone: bool) -> None:
+        queued_ms = now_ms - waiter.queued_ms
+        permit = self._grant(waiter.call, now_ms, queued_ms, alone)
+        waiter.decision.set_result(permit)
+
+    def _record_suspicion(
+        self, permit: Permit, end: RunEnd, now_ms: float
+    ) -> None:
+        if end.kind is EndKind.CRASHED:
+            if not permit.crash_counted:
+                self.suspects.record_crash(self._slots.permits, now_ms)
+        elif end.kind in (EndKind.OK, EndKind.ERROR):
+            fingerprint = permit.call.fingerprint
+            self.suspects.record_completion(fingerprint, now_ms)
+
+    def _queued(self) -> int:
+        return self._queue.count + self._solo.queue.count
+
+    async def _sweep(self) -> None:
+        """Serves changes that come with time while calls wait."""
+        while self._queued():
+            await self._clock.sleep_ms(SWEEP_MS)
+            now_ms = self._clock.now_ms()
+            self._control.adjust_if_due(now_ms)
+            self._advance(now_ms)
--- /dev/null
+++ b/src/celeryfield/internal/dispatch/control.py
@@ -0,0 +1,105 @@
+"""Feedback from the upstream to the limit and the admission level."""
+
+import math
+
+from celeryfield.internal.calls import admission_rank
+from celeryfield.internal.dispatch.levels import AdmissionLevel
+from celeryfield.internal.dispatch.limiter import ConcurrencyLimit
+from celeryfield.internal.dispatch.permits import EndKind, RunEnd
+from celeryfield.internal.dispatch.queue import WaitQueue
+from celeryfield.internal.dispatch.service_times import ServiceTimes
+from celeryfield.internal.dispatch.slots import SlotUse
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.settings import DispatchSettings
+
+
+class LoadControl:
+    """Measures load and service times and adjusts limit and level.
+
+    Attributes:
+        limit: Limit of calls in flight.
+        level: Lowest rank that is not shed.
+        times: Service times by class.
+    """
+
+    def __init__(
+        self,
+        settings: DispatchSettings,
+        slots: SlotUse,
+        queue: WaitQueue,
+        now_ms: float,
+    ) -> None:
+        self.limit = ConcurrencyLimit(settings)
+        self.level = AdmissionLevel(settings)
+        self.times = ServiceTimes()
+        slots.short_load_above = self.level.load_above
+        self._settings = settings
+        self._slots = slots
+        self._queue = queue
+        self._adjusted_ms = now_ms
+        self._lowest_delay_ms = math.inf
+        self._had_to_wait = False
+
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether load is being shed."""
+        return self.level.level > 0
+
+    def offer(self, call: wire.Call) -> bool:
+        """Counts an arrival; returns whether the level admits it."""
+        rank = admission_rank(call)
+        if not call.long_running:
+            self.level.offer(rank, self.times.mean_ms(call.class_name))
+        return rank >= self.level.level
+
+    def note_wait(self) -> None:
+        """Notes that a call had to wait for a slot."""
+        self._had_to_wait = True
+
+    def note_delay(self, limit: int) -> None:
+        """Keeps the lowest queue delay of the interval.
+
+        The delay is the slot time of the short waiters over the limit. The
+        waiting times of the calls that start would not do: they are short
+        for the newest and most important calls while the others pile up.
+        """
+        delay_ms = self._queue.short_cost_ms / max(limit, 1)
+        self._lowest_delay_ms = min(self._lowest_delay_ms, delay_ms)
+
+    def record_end(self, call_class: str, end: RunEnd, now_ms: float) -> None:
+        """Takes over the end of a run.
+
+        A cancelled run would have taken at least its time, so it counts when
+        it lasted longer than expected. Without it, the estimate of a class
+        whose calls all time out would never rise.
+        """
+        self.limit.note_end(shed=end.kind is EndKind.SHED)
+        service_ms = end.service_ms
+        if end.kind is EndKind.CANCELLED:
+            if service_ms <= self.times.expected_ms(call_class, now_ms):
+                return
+        elif end.kind is not EndKind.OK:
+            return
+        self.times.record(call_class, service_ms, now_ms)
+
+    def adjust_if_due(self, now_ms: float) -> None:
+        """Adjusts limit and level once per interval."""
+        elapsed_ms = now_ms - self._adjusted_ms
+        if elapsed_ms < self._settings.interval_ms:
+            return
+        self._adjusted_ms = now_ms
+        limit = self.limit.current(now_ms)
+        self.note_delay(limit)
+        has_short_waiters = self._queue.count > self._queue.long_count
+        idle = self._slots.count < limit and not has_short_waiters
+        self.level.adjust(
+            elapsed_ms,
+            limit,
+            self._slots.long_count,
+            self._lowest_delay_ms,
+            idle,
+        )
+        inflation = self.times.inflation(now_ms)
+        self.limit.adjust(now_ms, self._had_to_wait, inflation)
+        self._had_to_wait = False
+        self._lowest_delay_ms = math.inf
--- /dev/null
+++ b/src/celeryfield/internal/dispatch/limiter.py
@@ -0,0 +1,138 @@
+"""Adaptive limit of calls in flight to one upstream."""
+
+from celeryfield.internal.schema.settings import DispatchSettings
+
+# Share of the capacity that a cold upstream gets at first.
+COLD_SHARE = 0.1
+# Increase per interval, as a share of the capacity: a limit that fell to
+# half recovers in ten intervals, within the 2 s allowed for recovery.
+INCREASE_SHARE = 0.05
+# Share of runs the upstream may shed in an interval without any effect.
+# Occasional refusals for other causes would otherwise drive the limit down.
+SHED_TOLERANCE = 0.02
+# Largest decrease in one interval.
+MIN_DECREASE_FACTOR = 0.7
+# Inflation of service times that counts as congestion, and the decrease.
+INFLATION_TOLERANCE = 2.0
+INFLATION_FACTOR = 0.9
+# Service times include deeper calls, and load reports lag or mislead. Neither
+# proves that less concurrency helps, so they never take more than this share
+# of the capacity.
+INDIRECT_FLOOR_SHARE = 0.5
+
+
+class ConcurrencyLimit:
+    """Limit that never exceeds the announced slots or connections.
+
+    Attributes:
+        capacity: Announced slots or connections, whichever is lower.
+    """
+
+    def __init__(self, settings: DispatchSettings) -> None:
+        self._settings = settings
+        self.capacity = 0
+        self._adaptive = 0.0
+        self._cold = False
+        self._ramp_start_ms: float | None = None
+        self._reported_cap: float | None = None
+        self._peak_in_flight = 0
+        self._previous_peak = 0
+        self._completed_count = 0
+        self._shed_count = 0
+
+    def set_capacity(self, capacity: int) -> None:
+        """Takes over the announced capacity."""
+        if capacity == self.capacity:
+            return
+        was_full = self._adaptive >= self.capacity
+        self.capacity = capacity
+        self._adaptive = min(self._adaptive, float(capacity))
+        if was_full:
+            self._adaptive = float(capacity)
+
+    def hold_cold(self) -> None:
+        """Keeps the limit at the cold share until ``start_ramp``."""
+        self._cold = True
+        self._ramp_start_ms = None
+        self._adaptive = float(self.capacity)
+        self._reported_cap = None
+
+    def start_ramp(self, now_ms: float) -> None:
+        """Starts the slow start of an upstream that became ready."""
+        self._cold = True
+        self._ramp_start_ms = now_ms
+
+    def report_busy(self, busy_slots: int) -> None:
+        """Lowers the limit by slots that are busy with unknown work.
+
+        The upstream's figure lags, so it is compared with the most calls in
+        flight during the last two reports.
+        """
+        own = max(self._peak_in_flight, self._previous_peak)
+        unknown = max(0, busy_slots - own)
+        floor = self.capacity * INDIRECT_FLOOR_SHARE
+        self._reported_cap = max(self.capacity - unknown, floor)
+        self._previous_peak = self._peak_in_flight
+        self._peak_in_flight = 0
+
+    def current(self, now_ms: float) -> int:
+        """Returns the limit now in force."""
+        limit = self._adaptive
+        if self._cold:
+            limit = min(limit, self._ramp(now_ms))
+        if self._reported_cap is not None:
+            limit = min(limit, self._reported_cap)
+        floor = self._settings.minimum_limit
+        return min(self.capacity, max(floor, int(limit)))
+
+    def note_in_flight(self, in_flight: int) -> None:
+        """Keeps the peak for comparison with load reports."""
+        if in_flight > self._peak_in_flight:
+            self._peak_in_flight = in_flight
+
+    def note_end(self, shed: bool) -> None:
+        """Counts the end of one run."""
+        self._completed_count += 1
+        if shed:
+            self._shed_count += 1
+
+    def adjust(
+        self, now_ms: float, fully_used: bool, inflation: float | None
+    ) -> None:
+        """Moves the limit once per interval.
+
+        Args:
+            now_ms: Time on the controller's clock.
+            fully_used: The limit was reached during the interval.
+            inflation: Latency relative to the best recent one, if known.
+        """
+        shed_share = self._shed_count / max(self._completed_count, 1)
+        self._completed_count = 0
+        self._shed_count = 0
+        if shed_share > SHED_TOLERANCE:
+            self._decrease(now_ms, max(1.0 - shed_share, MIN_DECREASE_FACTOR))
+        elif inflation is not None and inflation > INFLATION_TOLERANCE:
+            self._decrease_for_latency()
+        elif fully_used:
+            step = max(1.0, self.capacity * INCREASE_SHARE)
+            self._adaptive = min(float(self.capacity), self._adaptive + step)
+
+    def _decrease(self, now_ms: float, factor: float) -> None:
+        used = min(self._adaptive, float(self.current(now_ms)))
+        floor = float(min(self._settings.minimum_limit, self.capacity))
+        self._adaptive = max(used * factor, floor)
+
+    def _decrease_for_latency(self) -> None:
+        floor = self.capacity * INDIRECT_FLOOR_SHARE
+        if self._adaptive > floor:
+            self._adaptive = max(self._adaptive * INFLATION_FACTOR, floor)
+
+    def _ramp(self, now_ms: float) -> float:
+        if self._ramp_start_ms is None:
+            return self.capacity * COLD_SHARE
+        elapsed_ms = now_ms - self._ramp_start_ms
+        if elapsed_ms >= self._settings.slow_start_ms:
+            self._cold = False
+            return float(self.capacity)
+        progress = elapsed_ms / self._settings.slow_start_ms
+        return self.capacity * (COLD_SHARE + (1.0 - COLD_SHARE) * progress)
--- /dev/null
+++ b/src/celeryfield/internal/dispatch/queue.py
@@ -0,0 +1,333 @@
+"""Bounded queue of calls that wait for the upstream."""
+
+import asyncio
+import bisect
+import dataclasses
+import heapq
+import itertools
+from collections.abc import Callable
+
+from celeryfield.internal.calls import Reason
+from celeryfield.internal.dispatch.permits import Permit
+from celeryfield.internal.schema import wire
+
+WeightOf = Callable[[str], float]
+
+
+def any_priority(_priority: int) -> bool:
+    """Lets long jobs of every priority start."""
+    return True
+
+
+# Lower bound of tenant weights; keeps shares finite.
+MIN_WEIGHT = 0.001
+# Removed waiters stay in the expiry heap until it is this many times longer
+# than the queue.
+HEAP_SLACK = 4
+HEAP_MIN_REBUILD = 64
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiter:
+    """One waiting call.
+
+    Attributes:
+        call: The waiting call.
+        queued_ms: Time at which it was queued.
+        latest_start_ms: Time after which it cannot finish within its deadline.
+        cost_ms: Expected slot time.
+        decision: Set to the permit, or to the reason of the rejection.
+    """
+
+    call: wire.Call
+    queued_ms: float
+    latest_start_ms: float
+    cost_ms: float
+    decision: asyncio.Future[Permit | Reason]
+
+
+class _Lane:
+    """Waiters of one tenant, priority and length class, oldest first."""
+
+    __slots__ = ("cost_ms", "waiters")
+
+    def __init__(self) -> None:
+        self.waiters: dict[Waiter, None] = {}
+        self.cost_ms = 0.0
+
+    def add(self, waiter: Waiter) -> None:
+        self.waiters[waiter] = None
+        self.cost_ms += waiter.cost_ms
+
+    def remove(self, waiter: Waiter) -> None:
+        del self.waiters[waiter]
+        self.cost_ms = self.cost_ms - waiter.cost_ms if self.waiters else 0.0
+
+    def end(self, newest: bool) -> Waiter:
+        if newest:
+            return next(reversed(self.waiters))
+        return next(iter(self.waiters))
+
+
+class _TenantQueue:
+    """Waiters of one tenant and priority.
+
+    Attributes:
+        served: Calls served so far, divided by the tenant's weight.
+    """
+
+    __slots__ = ("long", "served", "short")
+
+    def __init__(self, served: float) -> None:
+        self.served = served
+        self.short = _Lane()
+        self.long = _Lane()
+
+    def __len__(self) -> int:
+        return len(self.short.waiters) + len(self.long.waiters)
+
+    def lane(self, is_long: bool) -> _Lane:
+        return self.long if is_long else self.short
+
+    def pick(self, long_allowed: bool, newest: bool) -> Waiter | None:
+        """Returns the next waiter of this tenant."""
+        ends = []
+        if self.short.waiters:
+            ends.append(self.short.end(newest))
+        if long_allowed and self.long.waiters:
+            ends.append(self.long.end(newest))
+        if len(ends) < 2:
+            return ends[0] if ends else None
+        choose = max if newest else min
+        return choose(ends, key=lambda waiter: waiter.queued_ms)
+
+
+class _Band:
+    """Waiters of one priority, by tenant."""
+
+    __slots__ = ("served", "tenants_by_name")
+
+    def __init__(self) -> None:
+        self.tenants_by_name: dict[str, _TenantQueue] = {}
+        self.served = 0.0
+
+    def pick(self, long_allowed: bool, newest: bool) -> Waiter | None:
+        """Returns the next waiter of the tenant served least."""
+        best = None
+        best_served = 0.0
+        for tenant in self.tenants_by_name.values():
+            if best is not None and tenant.served >= best_served:
+                continue
+            waiter = tenant.pick(long_allowed, newest)
+            if waiter is not None:
+                best = waiter
+                best_served = tenant.served
+        return best
+
+
+class WaitQueue:
+    """Waiters ordered by priority, then by weighted fair share of tenants.
+
+    Attributes:
+        weight_of: Returns the weight of a tenant.
+        count: Calls waiting.
+        long_count: Long jobs waiting.
+        short_cost_ms: Expected slot time of all short waiters.
+    """
+
+    def __init__(self, max_waiters: int, max_long: int) -> None:
+        self.weight_of: WeightOf = lambda _tenant: 1.0
+        self.long_count = 0
+        self.short_cost_ms = 0.0
+        self._max_waiters = max_waiters
+        self._max_long = max_long
+        self.count = 0
+        self._bands_by_priority: dict[int, _Band] = {}
+        self._priorities: list[int] = []
+        self._expiries: list[tuple[float, int, Waiter]] = []
+        self._sequence = itertools.count()
+
+    def add(self, waiter: Waiter, newest_first: bool) -> bool:
+        """Queues a waiter, displacing a less important one if full.
+
+        Args:
+            waiter: The waiter to queue.
+            newest_first: The queue is served newest first, so that among
+                equals the oldest waiter is displaced.
+
+        Returns:
+            Whether the waiter was queued.
+        """
+        is_long = waiter.call.long_running
+        long_full = is_long and self.long_count >= self._max_long
+        if long_full or self.count >= self._max_waiters:
+            victim = self._victim(waiter.call, long_full, newest_first)
+            if victim is None:
+                return False
+            self.reject(victim, Reason.QUEUE_FULL)
+        self._insert(waiter)
+        return True
+
+    def pop(
+        self, may_run_long: Callable[[int], bool], newest_first: bool
+    ) -> Waiter | None:
+        """Removes and returns the next waiter.
+
+        Args:
+            may_run_long: Returns whether a long job of a priority may start.
+            newest_first: Serve the newest of equals first.
+        """
+        for priority in reversed(self._priorities):
+            band = self._bands_by_priority[priority]
+            long_allowed = self.long_count > 0 and may_run_long(priority)
+            waiter = band.pick(long_allowed, newest_first)
+            if waiter is not None:
+                self._charge(band, waiter.call.tenant)
+                self.remove(waiter)
+                return waiter
+        return None
+
+    def remove(self, waiter: Waiter) -> None:
+        """Removes a waiter; does nothing if it is not queued."""
+        if not self.holds(waiter):
+            return
+        call = waiter.call
+        band = self._bands_by_priority[call.priority]
+        tenant = band.tenants_by_name[call.tenant]
+        tenant.lane(call.long_running).remove(waiter)
+        self.count -= 1
+        if call.long_running:
+            self.long_count -= 1
+        else:
+            self.short_cost_ms -= waiter.cost_ms
+        if len(tenant) == 0:
+            del band.tenants_by_name[call.tenant]
+        if not band.tenants_by_name:
+            del self._bands_by_priority[call.priority]
+            self._priorities.remove(call.priority)
+        if self.count == 0:
+            self.short_cost_ms = 0.0
+
+    def holds(self, waiter: Waiter) -> bool:
+        """Returns whether a waiter is queued here."""
+        call = waiter.call
+        band = self._bands_by_priority.get(call.priority)
+        tenant = band.tenants_by_name.get(call.tenant) if band else None
+        if tenant is None:
+            return False
+        return waiter in tenant.lane(call.long_running).waiters
+
+    def reject(self, waiter: Waiter, reason: Reason) -> None:
+        """Removes a waiter and tells it why."""
+        self.remove(waiter)
+        if not waiter.decision.done():
+            waiter.decision.set_result(reason)
+
+    def reject_all(self, reason: Reason) -> None:
+        """Rejects every waiter."""
+        while self.count:
+            waiter = self.pop(any_priority, newest_first=False)
+            if waiter is not None:
+                self.reject(waiter, reason)
+        self._expiries.clear()
+
+    def expire(self, now_ms: float) -> None:
+        """Rejects waiters that can no longer finish in time."""
+        while self._expiries and self._expiries[0][0] < now_ms:
+            _, _, waiter = heapq.heappop(self._expiries)
+            if self.holds(waiter):
+                self.reject(waiter, Reason.DEADLINE)
+
+    def cost_ahead_ms(self, call: wire.Call, newest_first: bool) -> float:
+        """Returns the slot time of the waiters served before a new call."""
+        cost_ms = 0.0
+        for priority in reversed(self._priorities):
+            if priority < call.priority:
+                break
+            if priority == call.priority and newest_first:
+                break
+            band = self._bands_by_priority[priority]
+            for tenant in band.tenants_by_name.values():
+                cost_ms += tenant.lane(call.long_running).cost_ms
+        return cost_ms
+
+    def _insert(self, waiter: Waiter) -> None:
+        call = waiter.call
+        band = self._bands_by_priority.get(call.priority)
+        if band is None:
+            band = self._bands_by_priority[call.priority] = _Band()
+            bisect.insort(self._priorities, call.priority)
+        tenant = band.tenants_by_name.get(call.tenant)
+        if tenant is None:
+            tenant = _TenantQueue(band.served)
+            band.tenants_by_name[call.tenant] = tenant
+        tenant.lane(call.long_running).add(waiter)
+        self.count += 1
+        if call.long_running:
+            self.long_count += 1
+        else:
+            self.short_cost_ms += waiter.cost_ms
+        self._push_expiry(waiter)
+
+    def _push_expiry(self, waiter: Waiter) -> None:
+        entry = (waiter.latest_start_ms, next(self._sequence), waiter)
+        heapq.heappush(self._expiries, entry)
+        limit = max(HEAP_SLACK * self.count, HEAP_MIN_REBUILD)
+        if len(self._expiries) > limit:
+            self._expiries = [
+                item for item in self._expiries if self.holds(item[2])
+            ]
+            heapq.heapify(self._expiries)
+
+    def _charge(self, band: _Band, tenant_name: str) -> None:
+        tenant = band.tenants_by_name[tenant_name]
+        band.served = max(band.served, tenant.served)
+        tenant.served += 1.0 / self._weight(tenant_name)
+
+    def _victim(
+        self, call: wire.Call, long_only: bool, newest_first: bool
+    ) -> Waiter | None:
+        """Returns the waiter that a new call displaces, if any."""
+        for priority in self._priorities:
+            if priority > call.priority:
+                return None
+            band = self._bands_by_priority[priority]
+            name = self._displaced_tenant(band, call, long_only, newest_first)
+            if name is not None:
+                tenant = band.tenants_by_name[name]
+                if long_only:
+                    return tenant.long.end(newest=not newest_first)
+                return tenant.pick(long_allowed=True, newest=not newest_first)
+        return None
+
+    def _displaced_tenant(
+        self, band: _Band, call: wire.Call, long_only: bool, newest_first: bool
+    ) -> str | None:
+        """Returns the tenant of a band that loses a waiter to a new call.
+
+        That is the tenant with most waiters for its weight. Among equals it
+        must stay above the share of the new call's tenant. Otherwise a newer
+        call takes the place of an older one of its own tenant.
+        """
+        names = [
+            name
+            for name, tenant in band.tenants_by_name.items()
+            if tenant.long.waiters or not long_only
+        ]
+        if not names:
+            return None
+        largest = max(names, key=lambda name: self._share(band, name, 0))
+        if band is not self._bands_by_priority.get(call.priority):
+            return largest
+        own = self._share(band, call.tenant, 1)
+        if largest != call.tenant and own <= self._share(band, largest, 0):
+            return largest
+        return call.tenant if newest_first and call.tenant in names else None
+
+    def _share(self, band: _Band, name: str, extra: int) -> float:
+        tenant = band.tenants_by_name.get(name)
+        count = 0 if tenant is None else len(tenant)
+        return (count + extra) / self._weight(name)
+
+    def _weight(self, tenant: str) -> float:
+        return max(self.weight_of(tenant), MIN_WEIGHT)
--- /dev/null
+++ b/src/celeryfield/internal/dispatch/service_times.py
@@ -0,0 +1,146 @@
+"""Service times by class: estimates and latency inflation."""
+
+import math
+
+# Weight of a new sample in the typical time, which averages about 20 samples
+# so that deadlines follow a change at once.
+TYPICAL_WEIGHT = 0.05
+# Lowest weight of a new sample in the mean. The level is derived from the mean,
+# and with 20 samples its noise (16% for exponential times) shed important work.
+MEAN_WEIGHT = 0.01
+# An estimate without new samples halves in this time, so that calls refused
+# because of a long past service time are tried again.
+ESTIMATE_HALF_LIFE_MS = 1_000.0
+# Samples per inflation window. The geometric mean of 100 exponentially
+# distributed samples has a relative deviation of 13%, far below the factor
+# of 2 that counts as inflation.
+WINDOW_SAMPLES = 100
+# The best latency is the lowest window of the last one to two periods.
+BEST_PERIOD_MS = 15_000.0
+# Classes come from configuration; classes beyond this share one estimate.
+MAX_CLASSES = 256
+SHARED_CLASS = ""
+MIN_SERVICE_MS = 0.01
+
+
+class ClassTimes:
+    """Estimates of one class.
+
+    Times are averaged as logarithms where outliers must not dominate: one
+    request of a class may run many times longer than the others.
+
+    Attributes:
+        mean_ms: Arithmetic mean, the cost of a call in slot time.
+        log_ms: Mean logarithm, the typical time of a call.
+        sampled_ms: Time of the last sample.
+    """
+
+    __slots__ = (
+        "_best_log",
+        "_period_end_ms",
+        "_previous_best_log",
+        "_sample_count",
+        "_window_count",
+        "_window_sum",
+        "log_ms",
+        "mean_ms",
+        "sampled_ms",
+    )
+
+    def __init__(self, service_ms: float, now_ms: float) -> None:
+        self.mean_ms = service_ms
+        self.log_ms = math.log(service_ms)
+        self.sampled_ms = now_ms
+        self._sample_count = 1
+        self.forget_best(now_ms)
+
+    def forget_best(self, now_ms: float) -> None:
+        """Drops the best latency, which a cold upstream cannot reach."""
+        self._best_log = math.inf
+        self._previous_best_log = math.inf
+        self._period_end_ms = now_ms + BEST_PERIOD_MS
+        self._window_sum = 0.0
+        self._window_count = 0
+
+    def record(self, service_ms: float, now_ms: float) -> None:
+        """Adds one sample."""
+        log_ms = math.log(service_ms)
+        self._sample_count += 1
+        weight = max(MEAN_WEIGHT, 1.0 / self._sample_count)
+        self.mean_ms += weight * (service_ms - self.mean_ms)
+        self.log_ms += TYPICAL_WEIGHT * (log_ms - self.log_ms)
+        self.sampled_ms = now_ms
+        self._window_sum += log_ms
+        self._window_count += 1
+
+    def close_window(self, now_ms: float) -> float | None:
+        """Returns the log of the inflation if a window is complete."""
+        if self._window_count < WINDOW_SAMPLES:
+            return None
+        window_log = self._window_sum / self._window_count
+        self._window_sum = 0.0
+        self._window_count = 0
+        if now_ms >= self._period_end_ms:
+            self._previous_best_log = self._best_log
+            self._best_log = math.inf
+            self._period_end_ms = now_ms + BEST_PERIOD_MS
+        self._best_log = min(self._best_log, window_log)
+        return window_log - min(self._best_log, self._previous_best_log)
+
+
+class ServiceTimes:
+    """Service times of all classes of one upstream."""
+
+    def __init__(self) -> None:
+        self._times_by_class: dict[str, ClassTimes] = {}
+
+    def record(self, call_class: str, service_ms: float, now_ms: float) -> None:
+        """Adds the service time of a completed call."""
+        service_ms = max(service_ms, MIN_SERVICE_MS)
+        times = self._times_by_class.get(call_class)
+        if times is not None:
+            times.record(service_ms, now_ms)
+            return
+        if len(self._times_by_class) >= MAX_CLASSES:
+            call_class = SHARED_CLASS
+        if call_class in self._times_by_class:
+            self._times_by_class[call_class].record(service_ms, now_ms)
+        else:
+            self._times_by_class[call_class] = ClassTimes(service_ms, now_ms)
+
+    def expected_ms(self, call_class: str, now_ms: float) -> float:
+        """Returns the typical service time; 0 if it is unknown."""
+        times = self._find(call_class)
+        if times is None:
+            return 0.0
+        age_ms = now_ms - times.sampled_ms
+        return math.exp(times.log_ms) * 0.5 ** (age_ms / ESTIMATE_HALF_LIFE_MS)
+
+    def mean_ms(self, call_class: str) -> float:
+        """Returns the mean service time; 0 if it is unknown."""
+        times = self._find(call_class)
+        return 0.0 if times is None else times.mean_ms
+
+    def forget_best(self, now_ms: float) -> None:
+        """Drops the best latencies of all classes."""
+        for times in self._times_by_class.values():
+            times.forget_best(now_ms)
+
+    def inflation(self, now_ms: float) -> float | None:
+        """Returns latency relative to the best recent one of the same class.
+
+        Classes with a complete window count equally. Returns None if no
+        class has one.
+        """
+        logs = [
+            inflation_log
+            for times in self._times_by_class.values()
+            if (inflation_log := times.close_window(now_ms)) is not None
+        ]
+        return math.exp(sum(logs) / len(logs)) if logs else None
+
+    def _find(self, call_class: str) -> ClassTimes | None:
+        times = self._times_by_class.get(call_class)
+        if times is None:
+            return self._times_by_class.get(SHARED_CLASS)
+        return times
--- /dev/null
+++ b/tests/cover/test_dispatch_admission.py
@@ -0,0 +1,230 @@
+"""Behaviour of the admission controller in manual time."""
+
+import asyncio
+
+import pytest
+
+from celeryfield.internal.calls import Reason
+from celeryfield.internal.clock import ManualClock
+from celeryfield.internal.dispatch.admission import AdmissionController
+from celeryfield.internal.dispatch.permits import EndKind, RunEnd
+from celeryfield.internal.dispatch.suspects import SuspectEntry, Verdict
+from celeryfield.internal.schema import settings, wire
+
+OK = RunEnd(10.0)
+
+
+def make_controller(slots=1, policy="adaptive", **dispatch):
+    node = settings.NodeSettings(
+        node={"id": "n", "zone": "z", "region": "r"},
+        dispatch={"slow_start_ms": 0, "minimum_limit": 1, **dispatch},
+        routing={"policy": policy},
+    )
+    clock = ManualClock()
+    controller = AdmissionController(node, clock)
+    controller.set_capacity(slots, 500, "ready", "stock")
+    return controller, clock
+
+
+def make_call(fingerprint=b"", deadline_ms=1_000.0, **fields):
+    return wire.Call(
+        deadline_left_ms=deadline_ms, fingerprint=fingerprint, **fields
+    )
+
+
+async def settle():
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+async def start(controller, call):
+    task = asyncio.ensure_future(controller.acquire(call))
+    await settle()
+    return task
+
+
+def reason_of(task):
+    return task.result().error.reason
+
+
+async def test_never_exceeds_slots_or_connections():
+    """Guards against trusting one of the two figures alone."""
+    controller, _ = make_controller()
+    controller.set_capacity(8, 3, "ready")
+    tasks = [await start(controller, make_call()) for _ in range(5)]
+    assert [task.done() for task in tasks] == [True] * 3 + [False] * 2
+    report = controller.load_report()
+    assert (report.in_flight, report.queued, report.limit) == (3, 2, 3)
+    for task in tasks[3:]:
+        task.cancel()
+
+
+async def test_cancelled_waiters_leave_and_granted_ones_free_their_slot():
+    """Guards against slots lost when a caller gives up."""
+    controller, _ = make_controller()
+    running = await start(controller, make_call())
+    waiting = await start(controller, make_call())
+    granted = await start(controller, make_call())
+    waiting.cancel()
+    await settle()
+    controller.release(running.result().ok, OK)
+    granted.cancel()  # The permit is already set, the task not resumed.
+    await settle()
+    assert granted.cancelled()
+    assert controller.load_report().in_flight == 0
+    await asyncio.wait_for(controller.wait_idle(), 1)
+
+
+@pytest.mark.parametrize(
+    ("state", "reason"),
+    [("draining", Reason.DRAINING), ("gone", Reason.NO_UPSTREAM)],
+)
+@pytest.mark.parametrize("policy", ["adaptive", "baseline"])
+async def test_rejects_new_and_waiting_calls_of_a_leaving_upstream(
+    state, reason, policy
+):
+    """Guards against work that is sent to an upstream that leaves."""
+    controller, _ = make_controller(policy=policy)
+    running = await start(controller, make_call())
+    waiting = await start(controller, make_call())
+    controller.set_capacity(1, 1, state)
+    await settle()
+    if policy == "adaptive":
+        assert reason_of(waiting) is reason
+    else:
+        controller.release(waiting.result().ok, OK)
+    assert reason_of(await start(controller, make_call())) is reason
+    idle = asyncio.ensure_future(controller.wait_idle())
+    await settle()
+    assert not idle.done()
+    controller.release(running.result().ok, OK)
+    controller.release(running.result().ok, OK)  # Has no effect.
+    await asyncio.wait_for(idle, 1)
+    assert controller.load_report().in_flight == 0
+
+
+async def test_node_drain_outlasts_announcements():
+    """Guards against a heartbeat that ends the drain of the node."""
+    controller, _ = make_controller()
+    controller.drain()
+    controller.set_capacity(1, 1, "ready")
+    refused = await start(controller, make_call())
+    assert reason_of(refused) is Reason.DRAINING
+
+
+async def test_only_a_new_start_costs_a_slow_start():
+    """Guards against ramps after a cancelled drain or a repeated heartbeat."""
+    controller, clock = make_controller(slots=10, slow_start_ms=5_000)
+    clock.advance(5_000)
+    for state in ("ready", "draining", "ready"):
+        controller.set_capacity(10, 10, state)
+    assert controller.load_report().limit == 10
+    controller.set_capacity(10, 10, "starting")
+    clock.advance(10_000)
+    assert controller.load_report().limit == 1
+    controller.set_capacity(10, 10, "ready")
+    clock.advance(2_500)
+    assert controller.load_report().limit == 5
+
+
+async def test_refuses_calls_that_cannot_finish_in_time():
+    """Guards against work whose caller has given up."""
+    controller, clock = make_controller()
+    for _ in range(5):
+        task = await start(controller, make_call())
+        controller.release(task.result().ok, RunEnd(200.0))
+    late = await start(controller, make_call(deadline_ms=100.0))
+    assert reason_of(late) is Reason.DEADLINE
+    running = await start(controller, make_call())
+    waiting = await start(controller, make_call(deadline_ms=450.0))
+    assert not waiting.done()
+    clock.advance(260.0)
+    await settle()
+    assert reason_of(waiting) is Reason.DEADLINE
+    controller.release(running.result().ok, OK)
+
+
+async def test_tries_again_after_service_times_are_out_of_date():
+    """Guards against refusing a class forever after one slow spell."""
+    controller, clock = make_controller()
+    task = await start(controller, make_call(deadline_ms=1e5))
+    controller.release(task.result().ok, RunEnd(5_000.0))
+    refused = await start(controller, make_call(deadline_ms=500.0))
+    assert reason_of(refused) is Reason.DEADLINE
+    clock.advance(4_000)
+    assert (await start(controller, make_call(deadline_ms=500.0))).done()
+    assert controller.load_report().in_flight == 1
+
+
+async def test_baseline_admits_everything():
+    """Guards against a benchmark baseline that sheds."""
+    controller, _ = make_controller(policy="baseline")
+    call = make_call(deadline_ms=0.0)
+    tasks = [await start(controller, call) for _ in range(500)]
+    assert all(task.result().is_ok() for task in tasks)
+
+
+async def test_long_jobs_leave_slots_to_short_ones():
+    """Guards against long jobs that hold every slot."""
+    controller, _ = make_controller(slots=4)
+    long_jobs = [
+        await start(controller, make_call(long_running=True)) for _ in range(4)
+    ]
+    assert [task.done() for task in long_jobs] == [True, True, False, False]
+    short = [await start(controller, make_call()) for _ in range(2)]
+    assert all(task.done() for task in short)
+    controller.release(short[0].result().ok, OK)
+    await settle()
+    assert not long_jobs[2].done()
+    controller.release(long_jobs[0].result().ok, OK)
+    await settle()
+    assert long_jobs[2].done()
+    long_jobs[3].cancel()
+
+
+async def test_suspects_run_alone_and_are_refused_after_the_second_crash():
+    """Guards against one request that takes down upstream after upstream."""
+    controller, clock = make_controller(slots=4)
+    poison = make_call(b"poison")
+    innocent = make_call(b"innocent")
+    runs = [await start(controller, c) for c in (poison, innocent, poison)]
+    clock.advance(1)
+    for run in runs:
+        controller.release(run.result().ok, RunEnd(1.0, EndKind.CRASHED))
+    other = await start(controller, make_call(b"other"))
+    suspect = await start(controller, poison)
+    copy = await start(controller, poison)
+    beside = await start(controller, make_call(b"beside"))
+    assert not suspect.done()
+    assert not beside.done()
+    controller.release(other.result().ok, OK)
+    await settle()
+    assert suspect.result().ok.alone
+    assert not beside.done()
+    clock.advance(1)
+    controller.release(suspect.result().ok, RunEnd(1.0, EndKind.CRASHED))
+    await settle()
+    assert reason_of(copy) is Reason.SUSPECT
+    assert reason_of(await start(controller, poison)) is Reason.SUSPECT
+    assert beside.result().is_ok()
+    controller.release(beside.result().ok, OK)
+    cleared = await start(controller, innocent)
+    assert cleared.result().ok.alone
+    controller.release(cleared.result().ok, OK)
+    now_ms = clock.now_ms()
+    verdict = controller.suspects.verdict(b"innocent", now_ms)
+    assert verdict is Verdict.CLEAR
+    entries = controller.suspects.entries(now_ms)
+    assert entries == [SuspectEntry(b"poison", 2, 0.0)]
+
+
+async def test_rechecks_suspicion_of_calls_that_wait():
+    """Guards against copies of a poison request that wait at the crash."""
+    controller, clock = make_controller()
+    running = await start(controller, make_call(b"poison"))
+    waiting = await start(controller, make_call(b"poison"))
+    entry = SuspectEntry(b"poison", 2, 0.0)
+    controller.suspects.merge([entry], clock.now_ms())
+    controller.release(running.result().ok, RunEnd(1.0, EndKind.CRASHED))
+    await settle()
+    assert reason_of(waiting) is Reason.SUSPECT
