Test configuration and leases under faults and races

Cause: versions that fall, lost accepted sets, two winners of a race and two holders of a lease appear only in combinations of faults. Conclusion: the lease and write rules have checks that can fail.

--- a/src/celeryfield/internal/store/seeds.py
+++ b/src/celeryfield/internal/store/seeds.py
@@ -1,5 +1,6 @@
 """Seed leases: the nodes of each zone through which others join."""
 
+import asyncio
 import dataclasses
 import logging
 import random
@@ -95,6 +96,7 @@
         self._seeds: tuple[SeedAddress, ...] = ()
         self._renewals = 0
         self._must_confirm = False
+        self._step_lock = asyncio.Lock()
         self._holder = wire.LeaseRecord(
             holder_id=identity.id,
             incarnation=incarnation,
@@ -119,8 +121,10 @@
 
     async def on_stop(self) -> None:
         """Frees the lease of a node that leaves."""
-        for lease in self._leases_by_key.values():
-            await lease.release()
+        # A renewal under way would change the version that the release needs.
+        async with self._step_lock:
+            for lease in self._leases_by_key.values():
+                await lease.release()
 
     @mode.Service.task
     async def _keep(self) -> None:
@@ -129,7 +133,9 @@
         first_ms = self._settings.lease_ms / (RENEWALS_PER_LEASE * 3)
         await self._clock.sleep_ms(self._random.uniform(0, first_ms))
         while not self.should_stop:
-            await self._clock.sleep_ms(await self.run_once())
+            async with self._step_lock:
+                delay_ms = await self.run_once()
+            await self._clock.sleep_ms(delay_ms)
 
     async def run_once(self) -> float:
         """Makes one step and returns the delay before the next one. Unit: ms.
--- a/tests/cover/test_store_client.py
+++ b/tests/cover/test_store_client.py
@@ -1,6 +1,7 @@
 import asyncio
 
 import pytest
+from expression import Error
 from store_helpers import (
     HastyClock,
     files,
@@ -186,6 +187,21 @@
         assert platform.revision == 1
 
 
+async def test_a_refused_repetition_says_nothing_about_the_first_write():
+    # Guards against reporting "nothing written" while the first write may
+    # still take effect.
+    async with store_and_client() as (_, client):
+        answers = [StoreOutcomeUnknownError("lost")]
+        answers += [StoreUnavailableError("refused")] * 5
+
+        async def put(*arguments):
+            return Error(answers.pop(0))
+
+        client.put = put
+        result = await client.put_recognised(KEY, record("w"), 0, READ_WRITES)
+        assert isinstance(result.error, StoreOutcomeUnknownError)
+
+
 async def test_apply_reports_conflict_with_the_current_set_and_a_diff():
     async with store_and_client() as (_, client):
         applier = FileSetApplier(client, HastyClock())
--- /dev/null
+++ b/tests/cover/test_store_leases.py
@@ -0,0 +1,245 @@
+import asyncio
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from store_helpers import files, make_client, store_and_client, wait_until
+
+from celeryfield.internal.clock import Clock, ManualClock
+from celeryfield.internal.config.manager import ConfigManager
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.settings import (
+    IdentitySettings,
+    MembershipSettings,
+)
+from celeryfield.internal.store.applier import FileSetApplier
+from celeryfield.internal.store.leases import Lease, LeaseObserver
+from celeryfield.internal.store.seeds import (
+    ZONE_CHECK_INTERVAL_MS,
+    SeedLeases,
+)
+from celeryfield.internal.store.watcher import ConfigWatcher
+from celeryfield.standins.platform import PlatformStore
+
+LEASE_MS = 9000.0
+KEY = "seeds/z/0"
+
+
+def make_lease(client, node_id, clock):
+    return Lease(client, KEY, wire.LeaseRecord(node_id, 1), LEASE_MS, clock)
+
+
+async def test_a_holder_paused_past_its_lease_knows_before_it_acts():
+    async with store_and_client() as (platform, client):
+        clock = ManualClock()
+        first = make_lease(client, "first", clock)
+        second = make_lease(client, "second", clock)
+        observer = LeaseObserver(LEASE_MS, clock)
+        assert await first.take(None)
+        found = (await client.get(KEY)).ok
+        assert not observer.is_expired(found, clock.now_ms())
+        clock.advance(LEASE_MS)  # The first holder is paused all the time.
+        found = (await client.get(KEY)).ok
+        assert observer.is_expired(found, clock.now_ms())
+        assert await second.take(found)
+        puts = platform.calls_by_kind["put"]
+        # The first holder wakes up: it learns the loss without the store, and
+        # neither renews nor frees the lease of its successor.
+        assert not first.is_held()
+        assert not await first.renew()
+        await first.release()
+        assert platform.calls_by_kind["put"] == puts
+        assert second.is_held()
+        assert second.epoch == first.epoch + 1
+
+
+async def test_a_paused_watcher_does_not_judge_by_an_old_read():
+    # Guards against a watcher that takes its own pause for the holder's.
+    async with store_and_client() as (_, client):
+        clock = ManualClock()
+        holder = make_lease(client, "holder", clock)
+        observer = LeaseObserver(LEASE_MS, clock)
+        assert await holder.take(None)
+        found = (await client.get(KEY)).ok
+        observer.is_expired(found, clock.now_ms())
+        for _ in range(4):
+            clock.advance(LEASE_MS / 3)
+            assert await holder.renew()
+        read_start_ms = clock.now_ms()
+        renewed = (await client.get(KEY)).ok
+        assert not observer.is_expired(renewed, read_start_ms)
+        # A read that began before the lease time was over proves nothing.
+        clock.advance(LEASE_MS * 2)
+        assert not observer.is_expired(renewed, read_start_ms)
+
+
+async def test_a_renewal_answered_after_a_pause_does_not_extend_the_lease():
+    async with store_and_client() as (_, client):
+        clock = ManualClock()
+        holder = make_lease(client, "holder", clock)
+        put = client.put
+
+        async def put_and_pause(*arguments):
+            result = await put(*arguments)
+            clock.advance(LEASE_MS)
+            return result
+
+        client.put = put_and_pause
+        assert not await holder.take(None)
+        assert not holder.is_held()
+
+
+def make_seeds(client, name, clock, zone="z", zone_size=1, **membership):
+    identity = IdentitySettings(id=name, zone=zone, region="r")
+    values = {"lease_ms": LEASE_MS, "seeds_per_zone": 1} | membership
+    return SeedLeases(
+        client,
+        identity,
+        7301,
+        1,
+        MembershipSettings(**values),
+        clock,
+        random.Random(name),
+        lambda: zone_size,
+    )
+
+
+STEPS = st.one_of(
+    st.sampled_from(["a", "b", "c", "down", "up", "lose"]),
+    st.floats(min_value=100, max_value=LEASE_MS * 2),
+)
+# Monotonic clocks of VMs differ by far less.
+RATES_BY_NAME = {"a": 0.96, "b": 1.0, "c": 1.04}
+
+
+@settings(max_examples=60)
+@given(st.lists(STEPS, min_size=10, max_size=60))
+def test_one_slot_never_has_two_holders(steps):
+    # Guards against two holders under pauses, lost answers, outages and
+    # clocks that run at different rates; a node is paused while it is not
+    # drawn.
+    asyncio.run(check_one_holder(steps))
+
+
+async def check_one_holder(steps):
+    async with store_and_client() as (platform, client):
+        clocks_by_name = {name: ManualClock() for name in RATES_BY_NAME}
+        nodes_by_name = {
+            name: make_seeds(client, name, clock)
+            for name, clock in clocks_by_name.items()
+        }
+
+        def advance(duration_ms):
+            for name, clock in clocks_by_name.items():
+                clock.advance(duration_ms * RATES_BY_NAME[name])
+
+        def holders():
+            return [
+                n for n, node in nodes_by_name.items() if node.holds_lease()
+            ]
+
+        for step in steps:
+            if isinstance(step, float):
+                advance(step)
+            elif step in nodes_by_name:
+                await nodes_by_name[step].run_once()
+            elif step == "lose":
+                platform.lose_answers(1)
+            else:
+                platform.set_down(step == "down")
+            assert len(holders()) <= 1, holders()
+        platform.set_down(False)
+        platform.lose_answers(0)
+        for _ in range(15):
+            advance(LEASE_MS / 4)
+            for node in nodes_by_name.values():
+                await node.run_once()
+        assert len(holders()) == 1
+
+
+async def test_holders_list_each_other_and_freed_slots_are_taken():
+    # Guards against two first nodes that never hear of each other.
+    async with store_and_client() as (platform, client):
+        clock = ManualClock()
+        first = make_seeds(client, "first", clock, zone="y")
+        second = make_seeds(client, "second", clock, zone="z")
+        for node in (first, second):
+            await node.run_once()
+        assert first.seed_addresses() == ()
+        clock.advance(LEASE_MS / 3)
+        for node in (first, second):
+            await node.run_once()
+        assert [seed.node_id for seed in first.seed_addresses()] == ["second"]
+        assert [seed.zone for seed in second.seed_addresses()] == ["y"]
+        platform.set_down(True)
+        await first.run_once()
+        assert first.seed_addresses()
+        platform.set_down(False)
+        third = make_seeds(client, "third", clock, zone="z")
+        await third.run_once()
+        assert not third.holds_lease()
+        await second.on_stop()
+        await third.run_once()
+        assert third.holds_lease()
+
+
+@pytest.mark.parametrize("zone_size", [10, 200])
+async def test_store_calls_of_a_zone_do_not_grow_with_its_nodes(zone_size):
+    # Guards against a fleet whose reads of the lease slots outgrow the store.
+    async with store_and_client() as (platform, client):
+        clock = ManualClock()
+        holder = make_seeds(client, "holder", clock)
+        await holder.run_once()
+        node = make_seeds(client, "node", clock, zone_size=zone_size)
+        waited_ms = 0.0
+        before = platform.calls_by_kind["list"]
+        for _ in range(20):
+            waited_ms += await node.run_once()
+        reads = platform.calls_by_kind["list"] - before
+        zone_reads_per_interval = (
+            reads * zone_size * ZONE_CHECK_INTERVAL_MS / waited_ms
+        )
+        assert zone_reads_per_interval <= 2.0  # One look and its repetition.
+
+
+async def test_nodes_take_leases_and_bring_changes_into_force():
+    # Runs the services themselves, with an outage and dropped watches.
+    platform = PlatformStore(seed=3)
+    await platform.start()
+    clients = [
+        make_client(platform, Clock(), calls_per_second=1000) for _ in range(3)
+    ]
+    managers = [ConfigManager() for _ in clients]
+    services = []
+    for index, client in enumerate(clients):
+        seeds = make_seeds(client, f"n{index}", Clock(), lease_ms=600.0)
+        watcher = ConfigWatcher(
+            client, managers[index], seeds.holds_lease, Clock()
+        )
+        services += [seeds, watcher]
+        await seeds.start()
+        await watcher.start()
+    seeds_services = services[::2]
+    await wait_until(lambda: sum(s.holds_lease() for s in seeds_services) == 1)
+    applier = FileSetApplier(clients[0], Clock())
+    first = (await applier.apply(files("pipes"), 0, "ann")).ok.version
+
+    def in_force(version):
+        return any(
+            manager.versions_by_team.get("pipes") == version
+            for manager in managers
+        )
+
+    await wait_until(lambda: in_force(first))
+    platform.set_down(True)
+    await wait_until(lambda: not any(s.holds_lease() for s in seeds_services))
+    platform.set_down(False)
+    await wait_until(lambda: any(s.holds_lease() for s in seeds_services))
+    changed = await applier.apply(files("pipes", "two"), first, "ann")
+    await wait_until(lambda: in_force(changed.ok.version))
+    for service in services:
+        await service.stop()
+    for client in clients:
+        await client.close()
+    await platform.stop()
