--- a/src/celeryfield/internal/routing/attempts.py
+++ b/src/celeryfield/internal/routing/attempts.py
@@ -183,9 +183,9 @@
             self._levels.learn(
                 candidate.node_id, call.service, call.class_name, end.load
             )
-        is_measured = end.cancelled or end.outcome is Outcome.OK
+        is_measured = end.is_given_up or end.outcome is Outcome.OK
         if is_measured and self._hedging.permits(call):
-            self._hedging.record(call, latency_ms)
+            self._hedging.record(call, latency_ms, end.is_given_up)
 
 
 def expire(scope: asyncio.Timeout) -> None:
--- a/src/celeryfield/internal/routing/hedging.py
+++ b/src/celeryfield/internal/routing/hedging.py
@@ -1,5 +1,7 @@
 """When a second attempt is sent because the first one is slow."""
 
+import math
+
 from celeryfield.internal.routing.levels import LevelTable
 from celeryfield.internal.routing.retries import ClassRule, RatioBucket
 from celeryfield.internal.schema import wire
@@ -79,11 +81,14 @@
             return False
         return self._budgets_by_key[call.service, call.class_name].try_take()
 
-    def record(self, call: wire.Call, latency_ms: float) -> None:
-        """Learns from a first attempt.
+    def record(
+        self, call: wire.Call, latency_ms: float, is_lower_bound: bool
+    ) -> None:
+        """Learns from an attempt.
 
-        The time of a cancelled attempt counts as well: it is above the
-        quantile, and without it the quantile would sink with every hedge.
+        The time of an attempt that was given up counts only above the
+        quantile. Without it the quantile would sink with every hedge, and
+        shorter ones come from hedges that lost and callers that left.
         """
         key = (call.service, call.class_name)
         window = self._windows_by_key.get(key)
@@ -91,4 +96,6 @@
             window = LatencyWindow()
             self._windows_by_key[key] = window
             self._budgets_by_key[key] = RatioBucket()
+        if is_lower_bound and latency_ms < (window.p95_ms or math.inf):
+            return
         window.add(latency_ms)
