--- a/tests/cover/routing_fakes.py
+++ b/tests/cover/routing_fakes.py
@@ -1,6 +1,7 @@
 """Settings, candidates and clocks for the tests of routing."""
 
 import asyncio
+import random
 
 from celeryfield.internal.calls import Candidate
 from celeryfield.internal.clock import Clock
@@ -54,7 +55,7 @@
     clock = clock or StepClock()
     settings = settings or settings_with()
     rule = rule or ClassSection(retry_ratio=1)
-    balancer = Balancer(settings, clock)
+    balancer = Balancer(settings, clock, random.Random(1))
     for service in services:
         balancer.set_candidates(service, candidates_of(service, 3))
     levels = LevelTable(settings, clock)
--- a/tests/cover/test_routing_balancing.py
+++ b/tests/cover/test_routing_balancing.py
@@ -70,7 +70,7 @@
     report(balancer, candidates[1], in_flight=1)
     assert picked_ids(balancer) == {"s-1": 300}
     clock.advance(1_001)
-    assert min(picked_ids(balancer).values()) > 100
+    assert picked_ids(balancer)["s-0"] > 100
 
 
 def test_stays_in_the_own_zone_until_it_is_loaded():
@@ -103,9 +103,12 @@
         "s-0", 2, "127.0.0.1", 7301, "z1", "s"
     )
     balancer.set_candidates("s", [restarted, *candidates[1:]])
-    balancer.record_end(candidates[0], AttemptEnd(Outcome.OK))
     clock.advance(5_000)
     assert picked_ids(balancer)["s-0"] > 50
+    for _ in range(3):
+        balancer.record_start(restarted)
+        balancer.record_end(candidates[0], AttemptEnd(Outcome.OK))
+    assert picked_ids(balancer)["s-0"] == 0
 
 
 def test_skips_draining_and_starting_candidates_while_others_are_ready():
@@ -139,7 +142,8 @@
     assert set(picked_ids(balancer)) == {"s-1", "s-2"}
     clock.advance(2_000)
     assert "s-0" in picked_ids(balancer)
-    balancer.record_start(candidates[0])
+    for candidate in candidates:
+        balancer.record_start(candidate)
     assert "s-0" not in picked_ids(balancer)
     slow = AttemptEnd(Outcome.OK, latency_ms=60)
     balancer.record_end(candidates[0], slow)
@@ -192,20 +196,26 @@
     assert ejected_count(balancer) <= int(left * 0.34)
     clock.advance(MAX_EJECT_FACTOR * 2_000)
     # All are usable again, at least for a trial.
+    for _ in range(6):
+        fail(balancer, candidates[0], Outcome.NOT_RUN, Reason.UNREACHABLE)
+        clock.advance(MAX_EJECT_FACTOR * 2_000)
+        assert last_ejection_ms(balancer) <= clock.now_ms()
     chosen = set()
     while len(chosen) < left:
         chosen.add(balancer.pick("s", frozenset(chosen)).ok.node_id)
     assert len(chosen) == left
-    health_ends = [
-        state.health.ejected_until_ms or 0 for state in states_of(balancer)
-    ]
-    assert max(health_ends) <= clock.now_ms()
 
 
 def states_of(balancer):
     return balancer._services_by_name["s"].states_by_id.values()
 
 
+def last_ejection_ms(balancer):
+    return max(
+        state.health.ejected_until_ms or 0 for state in states_of(balancer)
+    )
+
+
 def ejected_count(balancer):
     return sum(
         state.health.ejected_until_ms is not None
--- a/tests/cover/test_routing_executor.py
+++ b/tests/cover/test_routing_executor.py
@@ -42,6 +42,31 @@
         )
 
 
+async def test_first_attempt_that_wins_cancels_its_hedge():
+    """Guards against hedges that run on after their call was answered."""
+    ended = []
+
+    async def send(_candidate, call, _body):
+        turns = 20 if call.path == "slow" else 0
+        try:
+            for _ in range(turns * (1 + 10 * call.attempt)):
+                await asyncio.sleep(0)
+        except asyncio.CancelledError:
+            ended.append(call.call_id)
+            raise
+        return OK
+
+    executor, _, _ = executor_for(send, rule=ClassSection(hedge=True))
+    for _ in range(100):
+        await executor.execute(call_to(retry_allowance=2), b"")
+    result = await executor.execute(
+        call_to(path="slow", retry_allowance=2), b""
+    )
+    await asyncio.sleep(0)
+    assert result.outcome is Outcome.OK
+    assert ended == ["c.1"]
+
+
 def load_with(*levels):
     entries = tuple(wire.ServiceLevel(*level) for level in levels)
     return wire.LoadReport("ready", 1, 0, 16, entries)
@@ -132,7 +157,11 @@
     clock = ManualClock()
     cancelled = []
 
-    async def send(candidate, _call, _body):
+    async def send(candidate, call, _body):
+        if call.attempt == 0:
+            await clock.sleep_ms(20)
+            return not_run(Reason.DRAINING, unused=call.retry_allowance)
+        assert call.deadline_left_ms == (30 if call.call_id == "c.1" else 60)
         try:
             await asyncio.get_running_loop().create_future()
         finally:
@@ -142,7 +171,9 @@
     task = asyncio.ensure_future(
         executor.execute(call_to(deadline_left_ms=50, retry_allowance=3), b"")
     )
-    for step_ms in (0, 49, 1):
+    later_call = call_to(call_id="later", deadline_left_ms=80)
+    later = asyncio.ensure_future(executor.execute(later_call, b""))
+    for step_ms in (0, 20, 29, 1):
         assert not task.done()
         clock.advance(step_ms)
         for _ in range(8):
@@ -151,6 +182,9 @@
     assert (result.outcome, result.reason) == (Outcome.UNKNOWN, Reason.DEADLINE)
     assert result.unused_allowance == 1
     assert len(cancelled) == 1
+    assert not later.done()
+    clock.advance(30)
+    assert (await later).reason is Reason.DEADLINE
 
 
 async def test_hedges_slow_calls_within_the_budget_and_cancels_the_loser():
@@ -203,7 +237,7 @@
     levels.learn("s-1", "s", "k", load_with(("s", rank)))
     for _ in range(10):
         await executor.execute(call_to(), b"")
-    assert "s-0" not in script.node_ids
+    assert set(script.node_ids) == {"s-1", "s-2"}
     levels.learn("s-1", "s", "k", load_with(("s", rank + 128)))
     sent = len(script.node_ids)
     result = await executor.execute(call_to(retry_allowance=3), b"")
@@ -260,5 +294,6 @@
     assert len(chains) == 1
     assert chains.close(span_id) == 0
     # The call ended, so what the sub-call left over is lost.
-    chains.end_sub_call(chain, sub_call, OK)
+    answer = CallResult(Outcome.OK, unused_allowance=2)
+    chains.end_sub_call(chain, sub_call, answer)
     assert chain.draw() == 1
