Hand the run-once ledger of a leaving node to another one

Change: after draining, a node exports its closed ledger to one successor and names it in its last member record; key owners are found through handovers. Suspect requests spread by gossip. Askers repeat while a handover spreads.

--- a/src/celeryfield/cli/main.py
+++ b/src/celeryfield/cli/main.py
@@ -9,7 +9,11 @@
 from celeryfield.cli.node import node
 from celeryfield.standins.demo import run_demo
 
-app = typer.Typer(no_args_is_help=True, add_completion=False)
+app = typer.Typer(
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
 
 
 @app.callback()
--- a/src/celeryfield/internal/admin/server.py
+++ b/src/celeryfield/internal/admin/server.py
@@ -43,7 +43,6 @@
         ssl_context: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__()
-        auth.check_exposure(settings)
         self.port = 0
         self._settings = settings
         self._registry = registry
--- a/src/celeryfield/internal/gateway.py
+++ b/src/celeryfield/internal/gateway.py
@@ -10,6 +10,7 @@
     Reason,
     not_run,
 )
+from celeryfield.internal.clock import Clock
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
 from celeryfield.internal.idempotency.keys import KeyOwner
 from celeryfield.internal.idempotency.ledger import KeyLedger
@@ -21,8 +22,13 @@
 
 KEY_REQUIRED_STATUS = 428
 KEY_UNKNOWN_STATUS = 410
-# A re-send to the key's owner joins the run, so asking again is safe.
-KEY_OWNER_ATTEMPTS = 2
+# Asking again is safe, since the owner joins the running call. The time that
+# the attempts take together lets gossip tell of a handover.
+KEY_OWNER_ATTEMPTS = 5
+KEY_OWNER_RETRY_MS = 200.0
+_ASK_AGAIN = frozenset(
+    (Reason.CONNECTION_LOST, Reason.UNREACHABLE, Reason.DRAINING)
+)
 
 FindOwner = Callable[[KeyOwner], Candidate | None]
 
@@ -31,6 +37,7 @@
     """Runs calls that enter at this node or arrive from other nodes.
 
     Args:
+        clock: Time source.
         node_id: Id of this node.
         ledger: Runs of the keys that this node owns.
         dispatcher: Runs calls on the local upstream.
@@ -41,12 +48,14 @@
 
     def __init__(
         self,
+        clock: Clock,
         node_id: str,
         ledger: KeyLedger,
         dispatcher: Dispatcher,
         pool: PeerPool,
         find_owner: FindOwner,
     ) -> None:
+        self._clock = clock
         self._node_id = node_id
         self._ledger = ledger
         self._dispatcher = dispatcher
@@ -103,19 +112,25 @@
         self, owner: KeyOwner, call: wire.Call, body: bytes
     ) -> CallResult:
         """Forwards a call to the incarnation that issued its key."""
-        request = dataclasses.replace(call, to_key_owner=True)
-        result = _key_unknown()
-        for _ in range(KEY_OWNER_ATTEMPTS):
+        deadline_ms = self._clock.now_ms() + call.deadline_left_ms
+        for attempt in range(KEY_OWNER_ATTEMPTS):
+            if attempt:
+                await self._clock.sleep_ms(KEY_OWNER_RETRY_MS)
             candidate = self._find_owner(owner)
+            left_ms = deadline_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                break
             if candidate is None:
-                return result
+                continue
+            request = dataclasses.replace(
+                call, to_key_owner=True, deadline_left_ms=left_ms
+            )
             result = await self._pool.send(candidate, request, body)
-            if result.reason is Reason.UNREACHABLE:
-                # An earlier request with this key may have run there.
-                result = _key_unknown()
-            elif result.reason is not Reason.CONNECTION_LOST:
+            if result.reason not in _ASK_AGAIN:
                 return result
-        return result
+        # Not even "unreachable" means "not run" here: an earlier request with
+        # this key may have run at the owner.
+        return _key_unknown()
 
     def _with_fresh_key(self) -> CallResult:
         result = not_run(Reason.KEY_REQUIRED, KEY_REQUIRED_STATUS)
--- a/src/celeryfield/internal/node.py
+++ b/src/celeryfield/internal/node.py
@@ -7,6 +7,7 @@
 from mode import Service
 
 from celeryfield.internal import tls
+from celeryfield.internal.admin import auth
 from celeryfield.internal.admin.server import AdminServer
 from celeryfield.internal.admin.status import node_status
 from celeryfield.internal.clock import Clock
@@ -15,6 +16,7 @@
 from celeryfield.internal.directory import Directory
 from celeryfield.internal.dispatch.admission import AdmissionController
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
+from celeryfield.internal.dispatch.suspects import SuspectEntry
 from celeryfield.internal.frontend.ingress import Ingress
 from celeryfield.internal.frontend.server import Frontend
 from celeryfield.internal.gateway import Gateway
@@ -33,6 +35,7 @@
 from celeryfield.internal.store.client import StoreClient
 from celeryfield.internal.store.seeds import SeedLeases
 from celeryfield.internal.store.watcher import ConfigWatcher
+from celeryfield.internal.succession import Succession
 from celeryfield.internal.transport import frames
 from celeryfield.internal.transport.errors import UnreachableError
 from celeryfield.internal.transport.frames import Frame, Kind
@@ -72,12 +75,11 @@
         self._random = random.Random()
         self._tls = tls.load_contexts(settings.tls)
         self._hello = wire.Hello(frames.PROTOCOL_VERSION, settings.node.id)
-        self._start_ms = clock.wall_ms()
+        self.is_leaving = False
         self._build_calls()
-        self._build_listeners()
 
     def _build_calls(self) -> None:
-        """Builds what every call passes through."""
+        """Builds what calls pass through and what does not know the fleet."""
         settings, clock = self.settings, self.clock
         self.levels = LevelTable(settings, clock)
         self.chains = ChainTable(clock, self.levels)
@@ -86,21 +88,38 @@
         self.admission.set_tenant_weights(self.config.tenant_weight)
         self.upstream = UpstreamClient(settings, clock)
         self.registry = UpstreamRegistry(settings, clock, self._on_announcement)
-        self.ledger = KeyLedger(
-            settings, clock, settings.node.id, self._start_ms
-        )
         self.pool = PeerPool(
             settings, clock, self._hello, self._tls.peer_client
         )
         self.dispatcher = Dispatcher(
             clock, self.admission, self.chains, self.upstream
         )
+        self.distributor = ConfigDistributor(self.config, self._fetch_config)
+        self.peer_server = PeerServer(
+            settings,
+            clock,
+            self._hello,
+            lambda call, body, state: self.gateway.serve(call, body, state),
+            {
+                Kind.FETCH_CONFIG: self.distributor.serve,
+                Kind.HANDOVER: lambda frame: self.succession.adopt(frame),
+            },
+            self._tls.peer_server,
+        )
+
+    def _build_gateway(self) -> None:
+        """Builds what needs the incarnation that the membership chose."""
+        settings, clock = self.settings, self.clock
+        incarnation = self.membership.incarnation
+        self._hello.incarnation = incarnation
+        self.ledger = KeyLedger(settings, clock, settings.node.id, incarnation)
         self.gateway = Gateway(
+            clock,
             settings.node.id,
             self.ledger,
             self.dispatcher,
             self.pool,
-            lambda owner: self.directory.find_owner(owner),
+            self.directory.find_owner,
         )
         self.executor = CallExecutor(
             settings,
@@ -111,20 +130,15 @@
             self.levels,
         )
         self.gateway.set_executor(self.executor)
-
-    def _build_listeners(self) -> None:
-        settings, clock = self.settings, self.clock
-        self.distributor = ConfigDistributor(self.config, self._fetch_config)
-        self.peer_server = PeerServer(
-            settings,
-            clock,
-            self._hello,
-            self.gateway.serve,
-            {Kind.FETCH_CONFIG: self.distributor.serve},
-            self._tls.peer_server,
+        self.succession = Succession(
+            self.ledger,
+            self.membership,
+            self.directory,
+            self.pool,
+            self._random,
         )
         ingress = Ingress(
-            settings, self._start_ms, self.config, self.chains, self.gateway
+            settings, incarnation, self.config, self.chains, self.gateway
         )
         self.frontend = Frontend(
             settings, clock, self.metrics, ingress, self._tls.http
@@ -145,11 +159,11 @@
 
     async def on_start(self) -> None:
         """Opens the listeners and joins the other nodes."""
-        self.is_leaving = False
+        auth.check_exposure(self.settings)
         port = await self.peer_server.start()
         self._build_membership(port)
         await self.add_runtime_dependency(self.membership)
-        self._hello.incarnation = self.membership.incarnation
+        self._build_gateway()
         await self._start_store(port)
         await self.add_runtime_dependency(self.frontend)
         await self.add_runtime_dependency(self.admin)
@@ -170,6 +184,7 @@
         )
         self.directory = Directory(self.membership.members_by_id, self.balancer)
         self.membership.subscribe(self._on_members)
+        self.membership.subscribe_suspects(self._learn_suspect)
         self.membership.subscribe_versions(
             lambda member, versions: self.distributor.learn_versions(
                 member.id, versions
@@ -191,7 +206,7 @@
             self.store,
             self.settings.node,
             port,
-            self._start_ms,
+            self.membership.incarnation,
             self.settings.membership,
             self.clock,
             self._random,
@@ -222,7 +237,13 @@
         while self.frontend.in_flight or self.peer_server.running_count:
             await self.clock.sleep_ms(IDLE_CHECK_MS)
         await self.admission.wait_idle()
-        await self.membership.leave()
+        successor = await self.succession.hand_over()
+        if successor is None:
+            await self.membership.leave()
+        else:
+            await self.membership.leave(
+                successor.node_id, successor.incarnation
+            )
         logger.info("node has left")
 
     def _on_announcement(self, announcement: Announcement | None) -> None:
@@ -291,3 +312,21 @@
         while not self.should_stop:
             await self.clock.sleep_ms(EXPIRY_CHECK_MS)
             self.registry.expire()
+            self._spread_suspects()
+
+    def _spread_suspects(self) -> None:
+        """Tells other nodes which requests crash upstreams."""
+        now_ms = self.clock.now_ms()
+        ttl_ms = self.settings.dispatch.suspect_ttl_ms
+        for entry in self.admission.suspects.entries(now_ms):
+            left_ms = int(max(ttl_ms - entry.age_ms, 0))
+            self.membership.refuse_suspect(
+                gossip.SuspectEntry(entry.fingerprint, left_ms, entry.crashes)
+            )
+
+    def _learn_suspect(self, entry: gossip.SuspectEntry) -> None:
+        ttl_ms = self.settings.dispatch.suspect_ttl_ms
+        known = SuspectEntry(
+            entry.fingerprint, entry.count, max(ttl_ms - entry.left_ms, 0)
+        )
+        self.admission.suspects.merge([known], self.clock.now_ms())
