Add both deployments as examples and spread the looks at lease slots

Cause: nodes of a zone that started together looked at the lease slots in step, so a lost holder could stay unnoticed for minutes. Change: the delay between looks varies from 0 to twice its mean. Examples of both deployments with their sizes; services with run-once work have no default class, so an unknown write is refused instead of repeated.

--- a/src/celeryfield/internal/store/seeds.py
+++ b/src/celeryfield/internal/store/seeds.py
@@ -223,12 +223,16 @@
         ]
 
     def _check_delay_ms(self) -> float:
-        """Returns the jittered delay until this node looks again."""
-        delay_ms = self._settings.lease_ms
-        if not self._must_confirm:
-            zone_ms = ZONE_CHECK_INTERVAL_MS * self._zone_size()
-            delay_ms = max(delay_ms, zone_ms)
-        return delay_ms * self._random.uniform(1.0, 1.5)
+        """Returns the jittered delay until this node looks again.
+
+        The wide range spreads the nodes of a zone that started together;
+        with a narrow one no node would look for minutes, and then all would.
+        """
+        lease_ms = self._settings.lease_ms
+        if self._must_confirm:
+            return lease_ms * self._random.uniform(1.0, 1.2)
+        zone_ms = ZONE_CHECK_INTERVAL_MS * self._zone_size()
+        return max(lease_ms, zone_ms * self._random.uniform(0.0, 2.0))
 
     def _read_seeds(
         self, objects: Iterable[StoreObject]
--- a/tests/cover/test_config_fileset.py
+++ b/tests/cover/test_config_fileset.py
@@ -1,7 +1,9 @@
 import itertools
+import pathlib
 
 import pytest
 
+import celeryfield
 from celeryfield.internal.config import fileset
 from celeryfield.internal.config.diff import diff_sets, format_diff
 from celeryfield.internal.config.manager import ConfigManager
@@ -178,3 +180,70 @@
         "+ [tenant web]",
         "+ [tenant web] weight: none -> 2",
     ]
+
+
+EXAMPLES = pathlib.Path(celeryfield.__file__).parent / "examples"
+HAJLITOCSO_SIZES = dict.fromkeys(["stock", "order", "scheduling"], (70, 500))
+SOHAR_SIZES = dict.fromkeys(["berth", "bell", "tide"], (35, 300))
+
+
+@pytest.mark.parametrize(
+    ("team", "servers", "sizes", "most_important", "long_running"),
+    [
+        (
+            "hajlitocso",
+            3,
+            HAJLITOCSO_SIZES | {"drawing": (15, 180)},
+            {"order-placement": True, "line-booking": True},
+            "complex-drawing",
+        ),
+        (
+            "sohar",
+            4,
+            SOHAR_SIZES | {"timetable": (10, 150)},
+            {"bell-command": True, "bell-state-read": False},
+            "full-timetable",
+        ),
+    ],
+)
+def test_examples_have_the_sizes_and_priorities_of_the_deployments(
+    team, servers, sizes, most_important, long_running
+):
+    example = fileset.load_directory(EXAMPLES / team).ok
+    services = example.sections.services_by_name
+    classes = example.sections.classes_by_name
+    for name, size in sizes.items():
+        section = services[name]
+        assert (section.slots, section.connections) == size
+        assert section.servers == servers
+        assert section.connect_ms == 1
+    top = max(section.priority for section in classes.values())
+    lowest = min(section.priority for section in classes.values())
+    for name, run_once in most_important.items():
+        assert classes[name].priority == top
+        assert classes[name].run_once == run_once
+    assert {n for n, c in classes.items() if c.run_once} <= set(most_important)
+    assert [n for n, c in classes.items() if c.long_running] == [long_running]
+    assert classes[long_running].priority == lowest
+
+
+@pytest.mark.parametrize(
+    ("team", "request_line", "class_name"),
+    [
+        ("hajlitocso", "order POST /orders", "order-placement"),
+        ("hajlitocso", "order GET /orders/7", "order-status"),
+        ("hajlitocso", "order PUT /orders/7", None),
+        ("hajlitocso", "scheduling POST /slots/7", "line-booking"),
+        ("hajlitocso", "drawing POST /complex/elbow", "complex-drawing"),
+        ("hajlitocso", "drawing POST /elbow", "simple-drawing"),
+        ("sohar", "bell POST /bells/3", "bell-command"),
+        ("sohar", "bell GET /bells/3", "bell-state-read"),
+        ("sohar", "bell DELETE /bells/3", None),
+        ("sohar", "timetable GET /full/", "full-timetable"),
+        ("sohar", "timetable GET /departures/3", "timetable-lookup"),
+    ],
+)
+def test_examples_classify_requests(team, request_line, class_name):
+    example = fileset.load_directory(EXAMPLES / team).ok
+    rule = example.rule_for(*request_line.split())
+    assert (rule and rule.class_name) == class_name
