Lower the limit at once on shed answers

Cause: with one decrease per interval, each shed answer freed a slot for the next waiter, which the upstream shed in turn.

Change: a shed answer lowers the limit to the calls the upstream accepted, and the limit is held for ten intervals before it rises again.

Conclusion: important calls survive an upstream that announces too many slots.

--- a/src/celeryfield/internal/dispatch/admission.py
+++ b/src/celeryfield/internal/dispatch/admission.py
@@ -129,8 +129,8 @@
         permit.released = True
         now_ms = self._clock.now_ms()
         self._record_suspicion(permit, end, now_ms)
-        self._control.record_end(permit.call.class_name, end, now_ms)
         self._slots.remove(permit)
+        self._control.record_end(permit.call.class_name, end, now_ms)
         if permit.alone:
             self._solo.end(now_ms)
         self._advance(now_ms)
--- a/src/celeryfield/internal/dispatch/control.py
+++ b/src/celeryfield/internal/dispatch/control.py
@@ -73,7 +73,8 @@
         it lasted longer than expected. Without it, the estimate of a class
         whose calls all time out would never rise.
         """
-        self.limit.note_end(shed=end.kind is EndKind.SHED)
+        is_shed = end.kind is EndKind.SHED
+        self.limit.note_end(is_shed, self._slots.count)
         service_ms = end.service_ms
         if end.kind is EndKind.CANCELLED:
             if service_ms <= self.times.expected_ms(call_class, now_ms):
--- a/src/celeryfield/internal/dispatch/limiter.py
+++ b/src/celeryfield/internal/dispatch/limiter.py
@@ -7,11 +7,17 @@
 # Increase per interval, as a share of the capacity: a limit that fell to
 # half recovers in ten intervals, within the 2 s allowed for recovery.
 INCREASE_SHARE = 0.05
-# Share of runs the upstream may shed in an interval without any effect.
-# Occasional refusals for other causes would otherwise drive the limit down.
-SHED_TOLERANCE = 0.02
+# Runs the upstream may shed in an interval without any effect, as a count and
+# as a share of all runs. Occasional refusals for other causes would otherwise
+# drive the limit down.
+SHED_ALLOWANCE = 1
+SHED_TOLERANCE = 0.01
 # Largest decrease in one interval.
-MIN_DECREASE_FACTOR = 0.7
+MIN_DECREASE_FACTOR = 0.5
+# Intervals after shed answers before the limit is raised again. Each attempt
+# costs important calls, which start first. With the increase from half of the
+# capacity it takes 2 s, the time allowed for recovery.
+HOLD_INTERVALS = 10
 # Inflation of service times that counts as congestion, and the decrease.
 INFLATION_TOLERANCE = 2.0
 INFLATION_FACTOR = 0.9
@@ -32,6 +38,8 @@
         self._settings = settings
         self.capacity = 0
         self._adaptive = 0.0
+        self._interval_start = 0.0
+        self._hold_intervals = 0
         self._cold = False
         self._ramp_start_ms: float | None = None
         self._reported_cap: float | None = None
@@ -55,6 +63,8 @@
         self._cold = True
         self._ramp_start_ms = None
         self._adaptive = float(self.capacity)
+        self._interval_start = self._adaptive
+        self._hold_intervals = 0
         self._reported_cap = None
 
     def start_ramp(self, now_ms: float) -> None:
@@ -82,19 +92,32 @@
             limit = min(limit, self._ramp(now_ms))
         if self._reported_cap is not None:
             limit = min(limit, self._reported_cap)
-        floor = self._settings.minimum_limit
-        return min(self.capacity, max(floor, int(limit)))
+        return max(self._floor(), int(limit))
 
     def note_in_flight(self, in_flight: int) -> None:
         """Keeps the peak for comparison with load reports."""
         if in_flight > self._peak_in_flight:
             self._peak_in_flight = in_flight
 
-    def note_end(self, shed: bool) -> None:
-        """Counts the end of one run."""
+    def note_end(self, shed: bool, in_flight: int) -> None:
+        """Counts the end of one run.
+
+        A shed answer lowers the limit at once to the runs that the upstream
+        did accept. Until the end of the interval, the freed slot would pass
+        one waiter after the other to an upstream that sheds them all.
+
+        Args:
+            shed: The upstream shed the run.
+            in_flight: Runs that go on.
+        """
         self._completed_count += 1
-        if shed:
-            self._shed_count += 1
+        if not shed:
+            return
+        self._shed_count += 1
+        if self._is_shedding():
+            lowest = self._interval_start * MIN_DECREASE_FACTOR
+            floor = max(lowest, float(self._floor()))
+            self._adaptive = max(min(self._adaptive, float(in_flight)), floor)
 
     def adjust(
         self, now_ms: float, fully_used: bool, inflation: float | None
@@ -106,21 +129,25 @@
             fully_used: The limit was reached during the interval.
             inflation: Latency relative to the best recent one, if known.
         """
-        shed_share = self._shed_count / max(self._completed_count, 1)
-        self._completed_count = 0
-        self._shed_count = 0
-        if shed_share > SHED_TOLERANCE:
-            self._decrease(now_ms, max(1.0 - shed_share, MIN_DECREASE_FACTOR))
-        elif inflation is not None and inflation > INFLATION_TOLERANCE:
+        if inflation is not None and inflation > INFLATION_TOLERANCE:
             self._decrease_for_latency()
+        elif self._is_shedding():
+            self._hold_intervals = HOLD_INTERVALS
+        elif self._hold_intervals > 0:
+            self._hold_intervals -= 1
         elif fully_used:
             step = max(1.0, self.capacity * INCREASE_SHARE)
             self._adaptive = min(float(self.capacity), self._adaptive + step)
+        self._completed_count = 0
+        self._shed_count = 0
+        self._interval_start = min(self._adaptive, float(self.current(now_ms)))
+
+    def _is_shedding(self) -> bool:
+        tolerated = self._completed_count * SHED_TOLERANCE
+        return self._shed_count > max(SHED_ALLOWANCE, tolerated)
 
-    def _decrease(self, now_ms: float, factor: float) -> None:
-        used = min(self._adaptive, float(self.current(now_ms)))
-        floor = float(min(self._settings.minimum_limit, self.capacity))
-        self._adaptive = max(used * factor, floor)
+    def _floor(self) -> int:
+        return min(self._settings.minimum_limit, self.capacity)
 
     def _decrease_for_latency(self) -> None:
         floor = self.capacity * INDIRECT_FLOOR_SHARE
--- a/tests/cover/test_dispatch_goodput.py
+++ b/tests/cover/test_dispatch_goodput.py
@@ -47,6 +47,7 @@
         policy="adaptive",
         sender_sheds=False,
         seed=7,
+        real_slots=None,
     ):
         node = settings.NodeSettings(
             node={"id": "n", "zone": "z", "region": "r"},
@@ -64,6 +65,7 @@
         self.good_slot_ms = 0.0
         self.latencies_by_name = collections.defaultdict(list)
         self.running = 0
+        self.real_slots = real_slots
         self.random = random.Random(seed)
         self.sequence = 0
         self.sender_sheds = sender_sheds
@@ -120,6 +122,9 @@
         self.read_level()
         if result.is_error():
             return
+        if self.real_slots and self.running >= self.real_slots:
+            self.controller.release(result.ok, RunEnd(0.1, EndKind.SHED))
+            return
         # More calls than slots share the upstream, as threads share cores.
         self.running += 1
         slow_down = max(1.0, self.running / SLOTS)
@@ -206,6 +211,14 @@
     assert result.share("stock") >= 0.99
 
 
+async def test_stays_within_the_slots_an_upstream_really_has():
+    """Guards against a queue that is emptied into shed answers."""
+    flows = [IMPORTANT, Flow("stock", 50, 1.2, spread="exponential")]
+    result = await Simulation(flows, real_slots=15).run()
+    assert result.share("order") >= 0.99
+    assert result.goodput() >= 0.9 * 15 / SLOTS
+
+
 def report(title, result):
     shares = ", ".join(
         f"{f.name} {result.share(f.name):.3f}" for f in result.flows
