Keep suspects and waiting calls right when the upstream crashes

Cause: a refused connection cleared a suspect that never ran; single crashes did not spread, so the second crash on another node went unnoticed; waiting calls could start on the dead upstream (found in review of the dispatch part). Change: refused connections end as cancelled, first crashes spread by gossip, the announcement is dropped at a crash until the next heartbeat; the load that the upstream reports lowers the limit. Conclusion: second crashes are refused wherever they happen.

--- a/src/celeryfield/internal/dispatch/dispatcher.py
+++ b/src/celeryfield/internal/dispatch/dispatcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
 from celeryfield.internal.clock import Clock
@@ -24,6 +25,7 @@
         admission: Grants the right to run a call.
         chains: Chains of the calls that run here.
         upstream: HTTP client of the upstream.
+        on_crash: Called when the upstream no longer accepts connections.
     """
 
     def __init__(
@@ -32,11 +34,13 @@
         admission: AdmissionController,
         chains: ChainTable,
         upstream: UpstreamClient,
+        on_crash: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._admission = admission
         self._chains = chains
         self._upstream = upstream
+        self._on_crash = on_crash
         self._crash_check: asyncio.Task[bool] | None = None
 
     async def run(
@@ -87,9 +91,18 @@
         result.failed_deeper = (
             chain.failed_deeper and result.outcome is not Outcome.OK
         )
+        if result.reason is Reason.NO_UPSTREAM:
+            # The connection was refused, so nothing ran and no suspect is
+            # cleared by it.
+            state.started = False
+            return result, RunEnd(0.0, EndKind.CANCELLED)
         if result.outcome is Outcome.NOT_RUN:
             state.started = False
         kind = await self._end_kind(result)
+        if kind is EndKind.CRASHED:
+            # Waiting calls must not start on the dead upstream when the
+            # permits of the crashed ones are released.
+            self._on_crash()
         return result, RunEnd(service_ms, kind)
 
     async def _end_kind(self, result: CallResult) -> EndKind:
--- a/src/celeryfield/internal/node.py
+++ b/src/celeryfield/internal/node.py
@@ -92,7 +92,11 @@
             settings, clock, self._hello, self._tls.peer_client
         )
         self.dispatcher = Dispatcher(
-            clock, self.admission, self.chains, self.upstream
+            clock,
+            self.admission,
+            self.chains,
+            self.upstream,
+            self.registry.forget,
         )
         self.distributor = ConfigDistributor(self.config, self._fetch_config)
         self.peer_server = PeerServer(
@@ -261,6 +265,8 @@
                 announcement.state,
                 announcement.service,
             )
+            if announcement.load is not None:
+                self.admission.report_busy_slots(announcement.load)
         self._publish()
 
     def _publish(self) -> None:
@@ -318,7 +324,8 @@
         """Tells other nodes which requests crash upstreams."""
         now_ms = self.clock.now_ms()
         ttl_ms = self.settings.dispatch.suspect_ttl_ms
-        for entry in self.admission.suspects.entries(now_ms):
+        # Single crashes spread too: the second may happen at another node.
+        for entry in self.admission.suspects.entries(now_ms, 1):
             left_ms = int(max(ttl_ms - entry.age_ms, 0))
             self.membership.refuse_suspect(
                 gossip.SuspectEntry(entry.fingerprint, left_ms, entry.crashes)
--- a/src/celeryfield/internal/upstream/announcements.py
+++ b/src/celeryfield/internal/upstream/announcements.py
@@ -71,10 +71,15 @@
         self._heard = _Heard(announcement, self._clock.now_ms())
         self._on_heartbeat(announcement)
 
+    def forget(self) -> None:
+        """Drops an upstream that crashed, until its next heartbeat."""
+        if self._heard is not None:
+            self._heard = None
+            self._on_heartbeat(None)
+
     def expire(self) -> None:
         """Drops an upstream that stopped announcing itself."""
         if self._heard is None:
             return
         if self._clock.now_ms() - self._heard.heard_ms > self._ttl_ms:
-            self._heard = None
-            self._on_heartbeat(None)
+            self.forget()
