Clean up the run-once machine without a current event loop

Cause: asyncio.gather() without tasks asks for the current event loop, which is unset once pytest-asyncio has run a test in the same process. Change: wait for tasks only if there are any. Conclusion: the tests no longer depend on the order of the files.

--- a/tests/cover/test_idempotency_machine.py
+++ b/tests/cover/test_idempotency_machine.py
@@ -406,9 +406,8 @@
         tasks = asyncio.all_tasks(self.loop)
         for task in tasks:
             task.cancel()
-        gathered = asyncio.gather(*tasks, return_exceptions=True)
         if tasks:
-            self.loop.run_until_complete(gathered)
+            self.loop.run_until_complete(asyncio.wait(tasks))
         self.loop.close()
         logging.disable(logging.NOTSET)
 
