Bound lease reads in outages and weigh tenants per team

Cause: in an outage of the store every node without a lease retried its read within seconds, so the store would recover into the reads of the whole fleet. Tenants counted as names of one team, although several teams serve the same customers. Change: only starting nodes and holders retry soon; others wait for their next look. A tenant's weight applies to the services of the team that sets it. Owners of names are sorted only where several teams claim one.

--- a/src/celeryfield/internal/config/manager.py
+++ b/src/celeryfield/internal/config/manager.py
@@ -1,6 +1,7 @@
 """Configuration in force at one node."""
 
 import dataclasses
+import functools
 import logging
 from collections.abc import Callable, Mapping
 
@@ -17,7 +18,7 @@
     """A name that the sets of two teams define.
 
     Attributes:
-        kind: service, class or tenant.
+        kind: service or class.
         name: The name.
         owner: Team whose section is in force.
         other_team: Team whose section is ignored.
@@ -106,10 +107,11 @@
         owner = self._owners_by_name.get(("service", name))
         return owner.sections.services_by_name[name] if owner else None
 
-    def tenant_weight(self, tenant: str) -> float:
-        """Returns the weight of a tenant; 1 if no set names it."""
-        owner = self._owners_by_name.get(("tenant", tenant))
-        return owner.sections.tenants_by_name[tenant].weight if owner else 1.0
+    def tenant_weight(self, service: str, tenant: str) -> float:
+        """Returns the weight of a tenant at a service; 1 if not set."""
+        owner = self._owners_by_name.get(("service", service))
+        section = owner and owner.sections.tenants_by_name.get(tenant)
+        return section.weight if section else 1.0
 
     def _is_newer(self, candidate: AppliedFileSet) -> bool:
         """Tells whether a candidate may replace the current set."""
@@ -125,12 +127,8 @@
         owners_by_name = {}
         conflicts = []
         for (kind, name), claimants in claimants_by_name.items():
-            claimants.sort(
-                key=lambda applied, kind=kind, name=name: (
-                    applied.since_version(kind, name),
-                    applied.team,
-                )
-            )
+            if len(claimants) > 1:
+                claimants.sort(key=functools.partial(_age, kind, name))
             owner, *others = claimants
             owners_by_name[(kind, name)] = owner
             conflicts += [
@@ -142,8 +140,9 @@
 
     def _report(self, conflicts: tuple[NameConflict, ...]) -> None:
         """Logs conflicts that are new."""
+        known_conflicts = set(self.conflicts)
         for conflict in conflicts:
-            if conflict not in self.conflicts:
+            if conflict not in known_conflicts:
                 logger.warning("two teams define a name: %s", conflict)
         self.conflicts = conflicts
 
@@ -155,6 +154,11 @@
             logger.exception("a subscriber failed on a new file set")
 
 
+def _age(kind: str, name: str, applied: AppliedFileSet) -> tuple[int, str]:
+    """Orders the claimants of a name, the owner first."""
+    return applied.since_version(kind, name), applied.team
+
+
 def _with_class_of(rule: Rule, class_owner: AppliedFileSet) -> Rule:
     """Returns a rule with the class of the team that owns the class.
 
--- a/src/celeryfield/internal/config/sections.py
+++ b/src/celeryfield/internal/config/sections.py
@@ -69,10 +69,13 @@
         }
 
     def claimed_names(self) -> Iterator[tuple[str, str]]:
-        """Yields kind and name of each section that one team may own."""
-        for kind, sections_by_name in self.by_kind().items():
-            if kind != "route":
-                yield from ((kind, name) for name in sections_by_name)
+        """Yields kind and name of each section that one team may own.
+
+        Routes are local to a set, and any team may weigh a tenant for its own
+        services.
+        """
+        yield from (("service", name) for name in self.services_by_name)
+        yield from (("class", name) for name in self.classes_by_name)
 
 
 def collect(
--- a/src/celeryfield/internal/schema/wire.capnp
+++ b/src/celeryfield/internal/schema/wire.capnp
@@ -84,7 +84,7 @@
 }
 
 struct NameClaim $doc("A name that a team's file set defines.") {
-  kind @0 :Text $doc("service, class or tenant.");
+  kind @0 :Text $doc("service or class.");
   name @1 :Text;
   sinceVersion @2 :UInt64 $doc("Version that first held the name without a break; 0 stands for the version of this set.");
 }
--- a/src/celeryfield/internal/schema/wire.py
+++ b/src/celeryfield/internal/schema/wire.py
@@ -560,7 +560,7 @@
     """A name that a team's file set defines.
 
     Attributes:
-        kind: service, class or tenant.
+        kind: service or class.
         since_version: Version that first held the name without a break; 0 stands for the version of this set.
     """
 
--- a/src/celeryfield/internal/store/client.py
+++ b/src/celeryfield/internal/store/client.py
@@ -55,9 +55,11 @@
             settings.calls_per_second, settings.burst, clock
         )
         self._session: aiohttp.ClientSession | None = None
+        self._is_closed = False
 
     async def close(self) -> None:
-        """Closes all connections."""
+        """Closes all connections; later calls fail as unanswered."""
+        self._is_closed = True
         if self._session is not None:
             await self._session.close()
 
@@ -219,6 +221,8 @@
             aiohttp.ClientError: The connection failed or the answer is broken.
             TimeoutError: The deadline passed.
         """
+        if self._is_closed:
+            raise aiohttp.ClientConnectionError("the client is closed")
         if self._session is None:
             self._session = aiohttp.ClientSession(raise_for_status=False)
         url = f"{self._settings.url.rstrip('/')}{path}"
--- a/src/celeryfield/internal/store/seeds.py
+++ b/src/celeryfield/internal/store/seeds.py
@@ -96,6 +96,7 @@
         self._seeds: tuple[SeedAddress, ...] = ()
         self._renewals = 0
         self._must_confirm = False
+        self._retries_soon = True
         self._step_lock = asyncio.Lock()
         self._holder = wire.LeaseRecord(
             holder_id=identity.id,
@@ -157,14 +158,26 @@
         read_start_ms = self._clock.now_ms()
         found_by_key = await self._read_slots()
         if found_by_key is None:
-            return self._backoff.next_delay_ms()
+            return self._failed_read_delay_ms()
         self._backoff.reset()
-        if await self._take_one(found_by_key, read_start_ms):
+        self._retries_soon = await self._take_one(found_by_key, read_start_ms)
+        if self._retries_soon:
             self._renewals = 0
             return renewal_ms
         self._must_confirm = not self._must_confirm
         return self._check_delay_ms()
 
+    def _failed_read_delay_ms(self) -> float:
+        """Returns the delay after a read that failed.
+
+        Only starting nodes and holders try again soon. If all nodes did, they
+        would meet a store that recovers with hundreds of calls a second.
+        """
+        if self._retries_soon:
+            return self._backoff.next_delay_ms()
+        self._must_confirm = False
+        return self._check_delay_ms()
+
     async def _read_slots(self) -> dict[str, StoreObject] | None:
         """Reads the slots of all zones; none if the store is unavailable."""
         match await self._client.list(SEED_PREFIX):
--- a/tests/cover/test_config_fileset.py
+++ b/tests/cover/test_config_fileset.py
@@ -162,6 +162,20 @@
         assert rule.class_settings.run_once
 
 
+def test_teams_weigh_the_same_tenant_for_their_own_services():
+    text = BASE.replace("pipes", "bells").replace("order", "bell")
+    text = text.replace("placement", "ring").replace("lookup", "read")
+    manager = ConfigManager()
+    manager.offer(stored(BASE + "[tenant web]\nweight = 2\n", 1))
+    manager.offer(stored(text + "[tenant web]\nweight = 3\n", 2))
+    assert manager.conflicts == ()
+    weights = [
+        manager.tenant_weight(service, "web")
+        for service in ("order", "bell", "other")
+    ]
+    assert weights == [2, 3, 1]
+
+
 def test_one_failing_subscriber_does_not_stop_the_others():
     manager = ConfigManager()
     seen = []
