--- a/src/celeryfield/internal/node.py
+++ b/src/celeryfield/internal/node.py
@@ -85,7 +85,7 @@
         self.chains = ChainTable(clock, self.levels)
         self.balancer = Balancer(settings, clock)
         self.admission = AdmissionController(settings, clock)
-        self.admission.set_tenant_weights(self.config.tenant_weight)
+        self.admission.set_tenant_weights(self._tenant_weight)
         self.upstream = UpstreamClient(settings, clock)
         self.registry = UpstreamRegistry(settings, clock, self._on_announcement)
         self.pool = PeerPool(
@@ -299,6 +299,11 @@
             for seed in self.seeds.seed_addresses()
         ]
 
+    def _tenant_weight(self, tenant: str) -> float:
+        current = self.registry.current
+        service = current.service if current else ""
+        return self.config.tenant_weight(service, tenant)
+
     def _zone_size(self) -> int:
         zone = self.settings.node.zone
         members = self.membership.members_by_id.values()
