--- a/src/celeryfield/internal/store/seeds.py
+++ b/src/celeryfield/internal/store/seeds.py
@@ -96,6 +96,7 @@
         self._seeds: tuple[SeedAddress, ...] = ()
         self._renewals = 0
         self._must_confirm = False
+        self._retries_soon = True
         self._step_lock = asyncio.Lock()
         self._holder = wire.LeaseRecord(
             holder_id=identity.id,
@@ -157,14 +158,26 @@
         read_start_ms = self._clock.now_ms()
         found_by_key = await self._read_slots()
         if found_by_key is None:
-            return self._backoff.next_delay_ms()
+            return self._failed_read_delay_ms()
         self._backoff.reset()
-        if await self._take_one(found_by_key, read_start_ms):
+        self._retries_soon = await self._take_one(found_by_key, read_start_ms)
+        if self._retries_soon:
             self._renewals = 0
             return renewal_ms
         self._must_confirm = not self._must_confirm
         return self._check_delay_ms()
 
+    def _failed_read_delay_ms(self) -> float:
+        """Returns the delay after a read that failed.
+
+        Only starting nodes and holders try again soon. If all nodes did, they
+        would meet a store that recovers with hundreds of calls a second.
+        """
+        if self._retries_soon:
+            return self._backoff.next_delay_ms()
+        self._must_confirm = False
+        return self._check_delay_ms()
+
     async def _read_slots(self) -> dict[str, StoreObject] | None:
         """Reads the slots of all zones; none if the store is unavailable."""
         match await self._client.list(SEED_PREFIX):
@@ -223,12 +236,16 @@
         ]
 
     def _check_delay_ms(self) -> float:
-        """Returns the jittered delay until this node looks again."""
-        delay_ms = self._settings.lease_ms
-        if not self._must_confirm:
-            zone_ms = ZONE_CHECK_INTERVAL_MS * self._zone_size()
-            delay_ms = max(delay_ms, zone_ms)
-        return delay_ms * self._random.uniform(1.0, 1.5)
+        """Returns the jittered delay until this node looks again.
+
+        The wide range spreads the nodes of a zone that started together;
+        with a narrow one no node would look for minutes, and then all would.
+        """
+        lease_ms = self._settings.lease_ms
+        if self._must_confirm:
+            return lease_ms * self._random.uniform(1.0, 1.2)
+        zone_ms = ZONE_CHECK_INTERVAL_MS * self._zone_size()
+        return max(lease_ms, zone_ms * self._random.uniform(0.0, 2.0))
 
     def _read_seeds(
         self, objects: Iterable[StoreObject]
