Add a checker of recorded histories

Cause: runs against real nodes need a verdict on the invariants that does not depend on the nodes' own word. Change: event types and seven checks: run-once, not-run, answers, configuration versions, attempts, drained upstreams and planned stops.

--- /dev/null
+++ b/tests/history/checker.py
@@ -0,0 +1,336 @@
+"""Checks recorded histories of concurrent runs against the invariants.
+
+The processes of a run record events with one shared clock. ``check_history``
+returns every violation that it finds; an empty list says that the history
+breaks none of the rules, not that enough was recorded.
+"""
+
+import collections
+import dataclasses
+import itertools
+from collections.abc import Callable, Iterable, Iterator
+
+DRAIN_LIMIT_MS = 2_000
+ANSWER_NOT_KEPT = "answer-not-kept"
+CUT_REASONS = frozenset({"connection-lost", "truncated"})
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Event:
+    """Something that one process saw.
+
+    Attributes:
+        at_ms: Time on the clock that all processes share.
+    """
+
+    at_ms: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallSent(Event):
+    """A caller sent a request; a re-send is another call.
+
+    Attributes:
+        call_id: Unique id of this call.
+        node_id: Node that the call was sent to.
+        body_id: Unique id of the request body; re-sends share it.
+        key: Idempotency key, if any.
+    """
+
+    call_id: str
+    node_id: str
+    body_id: str
+    key: str = ""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AnswerReceived(Event):
+    """A caller got the answer to a call, or the end of its connection.
+
+    Attributes:
+        call_id: The call.
+        outcome: ok, not-run, failed or unknown.
+        reason: Reason given with the outcome.
+        body_id: Request body that the answer says it belongs to.
+        received_bytes: Length of the body that arrived.
+        expected_bytes: Length that the upstream wrote into the body.
+    """
+
+    call_id: str
+    outcome: str
+    reason: str = ""
+    body_id: str = ""
+    received_bytes: int = 0
+    expected_bytes: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ExecutionStarted(Event):
+    """An upstream started to run a request.
+
+    Attributes:
+        execution_id: Unique id of the execution.
+        upstream_id: Process that runs it.
+        body_id: Request body.
+        key: Idempotency key, if any.
+        call_id: Call that it was started for, if the upstream can tell.
+    """
+
+    execution_id: str
+    upstream_id: str
+    body_id: str
+    key: str = ""
+    call_id: str = ""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ExecutionFinished(Event):
+    """An upstream wrote the whole answer of an execution."""
+
+    execution_id: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ConfigVersionSeen(Event):
+    """A node put a version of a team's file set into force."""
+
+    node_id: str
+    team: str
+    version: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class UpstreamDrained(Event):
+    """An upstream announced that it is draining."""
+
+    upstream_id: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AttemptsCounted(Event):
+    """Attempts of a root call that one deepest upstream received.
+
+    Attributes:
+        root_id: The root call.
+        attempts: Attempts since the last event of this upstream.
+        allowance: Retry allowance of the root call.
+    """
+
+    root_id: str
+    attempts: int
+    allowance: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PlannedStop(Event):
+    """A node or an upstream was asked to stop."""
+
+    process_id: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ProcessExited(Event):
+    """A process that was asked to stop has exited."""
+
+    process_id: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class FaultInjected(Event):
+    """A crash, pause or network fault that may cut calls.
+
+    Attributes:
+        until_ms: When its effects have ended.
+    """
+
+    until_ms: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Violation:
+    """A broken rule.
+
+    Attributes:
+        rule: Name of the check.
+        message: The events that break it.
+    """
+
+    rule: str
+    message: str
+
+
+class History:
+    """Events in order of time, by kind."""
+
+    def __init__(self, events: Iterable[Event]) -> None:
+        self._by_kind = collections.defaultdict(list)
+        for event in sorted(events, key=lambda item: item.at_ms):
+            self._by_kind[type(event)].append(event)
+        self.sent_by_call = {item.call_id: item for item in self.of(CallSent)}
+        self.answer_by_call = {
+            item.call_id: item for item in self.of(AnswerReceived)
+        }
+
+    def of(self, kind: type) -> list:
+        """Returns the events of one kind."""
+        return self._by_kind[kind]
+
+
+def check_run_once(history: History) -> Iterator[str]:
+    """Finds keys that ran more than once."""
+    runs_by_key = collections.defaultdict(list)
+    for run in history.of(ExecutionStarted):
+        if run.key:
+            runs_by_key[run.key].append(run.execution_id)
+    for key, execution_ids in runs_by_key.items():
+        if len(execution_ids) > 1:
+            yield f"key {key} ran as {execution_ids}"
+
+
+def check_not_run(history: History) -> Iterator[str]:
+    """Finds calls that were told not-run though their request ran.
+
+    A call is to blame for an execution if the upstream names it, or if all
+    calls that could have caused the execution were told not-run. With a key,
+    not-run is also false if the request ran before the call was sent.
+    """
+    calls_by_body = collections.defaultdict(list)
+    for call in history.of(CallSent):
+        calls_by_body[call.body_id].append(call)
+    for run in history.of(ExecutionStarted):
+        calls = calls_by_body[run.body_id]
+        earlier = [call for call in calls if call.at_ms <= run.at_ms]
+        refused = [call for call in calls if _told_not_run(history, call)]
+        for call in refused:
+            is_later_resend = run.key == call.key != "" and (
+                call.at_ms > run.at_ms
+            )
+            if call.call_id == run.call_id or is_later_resend:
+                yield f"{call} was told not-run, but {run}"
+        if earlier and all(call in refused for call in earlier):
+            yield f"every call of {run} was told not-run"
+
+
+def _told_not_run(history: History, call: CallSent) -> bool:
+    answer = history.answer_by_call.get(call.call_id)
+    return answer is not None and answer.outcome == "not-run"
+
+
+def check_answers(history: History) -> Iterator[str]:
+    """Finds answers that belong to another call, are cut or come twice."""
+    seen = set()
+    for answer in history.of(AnswerReceived):
+        call = history.sent_by_call.get(answer.call_id)
+        if call is None or answer.call_id in seen:
+            yield f"no call waits for {answer}"
+            continue
+        seen.add(answer.call_id)
+        if answer.outcome != "ok" or answer.reason == ANSWER_NOT_KEPT:
+            continue
+        if answer.body_id != call.body_id:
+            yield f"{call} got the answer of another request: {answer}"
+        if answer.received_bytes != answer.expected_bytes:
+            yield f"{answer} is not whole"
+
+
+def check_config_versions(history: History) -> Iterator[str]:
+    """Finds nodes that went back to an older version."""
+    versions = {}
+    for seen in history.of(ConfigVersionSeen):
+        place = (seen.node_id, seen.team)
+        if seen.version < versions.get(place, 0):
+            yield f"{seen} follows version {versions[place]}"
+        versions[place] = max(seen.version, versions.get(place, 0))
+
+
+def check_attempts(history: History) -> Iterator[str]:
+    """Finds root calls with more attempts than their allowance permits."""
+    attempts_by_root = collections.Counter()
+    allowance_by_root = {}
+    for count in history.of(AttemptsCounted):
+        attempts_by_root[count.root_id] += count.attempts
+        allowance_by_root[count.root_id] = count.allowance
+    for root_id, attempts in attempts_by_root.items():
+        allowance = allowance_by_root[root_id]
+        if attempts > 1 + allowance:
+            yield f"{root_id}: {attempts} attempts, allowance {allowance}"
+
+
+def check_drained(history: History) -> Iterator[str]:
+    """Finds executions that started at an upstream long after it drained."""
+    drained_ms = {}
+    for drain in history.of(UpstreamDrained):
+        drained_ms.setdefault(drain.upstream_id, drain.at_ms)
+    for run in history.of(ExecutionStarted):
+        since_ms = drained_ms.get(run.upstream_id, float("inf"))
+        if run.at_ms > since_ms + DRAIN_LIMIT_MS:
+            yield f"{run}, drained at {since_ms}"
+
+
+def check_planned_stops(history: History) -> Iterator[str]:
+    """Finds executions and calls that a planned stop cut off."""
+    stopped_ms = {
+        item.process_id: item.at_ms for item in history.of(PlannedStop)
+    }
+    exited_ms = {
+        item.process_id: item.at_ms
+        for item in history.of(ProcessExited)
+        if item.process_id in stopped_ms
+    }
+    finished_ms = {
+        item.execution_id: item.at_ms for item in history.of(ExecutionFinished)
+    }
+    for run in history.of(ExecutionStarted):
+        exit_ms = exited_ms.get(run.upstream_id, float("inf"))
+        if finished_ms.get(run.execution_id, float("inf")) > exit_ms:
+            yield f"{run} was under way at the exit at {exit_ms}"
+    for call in history.of(CallSent):
+        yield from _cut_call(history, call, stopped_ms, exited_ms)
+
+
+def _cut_call(
+    history: History,
+    call: CallSent,
+    stopped_ms: dict[str, float],
+    exited_ms: dict[str, float],
+) -> Iterator[str]:
+    """Tells whether a stop, and no other fault, can have cut the call."""
+    answer = history.answer_by_call.get(call.call_id)
+    end_ms = float("inf") if answer is None else answer.at_ms
+    if any(
+        fault.at_ms <= end_ms and call.at_ms <= fault.until_ms
+        for fault in history.of(FaultInjected)
+    ):
+        return
+    if answer is None or answer.reason in CUT_REASONS:
+        stops = [
+            process_id
+            for process_id, at_ms in stopped_ms.items()
+            if at_ms <= end_ms
+            and call.at_ms <= exited_ms.get(process_id, float("inf"))
+        ]
+        if stops:
+            yield f"{call} ended as {answer} during the stop of {stops}"
+
+
+Check = Callable[[History], Iterator[str]]
+
+CHECKS_BY_RULE: dict[str, Check] = {
+    "run-once": check_run_once,
+    "not-run": check_not_run,
+    "answers": check_answers,
+    "config-versions": check_config_versions,
+    "attempts": check_attempts,
+    "drained": check_drained,
+    "planned-stops": check_planned_stops,
+}
+
+
+def check_history(events: Iterable[Event]) -> list[Violation]:
+    """Returns all violations in a history."""
+    history = History(events)
+    found = (
+        (Violation(rule, message) for message in check(history))
+        for rule, check in CHECKS_BY_RULE.items()
+    )
+    return list(itertools.chain.from_iterable(found))
