Account for re-sends and give allowance back with cancelled calls

Cause: review of the routing part: a call cancelled before its start lost its allowance, callers' re-sends did not count against the retry ratio, timers of the executor outlived the node. Change: hand the allowance back, record re-sends, close the executor, check the depth before the chain's allowance is drawn.

--- a/src/celeryfield/internal/frontend/ingress.py
+++ b/src/celeryfield/internal/frontend/ingress.py
@@ -137,13 +137,13 @@
     ) -> Result[IncomingCall, RequestProblem]:
         chain = self._chains.find(request.headers.get(headers.TRACEPARENT))
         if chain is not None:
-            call = self._chains.begin_sub_call(chain, call)
-            if call.depth > MAX_DEPTH:
+            if chain.call.depth >= MAX_DEPTH:
                 return _problem(
                     Reason.BAD_REQUEST,
                     508,
                     f"the chain is deeper than {MAX_DEPTH} calls",
                 )
+            call = self._chains.begin_sub_call(chain, call)
         call.fingerprint = _fingerprint(call, body)
         return Ok(IncomingCall(call, chain))
 
--- a/src/celeryfield/internal/gateway.py
+++ b/src/celeryfield/internal/gateway.py
@@ -102,11 +102,19 @@
         return await self._pool.send(candidate, call, body)
 
     async def _run_once(self, call: wire.Call, body: bytes) -> CallResult:
-        return await self._ledger.run_once(
-            call.idempotency_key,
-            call.fingerprint,
-            lambda: self._executor.execute(call, body),
+        starts = 0
+
+        async def start() -> CallResult:
+            nonlocal starts
+            starts += 1
+            return await self._executor.execute(call, body)
+
+        result = await self._ledger.run_once(
+            call.idempotency_key, call.fingerprint, start
         )
+        if not starts:
+            self._executor.retries.record_resend(call.class_name)
+        return result
 
     async def _ask_owner(
         self, owner: KeyOwner, call: wire.Call, body: bytes
--- a/src/celeryfield/internal/node.py
+++ b/src/celeryfield/internal/node.py
@@ -224,6 +224,7 @@
 
     async def on_shutdown(self) -> None:
         """Closes what the services use, after they have stopped."""
+        self.executor.close()
         self.pool.close()
         await self.peer_server.stop()
         await self.upstream.close()
--- a/src/celeryfield/internal/transport/pool.py
+++ b/src/celeryfield/internal/transport/pool.py
@@ -131,7 +131,7 @@
             return CallResult(Outcome.UNKNOWN, reason, status, started=True)
         if result.started:
             return CallResult(Outcome.UNKNOWN, reason, status, started=True)
-        return not_run(reason, status)
+        return not_run(reason, status, unused=call.retry_allowance)
 
     def _cancel_in_background(
         self, connection: PeerConnection, call: wire.Call
