Check progress of all connections from one task and close idle ones

Cause: every connection had a task that woke four times a second; at the target size a node holds thousands of mostly idle connections, which alone would exceed the CPU budget for control. A body that ends with its connection could be cut without notice. Change: one checker looks at connections with outstanding work; unused ones are closed after two minutes; bodies that only the end of the connection ends are reported as truncated; file sets of peers are compiled in a thread.

--- a/src/celeryfield/internal/config/distribution.py
+++ b/src/celeryfield/internal/config/distribution.py
@@ -75,7 +75,7 @@
             return
         if message.version == 0 or message.team != team:
             return
-        compiled = fileset.from_wire(message)
+        compiled = await fileset.from_wire_in_thread(message)
         if compiled.is_error():
             logger.error(
                 "a peer sent a file set that cannot be used",
--- a/src/celeryfield/internal/transport/connection.py
+++ b/src/celeryfield/internal/transport/connection.py
@@ -2,7 +2,8 @@
 
 Frames are parsed in ``data_received`` instead of a reader task: a task switch
 per frame costs about as much as decoding the frame, and every call crosses
-four of them. One task per connection checks its progress.
+four of them. For the same reason no connection has a task of its own: at the
+target size a node holds thousands of them, most of them idle.
 """
 
 import asyncio
@@ -66,21 +67,20 @@
         self._assemblies_by_key: dict[tuple[int, bool], _Assembly] = {}
         self._writable = asyncio.Event()
         self._writable.set()
-        self._last_received_ms = clock.now_ms()
+        self._silent_since_ms = clock.now_ms()
         self._ping_sent_ms: float | None = None
-        self._progress: asyncio.Task[None] | None = None
+        self.last_used_ms = clock.now_ms()
         self.is_closed = False
 
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Starts the progress check."""
+        """Keeps the transport for writing."""
         self._transport = transport  # type: ignore[assignment]
-        self._progress = asyncio.ensure_future(self._check_progress())
 
     def data_received(self, data: bytes) -> None:
         """Handles every complete frame; a malformed one ends the connection."""
-        self._last_received_ms = self._clock.now_ms()
+        self._silent_since_ms = self._clock.now_ms()
         self._ping_sent_ms = None
         try:
             for frame in self._parser.feed(data):
@@ -111,6 +111,29 @@
         """Node id of the other end, once it has said hello."""
         return self.hello.node_id if self.hello else ""
 
+    @property
+    def has_outstanding(self) -> bool:
+        """Whether a request waits for its answer."""
+        return bool(self._answers_by_stream)
+
+    def check_progress(self, now_ms: float) -> None:
+        """Closes the connection when it stays silent with work outstanding.
+
+        Something between two nodes can lose track of an open connection; TCP
+        would take minutes to notice.
+        """
+        routing = self._settings.routing
+        if self._ping_sent_ms is not None:
+            waited_ms = now_ms - self._ping_sent_ms
+            if waited_ms >= routing.silent_close_ms - routing.silent_ms:
+                logger.warning(
+                    "closing silent connection", extra={"peer": self.peer_id}
+                )
+                self.close()
+        elif now_ms - self._silent_since_ms >= routing.silent_ms:
+            self._ping_sent_ms = now_ms
+            self.send_frame(Kind.PING, 0, b"")
+
     async def request(self, kind: Kind, header: bytes, body: bytes) -> Frame:
         """Sends a request and waits for its answer.
 
@@ -119,6 +142,10 @@
         """
         if self.is_closed:
             raise ConnectionLostError(f"connection to {self.peer_id} is closed")
+        self.last_used_ms = self._clock.now_ms()
+        if not self._answers_by_stream:
+            # An idle connection is silent by nature.
+            self._silent_since_ms = self.last_used_ms
         stream_id = next(self._stream_ids)
         answer = asyncio.get_running_loop().create_future()
         self._answers_by_stream[stream_id] = answer
@@ -127,6 +154,8 @@
             return await answer
         finally:
             self._answers_by_stream.pop(stream_id, None)
+            if not self._answers_by_stream:
+                self._ping_sent_ms = None
 
     async def send(
         self, kind: Kind, stream_id: int, header: bytes, body: bytes = b""
@@ -194,38 +223,11 @@
         if answer is not None and not answer.done():
             answer.set_result(frame)
 
-    async def _check_progress(self) -> None:
-        """Closes the connection when it stays silent with work outstanding.
-
-        Something between two nodes can lose track of an open connection; TCP
-        would take minutes to notice.
-        """
-        routing = self._settings.routing
-        while not self.is_closed:
-            await self._clock.sleep_ms(routing.silent_ms / 2)
-            if not self._answers_by_stream:
-                self._ping_sent_ms = None
-                continue
-            now_ms = self._clock.now_ms()
-            if self._ping_sent_ms is not None:
-                waited_ms = now_ms - self._ping_sent_ms
-                if waited_ms >= routing.silent_close_ms - routing.silent_ms:
-                    logger.warning(
-                        "closing silent connection",
-                        extra={"peer": self.peer_id},
-                    )
-                    self.close()
-            elif now_ms - self._last_received_ms >= routing.silent_ms:
-                self._ping_sent_ms = now_ms
-                self.send_frame(Kind.PING, 0, b"")
-
     def _finish(self) -> None:
         if self.is_closed:
             return
         self.is_closed = True
         self._writable.set()
-        if self._progress is not None:
-            self._progress.cancel()
         error = ConnectionLostError(f"lost the connection to {self.peer_id}")
         for answer in self._answers_by_stream.values():
             if not answer.done():
--- a/src/celeryfield/internal/transport/pool.py
+++ b/src/celeryfield/internal/transport/pool.py
@@ -27,6 +27,9 @@
 logger = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 1.0
+# A node that is seldom used again costs both ends memory; opening a connection
+# takes about a millisecond.
+IDLE_CLOSE_MS = 120_000.0
 # The dispatching node answers at the deadline itself; its answer tells more
 # than a timeout here would, so it gets this much time to arrive.
 DEADLINE_GRACE_MS = 100.0
@@ -60,6 +63,7 @@
         ] = {}
         self._connection_number = 0
         self._background: set[asyncio.Task[None]] = set()
+        self._checker: asyncio.Task[None] | None = None
 
     async def send(
         self, candidate: Candidate, call: wire.Call, body: bytes
@@ -113,6 +117,8 @@
 
     def close(self) -> None:
         """Closes all connections."""
+        if self._checker is not None:
+            self._checker.cancel()
         self.retain(set())
 
     async def _resolve(
@@ -177,8 +183,22 @@
                 f"cannot reach node {candidate.node_id}: {error}"
             ) from error
         self._connections_by_peer[peer] = connection
+        if self._checker is None or self._checker.done():
+            self._checker = asyncio.ensure_future(self._check_connections())
         return connection
 
+    async def _check_connections(self) -> None:
+        """Finds silent connections and closes those that nobody uses."""
+        interval_ms = self._settings.routing.silent_ms / 2
+        while True:
+            await self._clock.sleep_ms(interval_ms)
+            now_ms = self._clock.now_ms()
+            for connection in list(self._connections_by_peer.values()):
+                if connection.has_outstanding:
+                    connection.check_progress(now_ms)
+                elif now_ms - connection.last_used_ms > IDLE_CLOSE_MS:
+                    connection.close()
+
     async def _handshake(
         self, candidate: Candidate, number: int
     ) -> PeerConnection:
--- a/src/celeryfield/internal/upstream/client.py
+++ b/src/celeryfield/internal/upstream/client.py
@@ -12,6 +12,7 @@
 
 SHED_STATUS = 503
 FIRST_ERROR_STATUS = 500
+BODILESS_STATUSES = frozenset((204, 304))
 CONNECT_CHECK_TIMEOUT_S = 0.5
 
 
@@ -92,7 +93,7 @@
     async def _exchange(
         self,
         call: wire.Call,
-        body: bytes,
+        request_body: bytes,
         request_headers: list[tuple[str, str]],
     ) -> CallResult:
         limit = self._settings.listen.max_body_bytes
@@ -100,18 +101,49 @@
             call.method,
             f"http://{self._address}{call.path}",
             headers=request_headers,
-            data=body or None,
+            data=request_body or None,
             allow_redirects=False,
         ) as response:
-            parts: list[bytes] = []
-            size = 0
-            async for part in response.content.iter_any():
-                size += len(part)
-                if size > limit:
-                    response.close()
-                    return _started(Reason.TOO_LARGE, 502)
-                parts.append(part)
-            return _result_of(response, b"".join(parts))
+            if _ends_with_connection(call.method, response):
+                response.close()
+                return _started(Reason.TRUNCATED, 502)
+            body = await _read_bounded(response, limit)
+            if body is None:
+                response.close()
+                return _started(Reason.TOO_LARGE, 502)
+            return _result_of(response, body)
+
+
+def _ends_with_connection(
+    method: str, response: aiohttp.ClientResponse
+) -> bool:
+    """Returns whether only the end of the connection ends the body.
+
+    Nobody can tell whether such a body is whole.
+    """
+    if method == "HEAD" or response.status in BODILESS_STATUSES:
+        return False
+    encoding = response.headers.get("transfer-encoding", "")
+    return response.content_length is None and (
+        "chunked" not in encoding.lower()
+    )
+
+
+async def _read_bounded(
+    response: aiohttp.ClientResponse, limit: int
+) -> bytes | None:
+    """Returns the whole body, or None if it exceeds the limit."""
+    length = response.content_length
+    if length is not None:
+        return await response.read() if length <= limit else None
+    parts: list[bytes] = []
+    size = 0
+    async for part in response.content.iter_any():
+        size += len(part)
+        if size > limit:
+            return None
+        parts.append(part)
+    return b"".join(parts)
 
 
 def _started(reason: Reason, status: int) -> CallResult:
