Serve the administration API for file sets, draining and explanations

Operators could read the status of a node but neither apply a file set nor drain a node nor learn which rule applies to a request. The administration listener now serves file sets with history and conditional apply, a count of the members that have a version in force, draining of any member over a DRAIN frame, the rule of a class or request with its reasons, and an OpenAPI description made from the models that validate requests. Status shows calls in flight and goodput per class and the versions of the other members. Every error is JSON of one form.

--- a/src/celeryfield/cli/node.py
+++ b/src/celeryfield/cli/node.py
@@ -55,7 +55,8 @@
     first_signal = asyncio.ensure_future(signals.get())
     # A node without one of its services would mislead callers and peers.
     crashed = asyncio.ensure_future(running.wait_until_stopped())
-    await _first_of(first_signal, crashed)
+    drain_requested = asyncio.ensure_future(running.draining.requested.wait())
+    await _first_of(first_signal, crashed, drain_requested)
     if running.crashed:
         raise NodeCrashedError(f"the node crashed: {running.crash_reason!r}")
     draining = asyncio.ensure_future(running.drain())
--- /dev/null
+++ b/src/celeryfield/internal/admin/explain.py
@@ -0,0 +1,165 @@
+"""Tells operators which rule applies to a request and why."""
+
+from collections.abc import Mapping, Sequence
+
+from aiohttp import web
+
+from celeryfield.internal.admin.models import ExplainAnswer, ExplainQuery
+from celeryfield.internal.admin.replies import (
+    api_error,
+    model_response,
+    read_query,
+)
+from celeryfield.internal.calls import RANKS_PER_PRIORITY, Candidate
+from celeryfield.internal.config.fileset import Rule
+from celeryfield.internal.config.manager import ConfigManager
+from celeryfield.internal.directory import Directory
+from celeryfield.internal.inifile import suggest
+from celeryfield.internal.routing.levels import LevelTable
+
+
+class Explainer:
+    """Serves ``GET /v1/explain``.
+
+    Args:
+        config: File sets in force.
+        levels: Admission levels heard of.
+        directory: Upstreams that are known.
+    """
+
+    def __init__(
+        self, config: ConfigManager, levels: LevelTable, directory: Directory
+    ) -> None:
+        self._config = config
+        self._levels = levels
+        self._directory = directory
+
+    async def serve(self, request: web.Request) -> web.Response:
+        """Answers for a class or for method and path."""
+        query = read_query(request, ExplainQuery)
+        if bool(query.class_name) == bool(query.path):
+            message = "give service and either class or path (with method)"
+            raise api_error(400, "invalid", message)
+        return model_response(self.explain(query))
+
+    def explain(self, query: ExplainQuery) -> ExplainAnswer:
+        """Returns the rule that a query asks for.
+
+        Raises:
+            ApiError: No rule applies.
+        """
+        if self._config.service(query.service) is None:
+            hint = suggest(query.service, self._config.service_names())
+            message = f"no service {query.service!r} in force; {hint}"
+            raise api_error(404, "not-found", message)
+        if query.class_name:
+            return self._of_class(query)
+        rule = self._config.rule_for(query.service, query.method, query.path)
+        if rule is None:
+            message = (
+                f"no route of service {query.service!r} matches {query.method} "
+                f"{query.path} and there is no default_class, so the request "
+                "is refused with 404"
+            )
+            raise api_error(404, "not-found", message)
+        return self._answer([rule])
+
+    def _of_class(self, query: ExplainQuery) -> ExplainAnswer:
+        rules = self._config.rules_of(query.service)
+        matching = [
+            rule for rule in rules if rule.class_name == query.class_name
+        ]
+        if not matching:
+            hint = suggest(
+                query.class_name, {rule.class_name for rule in rules}
+            )
+            message = (
+                f"no route of service {query.service!r} leads to class "
+                f"{query.class_name!r}; {hint}"
+            )
+            raise api_error(404, "not-found", message)
+        return self._answer(matching)
+
+    def _answer(self, rules: Sequence[Rule]) -> ExplainAnswer:
+        rule = rules[0]
+        section = rule.class_settings
+        level = self._levels.level_for(rule.service, rule.class_name)
+        # Calls of one priority have ranks up to the next priority; a level in
+        # between sheds part of them.
+        is_shed = level > (section.priority + 1) * RANKS_PER_PRIORITY - 1
+        ready = _ready(self._directory.candidates_by_service, rule.service)
+        answer = ExplainAnswer(
+            service=rule.service,
+            class_name=rule.class_name,
+            routes=[item.route_name for item in rules if item.route_name],
+            priority=section.priority,
+            team=self._config.team_of("service", rule.service),
+            class_team=self._config.team_of("class", rule.class_name),
+            retry_allowance=section.retry_allowance,
+            timeout_ms=rule.timeout_ms,
+            run_once=section.run_once,
+            repeatable=section.repeatable and not section.run_once,
+            hedge=section.hedge,
+            long_running=section.long_running,
+            lowest_priority=level / RANKS_PER_PRIORITY,
+            is_shed=is_shed,
+            candidates=ready,
+            reasons=[],
+        )
+        answer.reasons = _reasons(answer, rules)
+        return answer
+
+
+def _ready(
+    candidates_by_service: Mapping[str, list[Candidate]], service: str
+) -> int:
+    return sum(
+        candidate.state == "ready"
+        for candidate in candidates_by_service.get(service, ())
+    )
+
+
+def _reasons(answer: ExplainAnswer, rules: Sequence[Rule]) -> list[str]:
+    """Returns the answer in words."""
+    return [
+        _why_class(answer, rules),
+        f"team {answer.team!r} owns the service and team "
+        f"{answer.class_team!r} the class",
+        _why_timeout(answer, rules[0]),
+        _why_repeats(answer),
+        _why_level(answer),
+        f"{answer.candidates} upstreams of the service are ready",
+    ]
+
+
+def _why_class(answer: ExplainAnswer, rules: Sequence[Rule]) -> str:
+    parts = [f"[route {name}]" for name in answer.routes]
+    if any(not rule.route_name for rule in rules):
+        parts.append(f"default_class of [service {answer.service}]")
+    return f"class {answer.class_name} is chosen by {', '.join(parts)}"
+
+
+def _why_timeout(answer: ExplainAnswer, rule: Rule) -> str:
+    timeout = f"timeout is {answer.timeout_ms:g} ms, set by"
+    if rule.class_settings.timeout_ms == answer.timeout_ms:
+        return f"{timeout} [class {answer.class_name}]"
+    return f"{timeout} [service {answer.service}]"
+
+
+def _why_repeats(answer: ExplainAnswer) -> str:
+    allowance = f"the chain has {answer.retry_allowance} extra attempts"
+    if answer.run_once:
+        return f"{allowance}, used only for attempts that did not run"
+    if not answer.repeatable:
+        return f"{allowance}, used only before the request has started"
+    return f"{allowance}, also after a request has started"
+
+
+def _why_level(answer: ExplainAnswer) -> str:
+    if answer.lowest_priority == 0:
+        return f"priority {answer.priority} is admitted; nothing is shed"
+    verb = "is shed" if answer.is_shed else "is admitted"
+    return (
+        f"priority {answer.priority} {verb}; priorities below "
+        f"{answer.lowest_priority:.2f} are shed at present"
+    )
--- /dev/null
+++ b/src/celeryfield/internal/admin/filesets.py
@@ -0,0 +1,191 @@
+"""Reading and applying file sets."""
+
+from collections.abc import Mapping
+
+from aiohttp import web
+
+from celeryfield.internal.admin.models import (
+    ApplyAnswer,
+    ApplyRequest,
+    ChangeItem,
+    FileItem,
+    FileSetAnswer,
+    FileSetList,
+    FileSetSummary,
+    HistoryEntry,
+    ProblemItem,
+)
+from celeryfield.internal.admin.replies import (
+    ApiError,
+    api_error,
+    model_response,
+    read_body,
+)
+from celeryfield.internal.config.fileset import AppliedFileSet, compile_files
+from celeryfield.internal.config.manager import ConfigManager
+from celeryfield.internal.inifile import Problem
+from celeryfield.internal.schema import wire
+from celeryfield.internal.store.applier import (
+    ApplyConflictError,
+    ApplyError,
+    ApplyRejectedError,
+    ApplyUnavailableError,
+    FileSetApplier,
+)
+
+_NO_STORE = (
+    "this node has no [store] url, so it cannot read or write file sets; "
+    "ask a node that has one"
+)
+
+
+class FileSetHandlers:
+    """Serves ``/v1/filesets`` and ``/v1/filesets/{team}``.
+
+    Args:
+        config: File sets in force at this node.
+        applier: Writes to the store; None without a store.
+    """
+
+    def __init__(
+        self, config: ConfigManager, applier: FileSetApplier | None
+    ) -> None:
+        self._config = config
+        self._applier = applier
+
+    async def show_all(self, _request: web.Request) -> web.Response:
+        """Answers the sets in force."""
+        sets_by_team = self._config.current_by_team
+        summaries = [
+            _summary(sets_by_team[team]) for team in sorted(sets_by_team)
+        ]
+        conflicts = [str(conflict) for conflict in self._config.conflicts]
+        return model_response(
+            FileSetList(filesets=summaries, conflicts=conflicts)
+        )
+
+    async def show(self, request: web.Request) -> web.Response:
+        """Answers one set with its history."""
+        team = request.match_info["team"]
+        applied = find_team(self._config.current_by_team, team)
+        history, reason = await self._history(team)
+        answer = FileSetAnswer(
+            current=_summary(applied),
+            files=[
+                FileItem(name=entry.name, text=entry.text)
+                for entry in applied.message.files
+            ],
+            history=history,
+            history_error=reason,
+        )
+        return model_response(answer)
+
+    async def apply(self, request: web.Request) -> web.Response:
+        """Applies a whole set."""
+        team = request.match_info["team"]
+        offer = await read_body(request, ApplyRequest)
+        files = [wire.FileEntry(item.name, item.text) for item in offer.files]
+        _check_team(team, files)
+        if self._applier is None:
+            raise api_error(503, "unavailable", _NO_STORE)
+        result = await self._applier.apply(
+            files, offer.expected_version, offer.author
+        )
+        if result.is_error():
+            raise _error_of(result.error)
+        applied = result.ok
+        # Gossip spreads the version from here without waiting for a watch.
+        self._config.offer(applied)
+        return model_response(ApplyAnswer(team=team, version=applied.version))
+
+    async def _history(self, team: str) -> tuple[list[HistoryEntry], str]:
+        """Returns the history, or why it cannot be read."""
+        if self._applier is None:
+            return [], _NO_STORE
+        found = await self._applier.history(team)
+        if found.is_error():
+            return [], str(found.error)
+        entries = [
+            HistoryEntry(
+                version=entry.version,
+                author=entry.author,
+                applied_at_ms=entry.applied_at_ms,
+            )
+            for entry in found.ok
+        ]
+        return entries, ""
+
+
+def find_team(
+    sets_by_team: Mapping[str, AppliedFileSet], team: str
+) -> AppliedFileSet:
+    """Returns the set of a team.
+
+    Raises:
+        ApiError: The team has none.
+    """
+    applied = sets_by_team.get(team)
+    if applied is None:
+        message = f"no file set of team {team!r} is in force at this node"
+        raise api_error(404, "not-found", message)
+    return applied
+
+
+def _summary(applied: AppliedFileSet) -> FileSetSummary:
+    return FileSetSummary(
+        team=applied.team,
+        version=applied.version,
+        author=applied.message.author,
+        applied_at_ms=applied.message.applied_at_ms,
+        description=applied.sections.fileset.description,
+    )
+
+
+def _check_team(team: str, files: list[wire.FileEntry]) -> None:
+    """Refuses a set with problems or of another team than the path names.
+
+    Raises:
+        ApiError: The set has problems.
+    """
+    compiled = compile_files(files)
+    if compiled.is_error():
+        raise _rejection(compiled.error)
+    actual = compiled.ok.team
+    if actual == team:
+        return
+    file = compiled.ok.sections.files_by_section["fileset"]
+    reason = f"{actual!r} is not the team {team!r} of the request"
+    raise _rejection([Problem(file, "fileset", "team", reason)])
+
+
+def _rejection(problems: list[Problem]) -> ApiError:
+    items = [
+        ProblemItem(
+            file=problem.file,
+            section=problem.section,
+            key=problem.key,
+            reason=problem.reason,
+        )
+        for problem in problems
+    ]
+    message = f"the file set has {len(items)} problems; nothing was applied"
+    return api_error(422, "rejected", message, problems=items)
+
+
+def _error_of(error: ApplyError) -> ApiError:
+    """Converts an error of the applier."""
+    if isinstance(error, ApplyRejectedError):
+        return _rejection(error.problems)
+    if isinstance(error, ApplyConflictError):
+        return api_error(
+            409,
+            "conflict",
+            str(error),
+            current_version=error.current_version,
+            changes=[ChangeItem.of(change) for change in error.changes],
+        )
+    if isinstance(error, ApplyUnavailableError):
+        message = f"the store is unavailable, nothing was applied: {error}"
+        return api_error(503, "unavailable", message)
+    message = f"the set may have been applied or not: {error}"
+    return api_error(504, "outcome-unknown", message)
--- /dev/null
+++ b/src/celeryfield/internal/admin/replies.py
@@ -0,0 +1,127 @@
+"""Answers of the administration API: models as JSON, errors in one form."""
+
+import logging
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import aiohttp
+import pydantic
+from aiohttp import web
+
+from celeryfield.errors import CeleryfieldError
+from celeryfield.internal.admin.models import ErrorAnswer, ErrorDetail
+
+logger = logging.getLogger(__name__)
+
+ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+_CODES_BY_STATUS = {
+    404: "not-found",
+    405: "method-not-allowed",
+    413: "too-large",
+}
+
+
+class ApiError(CeleryfieldError):
+    """An error answer.
+
+    Attributes:
+        status: HTTP status.
+        answer: The body.
+    """
+
+    def __init__(self, status: int, answer: ErrorAnswer) -> None:
+        super().__init__(answer.error.message)
+        self.status = status
+        self.answer = answer
+
+
+def api_error(status: int, code: str, message: str, **fields) -> ApiError:
+    """Returns an error to raise; fields are those of the error answer."""
+    detail = ErrorDetail(code=code, message=message)
+    return ApiError(status, ErrorAnswer(error=detail, **fields))
+
+
+def model_response(model: pydantic.BaseModel, status: int = 200):
+    """Returns a model as JSON."""
+    return web.Response(
+        status=status,
+        body=model.model_dump_json(by_alias=True).encode(),
+        content_type="application/json",
+    )
+
+
+def error_response(status: int, code: str, message: str) -> web.Response:
+    """Returns an error in the one form that the API uses."""
+    return model_response(api_error(status, code, message).answer, status)
+
+
+async def read_body(request: web.Request, model: type[ModelT]) -> ModelT:
+    """Reads the body as a model; no body stands for all defaults.
+
+    Raises:
+        ApiError: The body cannot be read.
+        pydantic.ValidationError: It is not what the model wants.
+    """
+    try:
+        body = await request.read()
+    except (aiohttp.ClientError, aiohttp.http.HttpProcessingError) as error:
+        message = "the body cannot be decoded; send plain JSON"
+        raise api_error(400, "invalid", message) from error
+    return model.model_validate_json(body or b"{}")
+
+
+def read_query(request: web.Request, model: type[ModelT]) -> ModelT:
+    """Reads the query as a model.
+
+    Raises:
+        pydantic.ValidationError: It is not what the model wants.
+    """
+    return model.model_validate(dict(request.query))
+
+
+async def answer_errors(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
+    """Runs a handler; every error becomes a JSON answer."""
+    try:
+        return await handler(request)
+    except ApiError as error:
+        return model_response(error.answer, error.status)
+    except pydantic.ValidationError as error:
+        return error_response(400, "invalid", _describe(error))
+    except web.HTTPException as error:
+        return _http_response(request, error)
+    except Exception:
+        logger.exception("administration request failed")
+        return error_response(
+            500, "internal", "the node failed on this request; see its log"
+        )
+
+
+def _describe(error: pydantic.ValidationError) -> str:
+    """Returns all reasons in one line."""
+    reasons = []
+    for item in error.errors(include_url=False):
+        where = ".".join(map(str, item["loc"]))
+        reasons.append(f"{where}: {item['msg']}" if where else item["msg"])
+    return "; ".join(reasons)
+
+
+def _http_response(
+    request: web.Request, error: web.HTTPException
+) -> web.Response:
+    """Converts an error of the HTTP library."""
+    code = _CODES_BY_STATUS.get(error.status, "http")
+    message = error.reason
+    if error.status == 404:
+        message = f"no {request.path}; /v1/openapi.json lists all paths"
+    elif error.status == 405:
+        message = f"{request.path} does not accept {request.method}"
+    elif error.status == 413:
+        message = error.text or message
+    response = error_response(error.status, code, message)
+    if "allow" in error.headers:
+        response.headers["allow"] = error.headers["allow"]
+    return response
--- a/src/celeryfield/internal/admin/server.py
+++ b/src/celeryfield/internal/admin/server.py
@@ -1,14 +1,20 @@
 """HTTP listener for operators, metrics and announcements of the upstream."""
 
-import json
 import ssl
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
-import pydantic
 from aiohttp import web
 from mode import Service
 
 from celeryfield.internal.admin import auth
+from celeryfield.internal.admin.models import Accepted, HealthAnswer
+from celeryfield.internal.admin.replies import (
+    Handler,
+    answer_errors,
+    error_response,
+    model_response,
+    read_body,
+)
 from celeryfield.internal.metrics import Metrics
 from celeryfield.internal.schema import settings as settings_schema
 from celeryfield.internal.upstream.announcements import (
@@ -16,9 +22,8 @@
     UpstreamRegistry,
 )
 
-MAX_BODY_BYTES = 1_048_576
-
-Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+# A file set of the largest size fits, also with JSON escapes in its text.
+MAX_BODY_BYTES = 2_097_152
 
 
 class AdminServer(Service):
@@ -91,16 +96,7 @@
             return error_response(
                 401, "unauthorized", "send Authorization: Bearer TOKEN"
             )
-        try:
-            return await handler(request)
-        except web.HTTPException as error:
-            return error_response(error.status, "http", error.reason)
-        except pydantic.ValidationError as error:
-            problems = [
-                f"{'.'.join(map(str, item['loc']))}: {item['msg']}"
-                for item in error.errors()
-            ]
-            return error_response(400, "invalid", "; ".join(problems))
+        return await answer_errors(request, handler)
 
     def _is_allowed(self, request: web.Request) -> bool:
         if request.path == "/healthz":
@@ -113,14 +109,13 @@
         )
 
     async def _announce(self, request: web.Request) -> web.Response:
-        announcement = Announcement.model_validate_json(await request.read())
-        self._registry.accept(announcement)
-        return web.json_response({"accepted": True})
+        self._registry.accept(await read_body(request, Announcement))
+        return model_response(Accepted(accepted=True))
 
     async def _health(self, _request: web.Request) -> web.Response:
         is_ready = self._is_ready()
-        return web.json_response(
-            {"ready": is_ready}, status=200 if is_ready else 503
+        return model_response(
+            HealthAnswer(ready=is_ready), 200 if is_ready else 503
         )
 
     async def _render_metrics(self, _request: web.Request) -> web.Response:
@@ -128,13 +123,3 @@
             body=self._metrics.render(),
             headers={"content-type": "text/plain; version=0.0.4"},
         )
-
-
-def error_response(status: int, code: str, message: str) -> web.Response:
-    """Returns an error in the one form that the API uses."""
-    content = {"error": {"code": code, "message": message}}
-    return web.Response(
-        status=status,
-        body=json.dumps(content).encode(),
-        content_type="application/json",
-    )
--- a/src/celeryfield/internal/admin/status.py
+++ b/src/celeryfield/internal/admin/status.py
@@ -1,65 +1,146 @@
-"""Status of one node as JSON."""
+"""Status of one node."""
 
+import collections
 import dataclasses
-from typing import TYPE_CHECKING, Any
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
 
 import celeryfield
+from celeryfield.internal.admin.status_models import (
+    ClassStatus,
+    LocalStatus,
+    MemberStatus,
+    StatusAnswer,
+    UpstreamStatus,
+)
+from celeryfield.internal.membership.versions import (
+    MemberVersions,
+    hash_of_versions,
+)
+from celeryfield.internal.metrics import ClassTotals
 
 if TYPE_CHECKING:
     from celeryfield.internal.node import Node
 
+# Samples are taken twice a second, so goodput is that of the last 10 s.
+MAX_SAMPLES = 20
 
-def node_status(node: "Node") -> dict[str, Any]:
+
+class GoodputMeter:
+    """Answers per second by class, from totals that are sampled in between.
+
+    Sampling keeps the measurement out of the path of calls.
+    """
+
+    def __init__(self) -> None:
+        self._samples: collections.deque[tuple[float, dict[str, int]]] = (
+            collections.deque(maxlen=MAX_SAMPLES)
+        )
+
+    def sample(
+        self, now_ms: float, totals_by_class: Mapping[str, ClassTotals]
+    ) -> None:
+        """Remembers the present totals."""
+        answered = {name: item.ok for name, item in totals_by_class.items()}
+        self._samples.append((now_ms, answered))
+
+    def goodput(self, now_ms: float, class_name: str, answered: int) -> float:
+        """Returns the answers per second since the oldest sample."""
+        if not self._samples:
+            return 0.0
+        oldest_ms, totals = self._samples[0]
+        if now_ms <= oldest_ms:
+            return 0.0
+        count = answered - totals.get(class_name, 0)
+        return round(count * 1000.0 / (now_ms - oldest_ms), 1)
+
+
+def node_status(node: "Node") -> StatusAnswer:
     """Returns what operators see of a node and of its view of the fleet."""
+    members, configurations = _members(node)
+    return StatusAnswer(
+        version=celeryfield.__version__,
+        node=node.settings.node.id,
+        zone=node.settings.node.zone,
+        ready=node.is_ready,
+        leaving=node.is_leaving,
+        configuration=dict(node.config.versions_by_team),
+        conflicts=[str(conflict) for conflict in node.config.conflicts],
+        local=_local(node),
+        callers_in_flight=node.frontend.in_flight,
+        classes=_classes(node),
+        executor=dataclasses.asdict(node.executor.counters),
+        members=members,
+        configurations=configurations,
+        upstreams=_upstreams(node),
+    )
+
+
+def _local(node: "Node") -> LocalStatus:
     load = node.admission.load_report()
+    announced = node.registry.current
+    return LocalStatus(
+        state=load.state,
+        in_flight=load.in_flight,
+        queued=load.queued,
+        limit=load.limit,
+        slots=announced.slots if announced else 0,
+        connections=announced.connections if announced else 0,
+        levels={entry.service: entry.level for entry in load.levels},
+    )
+
+
+def _classes(node: "Node") -> dict[str, ClassStatus]:
+    now_ms = node.clock.now_ms()
     return {
-        "version": celeryfield.__version__,
-        "node": node.settings.node.id,
-        "zone": node.settings.node.zone,
-        "ready": node.is_ready,
-        "leaving": node.is_leaving,
-        "configuration": dict(node.config.versions_by_team),
-        "conflicts": [str(conflict) for conflict in node.config.conflicts],
-        "local": {
-            "state": load.state,
-            "in_flight": load.in_flight,
-            "queued": load.queued,
-            "limit": load.limit,
-            "levels": {entry.service: entry.level for entry in load.levels},
-        },
-        "callers_in_flight": node.frontend.in_flight,
-        "classes": {
-            name: dataclasses.asdict(totals)
-            for name, totals in node.metrics.totals_by_class.items()
-        },
-        "executor": dataclasses.asdict(node.executor.counters),
-        "members": _members(node),
-        "upstreams": _upstreams(node),
+        name: ClassStatus(
+            **dataclasses.asdict(totals),
+            goodput=node.goodput.goodput(now_ms, name, totals.ok),
+        )
+        for name, totals in node.metrics.totals_by_class.items()
     }
 
 
-def _members(node: "Node") -> list[dict[str, Any]]:
-    return [
-        {
-            "node": member.id,
-            "incarnation": member.incarnation,
-            "state": str(member.state),
-            "zone": member.zone,
-            "region": member.region,
-        }
-        for member in node.membership.members_by_id.values()
-    ]
+def _members(
+    node: "Node",
+) -> tuple[list[MemberStatus], dict[str, dict[str, int]]]:
+    """Returns the members and the version vectors that they name."""
+    members = []
+    configurations: dict[str, dict[str, int]] = {}
+    for member in node.membership.members_by_id.values():
+        known = _known_versions(node, member.id)
+        key = f"{known.config_hash:016x}" if known else ""
+        if known and known.versions_by_team is not None:
+            configurations[key] = dict(known.versions_by_team)
+        members.append(
+            MemberStatus(
+                node=member.id,
+                incarnation=member.incarnation,
+                state=str(member.state),
+                zone=member.zone,
+                region=member.region,
+                configuration=key,
+            )
+        )
+    return members, configurations
+
 
+def _known_versions(node: "Node", member_id: str) -> MemberVersions | None:
+    if member_id == node.settings.node.id:
+        own = node.config.versions_by_team
+        return MemberVersions(hash_of_versions(own), own)
+    return node.membership.config_versions_of(member_id)
 
-def _upstreams(node: "Node") -> list[dict[str, Any]]:
+
+def _upstreams(node: "Node") -> list[UpstreamStatus]:
     return [
-        {
-            "service": service,
-            "node": candidate.node_id,
-            "zone": candidate.zone,
-            "state": candidate.state,
-            "slots": candidate.slots,
-        }
+        UpstreamStatus(
+            service=service,
+            node=candidate.node_id,
+            zone=candidate.zone,
+            state=candidate.state,
+            slots=candidate.slots,
+        )
         for service, candidates in sorted(
             node.directory.candidates_by_service.items()
         )
--- a/src/celeryfield/internal/config/fileset.py
+++ b/src/celeryfield/internal/config/fileset.py
@@ -99,9 +99,22 @@
         for route in self._routes_by_service.get(service, ()):
             if route.method in ("*", method) and route.pattern.matches(path):
                 return route.rule
-        if not settings.default_class:
+        return self._default_rule(service)
+
+    def rules_of(self, service: str) -> list[Rule]:
+        """Returns the rules of a service, the most specific route first."""
+        rules = [
+            route.rule for route in self._routes_by_service.get(service, ())
+        ]
+        default = self._default_rule(service)
+        return [*rules, default] if default else rules
+
+    def _default_rule(self, service: str) -> Rule | None:
+        """Returns the rule of requests that no route matches."""
+        class_name = self.sections.services_by_name[service].default_class
+        if not class_name:
             return None
-        return _make_rule(self.sections, service, settings.default_class, "")
+        return _make_rule(self.sections, service, class_name, "")
 
 
 def _compile_routes(
--- a/src/celeryfield/internal/config/manager.py
+++ b/src/celeryfield/internal/config/manager.py
@@ -95,12 +95,25 @@
         if owner is None:
             return None
         rule = owner.rule_for(service, method, path)
-        if rule is None:
-            return None
-        class_owner = self._owners_by_name[("class", rule.class_name)]
-        if class_owner is owner:
-            return rule
-        return _with_class_of(rule, class_owner)
+        return self._in_force(rule, owner) if rule else None
+
+    def rules_of(self, service: str) -> list[Rule]:
+        """Returns all rules of a service, the most specific route first."""
+        owner = self._owners_by_name.get(("service", service))
+        if owner is None:
+            return []
+        return [self._in_force(rule, owner) for rule in owner.rules_of(service)]
+
+    def team_of(self, kind: str, name: str) -> str:
+        """Returns the team whose section is in force, or an empty string."""
+        owner = self._owners_by_name.get((kind, name))
+        return owner.team if owner else ""
+
+    def service_names(self) -> list[str]:
+        """Returns the services in force."""
+        return sorted(
+            name for kind, name in self._owners_by_name if kind == "service"
+        )
 
     def service(self, name: str) -> ServiceSection | None:
         """Returns the section of a service that is in force."""
@@ -125,6 +138,13 @@
         section = owner and owner.sections.tenants_by_name.get(tenant)
         return section.weight if section else 1.0
 
+    def _in_force(self, rule: Rule, owner: AppliedFileSet) -> Rule:
+        """Returns a rule with the class section that is in force."""
+        class_owner = self._owners_by_name[("class", rule.class_name)]
+        if class_owner is owner:
+            return rule
+        return _with_class_of(rule, class_owner)
+
     def _is_newer(self, candidate: AppliedFileSet) -> bool:
         """Tells whether a candidate may replace the current set."""
         current = self._sets_by_team.get(candidate.team)
--- a/src/celeryfield/internal/frontend/server.py
+++ b/src/celeryfield/internal/frontend/server.py
@@ -106,7 +106,7 @@
         call = incoming.call
         started_ms = self._clock.now_ms()
         self.in_flight += 1
-        self._metrics.started()
+        self._metrics.started(call)
         result = CallResult(Outcome.UNKNOWN, Reason.CANCELLED, 499)
         try:
             result = await self._ingress.run(incoming, body)
--- a/src/celeryfield/internal/metrics.py
+++ b/src/celeryfield/internal/metrics.py
@@ -39,6 +39,7 @@
     ok: int = 0
     failed: int = 0
     unknown: int = 0
+    in_flight: int = 0
 
 
 class Metrics:
@@ -69,9 +70,10 @@
             tuple[str, str, str], prometheus_client.Histogram
         ] = {}
 
-    def started(self) -> None:
+    def started(self, call: wire.Call) -> None:
         """Counts a call that a caller sent."""
         self._in_flight.inc()
+        self._totals(call).in_flight += 1
 
     def finished(
         self, call: wire.Call, result: CallResult, duration_ms: float
@@ -85,16 +87,21 @@
             child = self._latency.labels(*labels)
             self._children_by_labels[labels] = child
         child.observe(duration_ms / 1000.0)
-        self._count(call.class_name or OTHER, result)
+        self._count(self._totals(call), result)
 
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
 
-    def _count(self, class_name: str, result: CallResult) -> None:
+    def _totals(self, call: wire.Call) -> ClassTotals:
+        class_name = call.class_name or OTHER
         totals = self.totals_by_class.get(class_name)
         if totals is None:
             totals = self.totals_by_class[class_name] = ClassTotals()
+        return totals
+
+    def _count(self, totals: ClassTotals, result: CallResult) -> None:
+        totals.in_flight -= 1
         if result.outcome == "not-run":
             totals.shed += 1
             return
--- a/src/celeryfield/internal/node.py
+++ b/src/celeryfield/internal/node.py
@@ -3,13 +3,13 @@
 import logging
 import random
 
-from aiohttp import web
 from mode import Service
 
 from celeryfield.internal import tls
-from celeryfield.internal.admin import auth
+from celeryfield.internal.admin import administration, auth
+from celeryfield.internal.admin.draining import Draining
 from celeryfield.internal.admin.server import AdminServer
-from celeryfield.internal.admin.status import node_status
+from celeryfield.internal.admin.status import GoodputMeter
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.config.distribution import ConfigDistributor
 from celeryfield.internal.config.manager import ConfigManager
@@ -72,6 +72,7 @@
         self.clock = clock
         self.config = ConfigManager()
         self.metrics = Metrics(self.config.knows_tenant)
+        self.goodput = GoodputMeter()
         self._random = random.Random()
         self._tls = tls.load_contexts(settings.tls)
         self._hello = wire.Hello(frames.PROTOCOL_VERSION, settings.node.id)
@@ -107,6 +108,7 @@
             {
                 Kind.FETCH_CONFIG: self.distributor.serve,
                 Kind.HANDOVER: lambda frame: self.succession.adopt(frame),
+                Kind.DRAIN: lambda frame: self.draining.serve_peer(frame),
             },
             self._tls.peer_server,
         )
@@ -147,14 +149,6 @@
         self.frontend = Frontend(
             settings, clock, self.metrics, ingress, self._tls.http
         )
-        self.admin = AdminServer(
-            settings,
-            self.registry,
-            self.metrics,
-            lambda: self.is_ready,
-            [web.get("/v1/status", self._serve_status)],
-            self._tls.http,
-        )
 
     @property
     def is_ready(self) -> bool:
@@ -170,7 +164,7 @@
         self._build_gateway()
         await self._start_store(port)
         await self.add_runtime_dependency(self.frontend)
-        await self.add_runtime_dependency(self.admin)
+        await self._start_admin()
         logger.info(
             "node started",
             extra={
@@ -187,6 +181,9 @@
             settings, self.clock, random.Random(), self._seed_addresses
         )
         self.directory = Directory(self.membership.members_by_id, self.balancer)
+        self.draining = Draining(
+            self.settings.node.id, self.directory, self.pool
+        )
         self.membership.subscribe(self._on_members)
         self.membership.subscribe_suspects(self._learn_suspect)
         self.membership.subscribe_versions(
@@ -222,6 +219,17 @@
         await self.add_runtime_dependency(self.seeds)
         await self.add_runtime_dependency(watcher)
 
+    async def _start_admin(self) -> None:
+        self.admin = AdminServer(
+            self.settings,
+            self.registry,
+            self.metrics,
+            lambda: self.is_ready,
+            administration.routes(self),
+            self._tls.http,
+        )
+        await self.add_runtime_dependency(self.admin)
+
     async def on_shutdown(self) -> None:
         """Closes what the services use, after they have stopped."""
         self.executor.close()
@@ -273,16 +281,11 @@
     def _publish(self) -> None:
         """Tells other nodes what this node serves."""
         current = self.registry.current
+        fields = ("service", "state", "slots", "connections")
         services = []
         if current is not None:
-            services.append(
-                gossip.Announcement(
-                    service=current.service,
-                    state=current.state,
-                    slots=current.slots,
-                    connections=current.connections,
-                )
-            )
+            values = {name: getattr(current, name) for name in fields}
+            services.append(gossip.Announcement(**values))
         self.membership.update_local(
             services, "leaving" if self.is_leaving else "alive"
         )
@@ -316,12 +319,12 @@
             raise UnreachableError(f"member {member_id} is gone")
         return await self.pool.request(candidate, Kind.FETCH_CONFIG, header)
 
-    async def _serve_status(self, _request: web.Request) -> web.Response:
-        return web.json_response(node_status(self))
-
     @Service.task
-    async def _expire_upstream(self) -> None:
+    async def _run_housekeeping(self) -> None:
         while not self.should_stop:
+            self.goodput.sample(
+                self.clock.now_ms(), self.metrics.totals_by_class
+            )
             await self.clock.sleep_ms(EXPIRY_CHECK_MS)
             self.registry.expire()
             self._spread_suspects()
--- a/src/celeryfield/internal/schema/wire.capnp
+++ b/src/celeryfield/internal/schema/wire.capnp
@@ -79,6 +79,11 @@
   team @0 :Text;
 }
 
+struct Drain $doc("Asks a node to leave and to end its process.") {
+  nodeId @0 :Text $doc("Node that is meant; any other refuses.");
+  requestedBy @1 :Text $doc("Node that an operator asked.");
+}
+
 struct FileEntry $doc("One file of a file set.") {
   name @0 :Text;
   text @1 :Text;
--- a/src/celeryfield/internal/schema/wire.py
+++ b/src/celeryfield/internal/schema/wire.py
@@ -518,6 +518,52 @@
             raise MessageError(message) from error
 
 
+@dataclasses.dataclass(slots=True)
+class Drain:
+    """Asks a node to leave and to end its process.
+
+    Attributes:
+        node_id: Node that is meant; any other refuses.
+        requested_by: Node that an operator asked.
+    """
+
+    node_id: str = ""
+    requested_by: str = ""
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.nodeId = self.node_id
+        builder.requestedBy = self.requested_by
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.Drain.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "Drain":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.nodeId,
+            reader.requestedBy,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "Drain":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.Drain.from_bytes(data) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed Drain message"
+            raise MessageError(message) from error
+
+
 @dataclasses.dataclass(slots=True)
 class FileEntry:
     """One file of a file set."""
--- a/src/celeryfield/internal/transport/frames.py
+++ b/src/celeryfield/internal/transport/frames.py
@@ -34,6 +34,8 @@
     CONFIG = 11
     HANDOVER = 12
     HANDOVER_RESULT = 13
+    DRAIN = 14
+    DRAIN_RESULT = 15
 
 
 _KINDS_BY_VALUE = {int(kind): kind for kind in Kind}
