Check every answer and error of the administration API

No test covered the routes, tokens and errors of the administration listener. The new tests run nodes in the test process and found two faults: the transport did not know DRAIN_RESULT as an answer, so a forwarded drain timed out, and a truncated gzip body decoded to an empty one and drained the node. The first is added to the answers; compressed bodies are now refused with 415.

--- a/src/celeryfield/internal/admin/operations.py
+++ b/src/celeryfield/internal/admin/operations.py
@@ -55,7 +55,7 @@
     "Applies a whole file set, or nothing of it.",
     models.ApplyAnswer,
     body=models.ApplyRequest,
-    error_statuses=(409, 413, 422, 503, 504),
+    error_statuses=(409, 413, 415, 422, 503, 504),
 )
 IN_FORCE = Operation(
     "GET",
@@ -71,7 +71,7 @@
     models.DrainAnswer,
     status=202,
     body=models.DrainRequest,
-    error_statuses=(404, 413, 503, 504),
+    error_statuses=(404, 413, 415, 503, 504),
 )
 EXPLAIN = Operation(
     "GET",
@@ -88,7 +88,7 @@
     "Heartbeat of the upstream; needs no token from the same VM.",
     models.Accepted,
     body=Announcement,
-    error_statuses=(413,),
+    error_statuses=(413, 415),
 )
 HEALTH = Operation(
     "GET",
--- a/src/celeryfield/internal/admin/replies.py
+++ b/src/celeryfield/internal/admin/replies.py
@@ -4,7 +4,6 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-import aiohttp
 import pydantic
 from aiohttp import web
 
@@ -64,10 +63,15 @@
         ApiError: The body cannot be read.
         pydantic.ValidationError: It is not what the model wants.
     """
+    # A truncated compressed body can decode to an empty one, which stands for
+    # all defaults.
+    if "content-encoding" in request.headers:
+        message = "compressed bodies are not accepted; send plain JSON"
+        raise api_error(415, "invalid", message)
     try:
         body = await request.read()
-    except (aiohttp.ClientError, aiohttp.http.HttpProcessingError) as error:
-        message = "the body cannot be decoded; send plain JSON"
+    except web.RequestPayloadError as error:
+        message = "the body is incomplete; send it again"
         raise api_error(400, "invalid", message) from error
     return model.model_validate_json(body or b"{}")
 
--- a/src/celeryfield/internal/admin/server.py
+++ b/src/celeryfield/internal/admin/server.py
@@ -82,6 +82,10 @@
         await site.start()
         self.port = self._runner.addresses[0][1]
 
+    def routes(self) -> list[web.AbstractRoute]:
+        """Returns all routes that are served."""
+        return list(self._runner.app.router.routes()) if self._runner else []
+
     async def on_stop(self) -> None:
         """Closes the listener."""
         if self._runner is not None:
--- a/src/celeryfield/internal/transport/connection.py
+++ b/src/celeryfield/internal/transport/connection.py
@@ -245,7 +245,13 @@
 
 
 _ANSWERS = frozenset(
-    (Kind.REPLY, Kind.CANCEL_RESULT, Kind.CONFIG, Kind.HANDOVER_RESULT)
+    (
+        Kind.REPLY,
+        Kind.CANCEL_RESULT,
+        Kind.CONFIG,
+        Kind.HANDOVER_RESULT,
+        Kind.DRAIN_RESULT,
+    )
 )
 
 __all__ = ["PeerConnection", "TransportError"]
