Add the commands of operators

The command line ran nodes and the demo only. Operators now check, diff and apply file sets, read the status, drain nodes and ask which rule applies, each command in a module of its own. Failures end with one line per reason on stderr and a documented exit code; a lost answer to a change is reported as unknown (6), never as not done.

--- /dev/null
+++ b/src/celeryfield/cli/apply.py
@@ -0,0 +1,140 @@
+"""The command that applies a file set."""
+
+import asyncio
+import getpass
+import pathlib
+from typing import Annotated
+
+import typer
+
+from celeryfield.cli.client import AdminClient, Failure, exit_with
+from celeryfield.cli.exits import ExitCode, fail
+from celeryfield.cli.filesets import fetch_current, load_or_exit
+from celeryfield.cli.options import (
+    DEFAULT_ADMIN_URL,
+    AdminUrl,
+    CaFile,
+    Directory,
+    Token,
+)
+from celeryfield.internal.admin.models import (
+    MAX_AUTHOR_LENGTH,
+    ApplyAnswer,
+    ApplyRequest,
+    FileItem,
+    InForceAnswer,
+)
+from celeryfield.internal.clock import Clock
+
+POLL_MS = 500.0
+DEFAULT_TIMEOUT_S = 30.0
+
+
+def apply(
+    directory: Directory,
+    base: Annotated[
+        int | None,
+        typer.Option(
+            min=0,
+            help="Version that the files were made from; 0 for none. "
+            "Default: the version in force at the node.",
+        ),
+    ] = None,
+    admin: AdminUrl = DEFAULT_ADMIN_URL,
+    token: Token = "",
+    ca: CaFile = None,
+    timeout: Annotated[
+        float,
+        typer.Option(min=0, help="Longest wait until it is in force. Unit: s."),
+    ] = DEFAULT_TIMEOUT_S,
+    author: Annotated[
+        str, typer.Option(help="Name for the history; default: the user.")
+    ] = "",
+) -> None:
+    """Applies a whole file set and waits until it is in force everywhere."""
+    client = AdminClient(admin, token, ca)
+    author = (author or _user_name())[:MAX_AUTHOR_LENGTH]
+    asyncio.run(_apply(client, directory, base, author, timeout))
+
+
+async def _apply(
+    client: AdminClient,
+    directory: pathlib.Path,
+    base: int | None,
+    author: str,
+    timeout_s: float,
+) -> None:
+    offered = load_or_exit(directory)
+    team = offered.team
+    async with client:
+        if base is None:
+            found = await fetch_current(client, team)
+            base = found.current.version if found else 0
+        request = ApplyRequest(
+            files=[
+                FileItem(name=entry.name, text=entry.text)
+                for entry in offered.message.files
+            ],
+            expected_version=base,
+            author=author,
+        )
+        applied = await client.post(
+            f"/v1/filesets/{team}", ApplyAnswer, request
+        )
+        if applied.is_error():
+            _exit_not_applied(applied.error)
+        version = applied.ok.version
+        typer.echo(f"applied as version {version} of team {team}")
+        await _wait_in_force(client, team, version, timeout_s)
+
+
+def _exit_not_applied(failure: Failure) -> None:
+    """Ends the command; a conflict shows the diff."""
+    lines = failure.lines()
+    if failure.code == ExitCode.CONFLICT and failure.answer is not None:
+        lines += [change.text for change in failure.answer.changes]
+    elif failure.code == ExitCode.UNKNOWN:
+        lines.append("run 'celeryfield diff' before you apply again")
+    fail(failure.code, lines)
+
+
+async def _wait_in_force(
+    client: AdminClient, team: str, version: int, timeout_s: float
+) -> None:
+    """Shows progress until every member has a version in force."""
+    clock = Clock()
+    deadline_ms = clock.now_ms() + timeout_s * 1000.0
+    shown = ""
+    while True:
+        found = await client.get(
+            f"/v1/filesets/{team}/in-force", InForceAnswer, version=str(version)
+        )
+        if found.is_error() and found.error.code == ExitCode.DENIED:
+            exit_with(found.error)
+        progress = _progress(found.ok) if found.is_ok() else ""
+        if progress and progress != shown:
+            shown = progress
+            typer.echo(progress)
+        if found.is_ok() and found.ok.is_everywhere:
+            return
+        if clock.now_ms() >= deadline_ms:
+            break
+        await clock.sleep_ms(POLL_MS)
+    reason = f"version {version} is applied, but not in force everywhere"
+    lines = [f"{reason} after {timeout_s:g} s"]
+    if found.is_error():
+        lines += found.error.lines()
+    elif found.ok.missing:
+        lines.append(f"still missing: {', '.join(found.ok.missing)}")
+    fail(ExitCode.NOT_IN_FORCE, lines)
+
+
+def _progress(answer: InForceAnswer) -> str:
+    return f"in force at {answer.in_force} of {answer.members} nodes"
+
+
+def _user_name() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
--- /dev/null
+++ b/src/celeryfield/cli/client.py
@@ -0,0 +1,194 @@
+"""Client of the administration API for the command line."""
+
+import dataclasses
+import pathlib
+import ssl
+from typing import NoReturn, TypeVar
+
+import aiohttp
+import pydantic
+from expression import Error, Ok, Result
+
+from celeryfield.cli.exits import ExitCode, fail
+from celeryfield.internal.admin.models import ErrorAnswer
+
+# A node answers an apply after at most a few deadlines of the store.
+REQUEST_TIMEOUT_S = 30.0
+CONNECT_TIMEOUT_S = 5.0
+MAX_ANSWER_BYTES = 16_777_216
+
+_CODES_BY_STATUS = {
+    401: ExitCode.DENIED,
+    409: ExitCode.CONFLICT,
+    422: ExitCode.INVALID,
+    503: ExitCode.UNAVAILABLE,
+    504: ExitCode.UNKNOWN,
+}
+
+ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
+
+
+@dataclasses.dataclass(slots=True)
+class Failure:
+    """Why there is no answer.
+
+    Attributes:
+        code: Exit code of the command.
+        message: One line.
+        status: HTTP status, or 0 if there is no answer of the API.
+        answer: Error of the API, if one came.
+    """
+
+    code: ExitCode
+    message: str
+    status: int = 0
+    answer: ErrorAnswer | None = None
+
+    def lines(self) -> list[str]:
+        """Returns the error lines of a command."""
+        if self.answer is None:
+            return [self.message]
+        problems = [str(problem) for problem in self.answer.problems]
+        return problems or [self.message]
+
+
+class AdminClient:
+    """Sends requests to the administration listener of one node.
+
+    Args:
+        url: Base URL of the listener.
+        token: Token, or an empty string.
+        ca_file: Authority that signed the node's certificate, or None.
+    """
+
+    def __init__(
+        self, url: str, token: str, ca_file: pathlib.Path | None
+    ) -> None:
+        self._url = url.rstrip("/")
+        self._token = token
+        self._ssl_context = _ssl_context(ca_file)
+        self._session: aiohttp.ClientSession | None = None
+        if not self._url.startswith(("http://", "https://")):
+            fail(ExitCode.USAGE, [f"--admin {url!r} is not an http(s) URL"])
+
+    async def __aenter__(self) -> "AdminClient":
+        """Opens the session."""
+        headers = {}
+        if self._token:
+            headers["authorization"] = f"Bearer {self._token}"
+        self._session = aiohttp.ClientSession(
+            headers=headers,
+            timeout=aiohttp.ClientTimeout(
+                total=REQUEST_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+            ),
+        )
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Closes the session."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def get(
+        self, path: str, model: type[ModelT], **query: str
+    ) -> Result[ModelT, Failure]:
+        """Reads something; a lost answer changes nothing."""
+        return await self._request("GET", path, model, query, b"")
+
+    async def post(
+        self, path: str, model: type[ModelT], body: pydantic.BaseModel
+    ) -> Result[ModelT, Failure]:
+        """Changes something; a lost answer leaves the outcome unknown."""
+        content = body.model_dump_json().encode()
+        return await self._request("POST", path, model, {}, content)
+
+    async def _request(
+        self,
+        method: str,
+        path: str,
+        model: type[ModelT],
+        query: dict[str, str],
+        body: bytes,
+    ) -> Result[ModelT, Failure]:
+        try:
+            # A redirect would carry the token to another host.
+            async with self._session.request(
+                method,
+                self._url + path,
+                params=query,
+                data=body or None,
+                headers={"content-type": "application/json"},
+                ssl=self._ssl_context,
+                allow_redirects=False,
+            ) as answer:
+                content = await _read(answer)
+                return self._decode(method, answer.status, content, model)
+        except (aiohttp.InvalidURL, ValueError) as error:
+            message = f"{self._url} cannot be used: {error}"
+            return Error(Failure(ExitCode.USAGE, message))
+        except aiohttp.ClientConnectorError as error:
+            return Error(self._unreachable(error))
+        except aiohttp.ConnectionTimeoutError as error:
+            return Error(self._unreachable(error))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Error(self._lost(method, str(error) or "no answer in time"))
+
+    def _unreachable(self, error: Exception) -> Failure:
+        message = f"cannot reach the node at {self._url}: {error}"
+        if isinstance(error, aiohttp.ClientSSLError):
+            message += "; check --ca and the host name"
+        return Failure(ExitCode.UNAVAILABLE, message)
+
+    def _lost(self, method: str, reason: str) -> Failure:
+        """Returns the failure of a request without a usable answer."""
+        message = f"no usable answer from {self._url}: {reason}"
+        if method == "GET":
+            return Failure(ExitCode.UNAVAILABLE, message)
+        message += "; the change may have been made or not"
+        return Failure(ExitCode.UNKNOWN, message)
+
+    def _decode(
+        self, method: str, status: int, content: bytes, model: type[ModelT]
+    ) -> Result[ModelT, Failure]:
+        """Reads an answer or an error of the API."""
+        try:
+            if status < 300:
+                return Ok(model.model_validate_json(content))
+            answer = ErrorAnswer.model_validate_json(content)
+        except pydantic.ValidationError:
+            reason = f"status {status} with a body of another kind"
+            return Error(self._lost(method, reason))
+        code = _CODES_BY_STATUS.get(status, ExitCode.FAILED)
+        message = answer.error.message
+        return Error(Failure(code, message, status, answer))
+
+
+async def _read(answer: aiohttp.ClientResponse) -> bytes:
+    """Reads a body of bounded size.
+
+    Raises:
+        ClientPayloadError: It is too large.
+    """
+    content = bytearray()
+    async for chunk in answer.content.iter_any():
+        content += chunk
+        if len(content) > MAX_ANSWER_BYTES:
+            raise aiohttp.ClientPayloadError(
+                f"more than {MAX_ANSWER_BYTES} bytes"
+            )
+    return bytes(content)
+
+
+def _ssl_context(ca_file: pathlib.Path | None) -> ssl.SSLContext | bool:
+    """Returns the context that trusts an authority, or the default."""
+    if ca_file is None:
+        return True
+    try:
+        return ssl.create_default_context(cafile=str(ca_file))
+    except (OSError, ssl.SSLError) as error:
+        fail(ExitCode.USAGE, [f"--ca {ca_file} cannot be loaded: {error}"])
+
+
+def exit_with(failure: Failure) -> NoReturn:
+    """Ends the command with the lines and the code of a failure."""
+    fail(failure.code, failure.lines())
--- a/src/celeryfield/cli/exits.py
+++ b/src/celeryfield/cli/exits.py
@@ -8,7 +8,19 @@
 
 
 class ExitCode(enum.IntEnum):
-    """How a command ended; the codes are part of the interface."""
+    """How a command ended; the codes are part of the interface.
+
+    Attributes:
+        OK: Done.
+        FAILED: Not done, for a reason without a code of its own.
+        USAGE: The command line is wrong.
+        INVALID: Settings or files have problems; nothing was changed.
+        CONFLICT: Another operator was first; nothing was changed.
+        UNAVAILABLE: Node or store cannot be reached; nothing was changed.
+        UNKNOWN: The answer was lost; the change may have been made or not.
+        DENIED: The node does not accept the token; nothing was changed.
+        NOT_IN_FORCE: Applied, but not in force everywhere in time.
+    """
 
     OK = 0
     FAILED = 1
@@ -17,6 +29,8 @@
     CONFLICT = 4
     UNAVAILABLE = 5
     UNKNOWN = 6
+    DENIED = 7
+    NOT_IN_FORCE = 8
 
 
 def fail(code: ExitCode, lines: Iterable[str]) -> NoReturn:
--- a/src/celeryfield/cli/main.py
+++ b/src/celeryfield/cli/main.py
@@ -1,18 +1,37 @@
 """The ``celeryfield`` command."""
 
-import asyncio
+import sys
 
 import typer
 
-import celeryfield
-from celeryfield.cli.exits import ExitCode, fail
+from celeryfield.cli.apply import apply
+from celeryfield.cli.check import check
+from celeryfield.cli.demo import demo
+from celeryfield.cli.diff import diff
+from celeryfield.cli.drain import drain
+from celeryfield.cli.exits import ExitCode
+from celeryfield.cli.explain import explain
 from celeryfield.cli.node import node
-from celeryfield.standins.demo import run_demo
+from celeryfield.cli.status import status
+from celeryfield.cli.version import version
+
+COMMANDS = (
+    node,
+    check,
+    apply,
+    diff,
+    status,
+    drain,
+    explain,
+    demo,
+    version,
+)
 
 app = typer.Typer(
     no_args_is_help=True,
     add_completion=False,
     pretty_exceptions_enable=False,
+    rich_markup_mode=None,
 )
 
 
@@ -21,22 +40,14 @@
     """Overload control layer for service call graphs."""
 
 
-@app.command()
-def version() -> None:
-    """Prints the version of this program."""
-    typer.echo(f"celeryfield {celeryfield.__version__}")
-
-
-@app.command()
-def demo() -> None:
-    """Runs the main job on embedded stand-ins; exit 0 if all went well."""
-    if not asyncio.run(run_demo(typer.echo)):
-        fail(ExitCode.FAILED, ["not every call was answered whole"])
-
-
-app.command()(node)
+for _command in COMMANDS:
+    app.command()(_command)
 
 
 def main() -> None:
-    """Runs the command line."""
-    app()
+    """Runs the command line; no error shows a traceback to operators."""
+    try:
+        app()
+    except Exception as error:
+        typer.echo(f"error: unexpected fault: {error!r}", err=True)
+        sys.exit(ExitCode.FAILED)
--- /dev/null
+++ b/src/celeryfield/cli/status.py
@@ -0,0 +1,116 @@
+"""The command that shows the status of a node."""
+
+import asyncio
+import collections
+from collections.abc import Iterator, Sequence
+from typing import Annotated
+
+import typer
+
+from celeryfield.cli.client import AdminClient, exit_with
+from celeryfield.cli.options import (
+    DEFAULT_ADMIN_URL,
+    AdminUrl,
+    CaFile,
+    Token,
+)
+from celeryfield.internal.admin.status_models import StatusAnswer
+
+_CLASS_TITLES = (
+    "class",
+    "goodput/s",
+    "in flight",
+    "admitted",
+    "shed",
+    "ok",
+    "failed",
+    "unknown",
+)
+
+
+def status(
+    as_json: Annotated[
+        bool, typer.Option("--json", help="Print the answer of the node.")
+    ] = False,
+    admin: AdminUrl = DEFAULT_ADMIN_URL,
+    token: Token = "",
+    ca: CaFile = None,
+) -> None:
+    """Shows the status of a node and its view of the fleet."""
+    asyncio.run(_status(as_json, AdminClient(admin, token, ca)))
+
+
+async def _status(as_json: bool, client: AdminClient) -> None:
+    async with client:
+        found = await client.get("/v1/status", StatusAnswer)
+    if found.is_error():
+        exit_with(found.error)
+    if as_json:
+        typer.echo(found.ok.model_dump_json(indent=2))
+        return
+    for line in _lines(found.ok):
+        typer.echo(line)
+
+
+def _lines(answer: StatusAnswer) -> Iterator[str]:
+    state = "leaving" if answer.leaving else "not ready"
+    state = "ready" if answer.ready else state
+    yield f"node {answer.node} in {answer.zone}: {state}, {answer.version}"
+    for team, version in sorted(answer.configuration.items()):
+        yield f"file set {team}: version {version}"
+    for conflict in answer.conflicts:
+        yield f"conflict: {conflict}"
+    local = answer.local
+    yield (
+        f"upstream: {local.state}, {local.in_flight} of {local.limit} calls "
+        f"in flight, {local.queued} queued, {local.slots} slots, "
+        f"{local.connections} connections"
+    )
+    for service, level in sorted(local.levels.items()):
+        yield f"{service} sheds priorities below {level / 128:.2f}"
+    yield from _table(_CLASS_TITLES, _class_rows(answer))
+    yield f"members: {_counts(member.state for member in answer.members)}"
+    by_service = collections.defaultdict(list)
+    for upstream in answer.upstreams:
+        by_service[upstream.service].append(upstream.state)
+    for service, states in by_service.items():
+        yield f"service {service}: {_counts(states)}"
+
+
+def _class_rows(answer: StatusAnswer) -> list[tuple[str, ...]]:
+    return [
+        (
+            name,
+            f"{item.goodput:g}",
+            str(item.in_flight),
+            str(item.admitted),
+            str(item.shed),
+            str(item.ok),
+            str(item.failed),
+            str(item.unknown),
+        )
+        for name, item in sorted(answer.classes.items())
+    ]
+
+
+def _table(
+    titles: Sequence[str], rows: Sequence[Sequence[str]]
+) -> Iterator[str]:
+    """Aligns names to the left and numbers to the right."""
+    if not rows:
+        return
+    lines = [titles, *rows]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    for first, *others in lines:
+        cells = [first.ljust(widths[0])]
+        cells += [
+            cell.rjust(width)
+            for cell, width in zip(others, widths[1:], strict=True)
+        ]
+        yield "  ".join(cells)
+
+
+def _counts(states: Iterator[str] | Sequence[str]) -> str:
+    counter = collections.Counter(states)
+    parts = [f"{count} {state}" for state, count in sorted(counter.items())]
+    return ", ".join(parts) or "none"
