--- /dev/null
+++ b/bench/plotting.py
@@ -0,0 +1,33 @@
+"""Optional plot of a report."""
+
+import pathlib
+
+SIDES = ("product", "baseline")
+
+
+def plot(entries: list[tuple[str, dict]], path: pathlib.Path) -> str:
+    """Draws medians with their spread; tells where, or why not."""
+    try:
+        from matplotlib import pyplot
+    except ImportError:
+        return "no plot: matplotlib is missing; install the extra 'plot'"
+    bars = [
+        (name, metric) for name, entry in entries for metric in entry["target"]
+    ]
+    figure, axes = pyplot.subplots(len(bars), 1, figsize=(8, len(bars)))
+    entries_by_name = dict(entries)
+    for axis, (name, metric) in zip(axes, bars, strict=True):
+        entry = entries_by_name[name]
+        for index, side in enumerate(SIDES):
+            if not entry.get(side):
+                continue
+            middle = entry[side][metric]
+            low = middle - entry[f"{side}_min"][metric]
+            high = entry[f"{side}_max"][metric] - middle
+            axis.barh(index, middle, xerr=[[low], [high]])
+        axis.axvline(entry["target"][metric], linestyle="--")
+        axis.set_yticks(range(len(SIDES)), SIDES)
+        axis.set_title(f"{name}: {metric}", fontsize=8)
+    figure.tight_layout()
+    figure.savefig(path)
+    return f"plot written to {path}"
--- /dev/null
+++ b/bench/shapes.py
@@ -0,0 +1,274 @@
+"""Deployments and request mixes of the scenarios.
+
+Both example file sets are used as they are; slots and connections of each
+server are divided by ``SCALE``, and the number of servers is kept.
+"""
+
+import dataclasses
+import pathlib
+
+import celeryfield
+from celeryfield.standins.cluster import NodePlan
+from celeryfield.standins.upstream import DeeperCall, Endpoint
+
+SCALE = 5
+EXAMPLES = pathlib.Path(celeryfield.__file__).parent / "examples"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Flow:
+    """Requests of one class.
+
+    Attributes:
+        name: Class of the requests.
+        path: Service and path; a request number is appended.
+        rate: Requests per second at load 1.
+        tenant: Sending tenant.
+        timeout_ms: Time after which the caller gives up an attempt.
+        method: HTTP method.
+        run_once: Sent with an idempotency key.
+        important: Belongs to the most important classes.
+        whole: Slot seconds of the bottleneck service that one request needs.
+        grows: The rate is multiplied by the load; otherwise it is constant.
+    """
+
+    name: str
+    path: str
+    rate: float
+    tenant: str
+    timeout_ms: int = 1000
+    method: str = "GET"
+    run_once: bool = False
+    important: bool = False
+    whole: float = 0.0
+    grows: bool = True
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Server:
+    """One service of a file set."""
+
+    service: str
+    count: int
+    slots: int
+    connections: int
+    endpoints: tuple[Endpoint, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Shape:
+    """One deployment with its mix.
+
+    Attributes:
+        team: Example file set.
+        zones: Availability zones; servers of a service are spread over them.
+        servers: Services that run.
+        flows: The mix.
+        bottleneck: Service that is overloaded.
+    """
+
+    team: str
+    zones: tuple[str, ...]
+    servers: tuple[Server, ...]
+    flows: tuple[Flow, ...]
+    bottleneck: str
+
+    @property
+    def directory(self) -> pathlib.Path:
+        """Directory of the file set."""
+        return EXAMPLES / self.team
+
+    @property
+    def capacity(self) -> float:
+        """Slots of the bottleneck service."""
+        return sum(
+            server.count * (server.slots // SCALE)
+            for server in self.servers
+            if server.service == self.bottleneck
+        )
+
+    def factor(self, load: float) -> float:
+        """Returns the factor on growing flows for a load on the bottleneck.
+
+        Args:
+            load: Offered slot seconds per second, as a share of the capacity.
+        """
+        constant = sum(f.rate * f.whole for f in self.flows if not f.grows)
+        growing = sum(f.rate * f.whole for f in self.flows if f.grows)
+        return max((load * self.capacity - constant) / growing, 0.0)
+
+    def plans(self) -> list[NodePlan]:
+        """Returns the scaled nodes."""
+        return [
+            NodePlan(
+                f"{server.service}-{index + 1}",
+                server.service,
+                self.zones[index % len(self.zones)],
+                server.slots // SCALE,
+                server.connections // SCALE,
+                server.endpoints,
+                self.team,
+            )
+            for server in self.servers
+            for index in range(server.count)
+        ]
+
+
+HU_ZONES = ("hu-west-a", "hu-west-b", "hu-west-c")
+BATINAH_ZONES = ("batinah-a", "batinah-b", "batinah-c", "batinah-d")
+
+_STOCK = Server("stock", 3, 70, 500, (Endpoint("/", 200),))
+_HU_ORDERS = (
+    _STOCK,
+    Server("pricing", 3, 70, 500, (Endpoint("/", 50),)),
+    Server("scheduling", 3, 70, 500, (Endpoint("/", 200),)),
+    Server(
+        "order",
+        3,
+        70,
+        500,
+        (
+            Endpoint(
+                "/",
+                100,
+                (
+                    DeeperCall("stock", "/items/elbow-90"),
+                    DeeperCall("pricing", "/prices/elbow-90"),
+                    DeeperCall("scheduling", "/slots"),
+                ),
+            ),
+        ),
+    ),
+)
+# Scheduling serves 42 / 0.2 s = 210 calls/s; the important work needs 65.
+HAJLITOCSO = Shape(
+    "hajlitocso",
+    HU_ZONES,
+    _HU_ORDERS,
+    (
+        Flow(
+            "order-placement",
+            "order/orders",
+            25,
+            "fitters",
+            3000,
+            "POST",
+            True,
+            True,
+            0.2,
+            False,
+        ),
+        Flow(
+            "line-booking",
+            "scheduling/line",
+            40,
+            "fitters",
+            2000,
+            "POST",
+            True,
+            True,
+            0.2,
+            False,
+        ),
+        Flow("schedule-read", "scheduling/slots", 145, "shop", whole=0.2),
+        Flow("stock-check", "stock/items", 40, "shop", grows=False),
+    ),
+    "scheduling",
+)
+# Berth serves 28 / 0.2 s = 140 calls/s; the important work needs 20.
+SOHAR = Shape(
+    "sohar",
+    BATINAH_ZONES,
+    (
+        Server("berth", 4, 35, 300, (Endpoint("/", 200),)),
+        Server("tide", 4, 35, 300, (Endpoint("/", 200),)),
+        Server(
+            "bell",
+            4,
+            35,
+            300,
+            (
+                Endpoint("/state", 100),
+                Endpoint(
+                    "/command",
+                    100,
+                    (
+                        DeeperCall("berth", "/berths/7"),
+                        DeeperCall("tide", "/tides/7"),
+                    ),
+                ),
+            ),
+        ),
+    ),
+    (
+        Flow(
+            "bell-command",
+            "bell/command",
+            20,
+            "berth-masters",
+            2000,
+            "POST",
+            True,
+            True,
+            0.2,
+            False,
+        ),
+        Flow(
+            "bell-state-read",
+            "bell/state",
+            60,
+            "pilots",
+            important=True,
+            grows=False,
+        ),
+        Flow("berth-status", "berth/berths", 120, "services", whole=0.2),
+        Flow("tide-status", "tide/tides", 40, "pilots", grows=False),
+    ),
+    "berth",
+)
+# One server in three is slowed; 84 calls/s are 0.4 of the capacity.
+STOCK = Shape(
+    "hajlitocso",
+    HU_ZONES,
+    (_STOCK,),
+    (Flow("stock-check", "stock/items", 84, "shop", 5000, whole=0.2),),
+    "stock",
+)
+# Short work uses a fifth of the slots, long work is offered at three times
+# the capacity.
+TIMETABLE = Shape(
+    "sohar",
+    BATINAH_ZONES,
+    (
+        Server(
+            "timetable",
+            4,
+            10,
+            150,
+            (Endpoint("/departures", 50), Endpoint("/full", 1000)),
+        ),
+    ),
+    (
+        Flow("timetable-lookup", "timetable/departures", 32, "pilots", 2000),
+        Flow("full-timetable", "timetable/full", 24, "services", 6000),
+    ),
+    "timetable",
+)
+DRAWING = Shape(
+    "hajlitocso",
+    HU_ZONES,
+    (
+        Server(
+            "drawing",
+            3,
+            15,
+            180,
+            (Endpoint("/simple", 50), Endpoint("/complex", 1000)),
+        ),
+    ),
+    (
+        Flow("simple-drawing", "drawing/simple", 36, "fitters", 3000),
+        Flow("complex-drawing", "drawing/complex", 27, "shop", 6000),
+    ),
+    "drawing",
+)
