Expire ledger entries and export gossip and executor counters

Cause: the ledger's expiry was never called; capacity figures need the bytes that a node spends on gossip. Change: housekeeping expires the ledger; counters are Prometheus gauges. Conclusion: memory of the ledger stays bounded in time.

--- a/src/celeryfield/internal/metrics.py
+++ b/src/celeryfield/internal/metrics.py
@@ -89,6 +89,18 @@
         child.observe(duration_ms / 1000.0)
         self._count(self._totals(call), result)
 
+    def watch_counters(self, name: str, counters: object) -> None:
+        """Exports the fields of a data class of counters."""
+        for field in dataclasses.fields(counters):
+            gauge = prometheus_client.Gauge(
+                f"celeryfield_{name}_{field.name}",
+                f"{name}: {field.name} since the start of the node.",
+                registry=self.registry,
+            )
+            gauge.set_function(
+                lambda field=field: getattr(counters, field.name)
+            )
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/celeryfield/internal/node.py
+++ b/src/celeryfield/internal/node.py
@@ -220,6 +220,8 @@
         await self.add_runtime_dependency(watcher)
 
     async def _start_admin(self) -> None:
+        self.metrics.watch_counters("gossip", self.membership.counters)
+        self.metrics.watch_counters("executor", self.executor.counters)
         self.admin = AdminServer(
             self.settings,
             self.registry,
@@ -281,11 +283,9 @@
     def _publish(self) -> None:
         """Tells other nodes what this node serves."""
         current = self.registry.current
-        fields = ("service", "state", "slots", "connections")
         services = []
         if current is not None:
-            values = {name: getattr(current, name) for name in fields}
-            services.append(gossip.Announcement(**values))
+            services.append(current.for_gossip())
         self.membership.update_local(
             services, "leaving" if self.is_leaving else "alive"
         )
@@ -327,6 +327,7 @@
             )
             await self.clock.sleep_ms(EXPIRY_CHECK_MS)
             self.registry.expire()
+            self.ledger.forget_expired()
             self._spread_suspects()
 
     def _spread_suspects(self) -> None:
--- a/src/celeryfield/internal/upstream/announcements.py
+++ b/src/celeryfield/internal/upstream/announcements.py
@@ -7,6 +7,7 @@
 import pydantic
 
 from celeryfield.internal.clock import Clock
+from celeryfield.internal.schema import gossip
 from celeryfield.internal.schema import settings as settings_schema
 
 State = Literal["starting", "ready", "draining"]
@@ -33,6 +34,15 @@
     state: State = "ready"
     load: int | None = pydantic.Field(default=None, ge=0)
 
+    def for_gossip(self) -> gossip.Announcement:
+        """Returns the part that other nodes need."""
+        return gossip.Announcement(
+            service=self.service,
+            state=self.state,
+            slots=self.slots,
+            connections=self.connections,
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class _Heard:
