Choose a peer port that is free for gossip too

The listener takes another port then, if the system chose the first one. A cluster of stand-ins that cannot start ends what it started.

--- a/src/celeryfield/internal/transport/server.py
+++ b/src/celeryfield/internal/transport/server.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import logging
+import socket
 import ssl
 from collections.abc import Awaitable, Callable
 
@@ -20,6 +21,8 @@
 # How long the end of a call is remembered for a cancel that arrives later.
 FINISHED_TTL_MS = 60_000.0
 MAX_FINISHED = 50_000
+# Ports tried when the system chooses one that is taken for UDP.
+PORT_CHOICES = 16
 
 
 @dataclasses.dataclass(slots=True)
@@ -79,12 +82,25 @@
         self._server: asyncio.Server | None = None
 
     async def start(self) -> int:
-        """Opens the listener and returns its port."""
-        listen = self._settings.listen
+        """Opens the listener and returns its port.
+
+        Gossip uses the same port over UDP. A port that the system chose for
+        TCP may be taken there, so another one is chosen then.
+        """
+        port = await self._listen()
+        if self._settings.listen.peer_port == 0:
+            for _ in range(PORT_CHOICES):
+                if is_udp_port_free(self._settings.node.address, port):
+                    break
+                self._server.close()
+                port = await self._listen()
+        return port
+
+    async def _listen(self) -> int:
         self._server = await asyncio.get_running_loop().create_server(
             self._accept,
             self._settings.node.address,
-            listen.peer_port,
+            self._settings.listen.peer_port,
             ssl=self._ssl_context,
         )
         return self._server.sockets[0].getsockname()[1]
@@ -264,3 +280,14 @@
     if connection.hello is None:
         return ("", 0)
     return (connection.hello.node_id, connection.hello.incarnation)
+
+
+def is_udp_port_free(address: str, port: int) -> bool:
+    """Returns whether a UDP socket can be bound."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    with socket.socket(family, socket.SOCK_DGRAM) as probe:
+        try:
+            probe.bind((address, port))
+        except OSError:
+            return False
+    return True
--- a/src/celeryfield/standins/cluster.py
+++ b/src/celeryfield/standins/cluster.py
@@ -111,7 +111,8 @@
         except TimeoutError:
             self.send(signal.SIGKILL)
             status = await self._process.wait()
-        await self._reader
+        if self._reader is not None:
+            await self._reader
         return status
 
     def send(self, number: signal.Signals) -> None:
@@ -175,7 +176,15 @@
             connector=aiohttp.TCPConnector(limit=0)
         )
         await self.platform.start()
-        await asyncio.gather(*(self.start_node(plan) for plan in self.plans))
+        results = await asyncio.gather(
+            *(self.start_node(plan) for plan in self.plans),
+            return_exceptions=True,
+        )
+        for result in results:
+            if isinstance(result, BaseException):
+                # Processes that did start would outlive this one.
+                await self.__aexit__()
+                raise result
         return self
 
     async def __aexit__(self, *_: object) -> None:
--- a/tests/cover/test_transport.py
+++ b/tests/cover/test_transport.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -9,7 +10,7 @@
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.schema import settings as settings_schema
 from celeryfield.internal.schema import wire
-from celeryfield.internal.transport import frames
+from celeryfield.internal.transport import frames, server
 from celeryfield.internal.transport.pool import PeerPool
 from celeryfield.internal.transport.server import PeerServer
 
@@ -197,3 +198,21 @@
                 pass
         result = await pool.send(candidate, make_call(), b"")
     assert result.outcome is Outcome.OK
+
+
+async def test_chooses_a_port_that_is_free_for_gossip_too(monkeypatch):
+    """Guards against nodes that cannot start beside other UDP sockets."""
+    taken = []
+
+    def take_first_port(address, port):
+        if not taken:
+            taken.append(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+            taken[0].bind((address, port))
+        return is_free(address, port)
+
+    is_free = server.is_udp_port_free
+    monkeypatch.setattr(server, "is_udp_port_free", take_first_port)
+    async with serving(None) as (_, candidate):
+        assert candidate.port != taken[0].getsockname()[1]
+        assert is_free("127.0.0.1", candidate.port)
+    taken[0].close()
