--- a/bench/callers.py
+++ b/bench/callers.py
@@ -5,7 +5,6 @@
 import dataclasses
 import random
 import time
-from collections.abc import Callable
 
 import aiohttp
 
@@ -14,6 +13,7 @@
 ATTEMPTS = 4
 RETRY_GAP_S = 0.05
 KEY_REQUIRED = 428
+FACTOR_STEP_S = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,6 +23,7 @@
     Attributes:
         flow: Kind of request.
         offered_s: Time of the arrival, since the start of the load.
+        sent_s: Time at which the callers did send it.
         ended_s: Time of the end.
         whole: A whole answer arrived.
         attempts: Attempts made.
@@ -31,6 +32,7 @@
 
     flow: Flow
     offered_s: float
+    sent_s: float
     ended_s: float = 0.0
     whole: bool = False
     attempts: int = 0
@@ -42,73 +44,76 @@
         return (self.ended_s - self.offered_s) * 1000.0
 
 
-class Callers:
-    """Sends a mix at a load that changes with time.
+@dataclasses.dataclass(slots=True, frozen=True)
+class Offer:
+    """The part of a load that one process of callers offers.
 
-    Args:
+    Attributes:
         urls: Caller listeners of the nodes, used at random.
+        flows: The mix, with the rates of this part.
+        factors: Factor on growing flows for each step of ``FACTOR_STEP_S``.
+        begin_s: Start on the monotonic clock, which all processes share.
         seed: Seed of arrivals and choices.
+        id: Makes paths unique among the parts.
     """
 
-    def __init__(self, urls: list[str], seed: int) -> None:
-        self.requests: list[Request] = []
-        self.latest_s = 0.0
-        self._urls = urls
-        self._random = random.Random(seed)
+    urls: list[str]
+    flows: tuple[Flow, ...]
+    factors: list[float]
+    begin_s: float
+    seed: int
+    id: int
+
+
+def offer(part: Offer) -> tuple[list[Request], float]:
+    """Offers a part; returns its requests and the time that it used a CPU."""
+    requests = asyncio.run(Callers(part).run())
+    return requests, time.process_time()
+
+
+class Callers:
+    """Sends a mix at a load that changes with time."""
+
+    def __init__(self, part: Offer) -> None:
+        self._part = part
+        self._requests: list[Request] = []
+        self._random = random.Random(part.seed * 1000 + part.id)
         self._session: aiohttp.ClientSession | None = None
-        self._begin = 0.0
         self._number = 0
 
     @property
-    def now_s(self) -> float:
-        """Time since the start of the load."""
-        return time.perf_counter() - self._begin
-
-    async def run(
-        self,
-        flows: tuple[Flow, ...],
-        load_at: Callable[[float], float],
-        seconds: float,
-    ) -> None:
+    def _now_s(self) -> float:
+        return time.monotonic() - self._part.begin_s
+
+    async def run(self) -> list[Request]:
         """Offers the load and waits until every request has ended."""
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(connector=connector) as session:
             self._session = session
-            self._begin = time.perf_counter()
             async with asyncio.TaskGroup() as group:
-                for flow in flows:
-                    group.create_task(
-                        self._offer(group, flow, load_at, seconds)
-                    )
-
-    async def _offer(
-        self,
-        group: asyncio.TaskGroup,
-        flow: Flow,
-        load_at: Callable[[float], float],
-        seconds: float,
-    ) -> None:
+                for flow in self._part.flows:
+                    group.create_task(self._offer(group, flow))
+        return self._requests
+
+    async def _offer(self, group: asyncio.TaskGroup, flow: Flow) -> None:
         at_s = 0.0
-        while True:
-            factor = load_at(at_s) if flow.grows else 1.0
-            rate = flow.rate * factor
+        factors = self._part.factors
+        while (step := int(at_s / FACTOR_STEP_S)) < len(factors):
+            rate = flow.rate * (factors[step] if flow.grows else 1.0)
             if rate <= 0:
-                at_s += 0.05
+                at_s += FACTOR_STEP_S
                 continue
             at_s += self._random.expovariate(rate)
-            if at_s >= seconds:
-                return
-            wait_s = at_s - self.now_s
+            wait_s = at_s - self._now_s
             if wait_s > 0:
                 await asyncio.sleep(wait_s)
-            self.latest_s = max(self.latest_s, self.now_s - at_s)
-            request = Request(flow, at_s)
-            self.requests.append(request)
+            request = Request(flow, at_s, self._now_s)
+            self._requests.append(request)
             group.create_task(self._send(request))
 
     async def _send(self, request: Request) -> None:
         self._number += 1
-        path = f"/{request.flow.path}/{self._number}"
+        path = f"/{request.flow.path}/{self._part.id}-{self._number}"
         headers = {
             "x-tenant": request.flow.tenant,
             "x-request-timeout-ms": str(request.flow.timeout_ms),
@@ -121,13 +126,13 @@
             request.whole = not reason
             if reason:
                 request.reasons.append(reason)
-        request.ended_s = self.now_s
+        request.ended_s = self._now_s
 
     async def _attempt(
         self, flow: Flow, path: str, headers: dict[str, str]
     ) -> str:
         """Makes one attempt; returns why it failed, or nothing."""
-        url = self._random.choice(self._urls) + path
+        url = self._random.choice(self._part.urls) + path
         try:
             async with asyncio.timeout(flow.timeout_ms / 1000):
                 if flow.run_once and "idempotency-key" not in headers:
--- a/bench/running.py
+++ b/bench/running.py
@@ -1,12 +1,15 @@
 """One measured load on one cluster."""
 
 import asyncio
+import concurrent.futures
 import dataclasses
+import functools
+import multiprocessing
 import statistics
 import time
 from collections.abc import Awaitable, Callable
 
-from bench.callers import Callers, Request, failures
+from bench.callers import FACTOR_STEP_S, Offer, Request, failures, offer
 from bench.latency import cpu_ms, quantile
 from bench.shapes import Shape
 from celeryfield.standins.cluster import Cluster
@@ -14,10 +17,16 @@
 # A process that uses more of a core queues calls by itself.
 CPU_BOUND_SHARE = 0.8
 # Arrivals that are later than this show that the callers were too slow.
-LATE_BOUND_S = 0.25
+LATE_BOUND_S = 0.1
+# One process of callers sends up to about 1,000 requests/s.
+CALLER_PROCESSES = 4
+# Time for the processes of callers to start.
+START_S = 4.0
 SAMPLE_S = 0.25
 
-Event = Callable[[Cluster, Callers], Awaitable[None]]
+# Gets the cluster and a function that waits for a time of the load.
+SleepUntil = Callable[[float], Awaitable[None]]
+Event = Callable[[Cluster, SleepUntil], Awaitable[None]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,14 +55,12 @@
     Attributes:
         requests: All requests.
         cpu_share_by_process: Cores used by nodes and upstreams.
-        latest_s: Largest delay of an arrival by the callers themselves.
         counters: Sums of the executor counters of all nodes.
         samples: Status of the nodes over time, for the search for causes.
     """
 
     requests: list[Request]
     cpu_share_by_process: dict[str, float]
-    latest_s: float
     counters: dict[str, int]
     samples: list[dict]
 
@@ -61,7 +68,12 @@
     def is_valid(self) -> bool:
         """Whether upstream slots, not the CPU, were the bottleneck."""
         busiest = max(self.cpu_share_by_process.values())
-        return busiest < CPU_BOUND_SHARE and self.latest_s < LATE_BOUND_S
+        return busiest < CPU_BOUND_SHARE and self.late_s < LATE_BOUND_S
+
+    @property
+    def late_s(self) -> float:
+        """The p99 of the delay of arrivals by the callers themselves."""
+        return quantile([r.sent_s - r.offered_s for r in self.requests], 0.99)
 
     def of(self, begin_s: float, end_s: float, name: str = "") -> list[Request]:
         """Returns the requests that arrived in a window."""
@@ -81,7 +93,7 @@
         """Returns what helps to find causes."""
         return {
             "cpu_share": self.cpu_share_by_process,
-            "latest_arrival_ms": round(self.latest_s * 1000, 1),
+            "late_arrival_p99_ms": round(self.late_s * 1000, 1),
             "counters": self.counters,
             "failures": failures(self.requests),
             "classes": class_summary(self.requests),
@@ -116,21 +128,18 @@
         await cluster.apply(load.shape.directory)
         await cluster.wait_ready()
         nodes = cluster.nodes_by_id
-        callers = Callers([n.caller_url for n in nodes.values()], seed)
-        flows = tuple(
-            flow
-            for flow in load.shape.flows
-            if not load.names or flow.name in load.names
-        )
         before = {name: cpu_ms(node.pid) for name, node in nodes.items()}
-        caller_cpu = time.process_time()
-        started = time.perf_counter()
         samples: list[dict] = []
-        beside = [asyncio.ensure_future(_sample(cluster, callers, samples))]
+        begin_s = time.monotonic() + START_S
+        beside = [asyncio.ensure_future(_sample(cluster, begin_s, samples))]
         if load.event is not None:
-            beside.append(asyncio.ensure_future(load.event(cluster, callers)))
-        await callers.run(flows, load.factor_at, load.seconds)
-        elapsed_ms = (time.perf_counter() - started) * 1000
+            sleep_until = functools.partial(_sleep_until, begin_s)
+            beside.append(
+                asyncio.ensure_future(load.event(cluster, sleep_until))
+            )
+        urls = [node.caller_url for node in nodes.values()]
+        parts = await _offer(load, urls, begin_s, seed)
+        elapsed_ms = (time.monotonic() - begin_s) * 1000
         for task in beside:
             task.cancel()
         results = await asyncio.gather(*beside, return_exceptions=True)
@@ -141,25 +150,54 @@
             name: round((cpu_ms(node.pid) - before[name]) / elapsed_ms, 3)
             for name, node in nodes.items()
         }
-        caller_ms = (time.process_time() - caller_cpu) * 1000
-        shares["callers"] = round(caller_ms / elapsed_ms, 3)
+        for index, (_, cpu_s) in enumerate(parts):
+            shares[f"callers-{index}"] = round(cpu_s * 1000 / elapsed_ms, 3)
         statuses = [await cluster.status(node) for node in nodes.values()]
-    return Record(
-        callers.requests,
-        shares,
-        callers.latest_s,
-        _sum_counters(statuses),
-        samples,
+    requests = [request for part, _ in parts for request in part]
+    return Record(requests, shares, _sum_counters(statuses), samples)
+
+
+async def _offer(
+    load: Load, urls: list[str], begin_s: float, seed: int
+) -> list[tuple[list[Request], float]]:
+    """Splits a load between processes of callers."""
+    flows = tuple(
+        dataclasses.replace(flow, rate=flow.rate / CALLER_PROCESSES)
+        for flow in load.shape.flows
+        if not load.names or flow.name in load.names
     )
+    factors = [
+        load.factor_at(step * FACTOR_STEP_S)
+        for step in range(round(load.seconds / FACTOR_STEP_S))
+    ]
+    context = multiprocessing.get_context("spawn")
+    loop = asyncio.get_running_loop()
+    with concurrent.futures.ProcessPoolExecutor(
+        CALLER_PROCESSES, context
+    ) as pool:
+        return await asyncio.gather(
+            *(
+                loop.run_in_executor(
+                    pool,
+                    offer,
+                    Offer(urls, flows, factors, begin_s, seed, index),
+                )
+                for index in range(CALLER_PROCESSES)
+            )
+        )
+
+
+async def _sleep_until(begin_s: float, at_s: float) -> None:
+    await asyncio.sleep(max(begin_s + at_s - time.monotonic(), 0.0))
 
 
 async def _sample(
-    cluster: Cluster, callers: Callers, samples: list[dict]
+    cluster: Cluster, begin_s: float, samples: list[dict]
 ) -> None:
     """Notes the load of every upstream over time."""
     while True:
         await asyncio.sleep(SAMPLE_S)
-        at_s = callers.now_s
+        at_s = time.monotonic() - begin_s
         statuses = await asyncio.gather(
             *(cluster.status(n) for n in cluster.nodes_by_id.values())
         )
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -5,8 +5,14 @@
 import math
 from collections.abc import Awaitable, Callable
 
-from bench.callers import Callers
-from bench.running import Load, Record, run_load, whole_share
+from bench.running import (
+    Event,
+    Load,
+    Record,
+    SleepUntil,
+    run_load,
+    whole_share,
+)
 from bench.shapes import (
     DRAWING,
     HAJLITOCSO,
@@ -104,7 +110,7 @@
 
 def goodput(
     shape: Shape,
-    event: Callable[[Cluster, Callers], Awaitable[None]] | None = None,
+    event: Event | None = None,
     capacity_share: float = 1.0,
 ) -> Measure:
     """Three times the capacity in one burst, with an optional fault."""
@@ -123,21 +129,21 @@
     return measure
 
 
-async def _slow_store(cluster: Cluster, _callers: Callers) -> None:
+async def _slow_store(cluster: Cluster, _sleep_until: SleepUntil) -> None:
     cluster.platform.set_delay(STORE_DELAY_MS)
 
 
-def _straggler(shape: Shape, begin_s: float = WARM_UP_S):
+def _straggler(shape: Shape) -> Event:
     """Slows one upstream of the bottleneck for moments, each time another."""
 
-    async def event(cluster: Cluster, callers: Callers) -> None:
+    async def event(cluster: Cluster, sleep_until: SleepUntil) -> None:
         upstreams = [
             upstream
             for name, upstream in cluster.upstreams_by_id.items()
             if name.startswith(shape.bottleneck)
         ]
         turn = 0
-        await _sleep_until(callers, begin_s)
+        await sleep_until(WARM_UP_S)
         while True:
             upstream = upstreams[turn % len(upstreams)]
             await upstream.set_slowdown(SLOWDOWN)
@@ -149,17 +155,12 @@
     return event
 
 
-async def _sleep_until(callers: Callers, at_s: float) -> None:
-    """Waits for a time of the load, which begins a moment later."""
-    await asyncio.sleep(max(at_s - min(callers.now_s, 1.0), 0.0))
-
-
-def _crash(shape: Shape):
+def _crash(shape: Shape) -> Event:
     """Crashes one upstream in the middle of the burst for two seconds."""
 
-    async def event(cluster: Cluster, callers: Callers) -> None:
+    async def event(cluster: Cluster, sleep_until: SleepUntil) -> None:
         upstream = cluster.upstreams_by_id[f"{shape.bottleneck}-1"]
-        await _sleep_until(callers, WARM_UP_S + BURST_S / 4)
+        await sleep_until(WARM_UP_S + BURST_S / 4)
         await upstream.crash()
         await asyncio.sleep(2)
         await upstream.restart()
@@ -282,7 +283,7 @@
     end_s = WARM_UP_S + 20.0
     name = shape.flows[0].name
 
-    def load(event=None) -> Load:
+    def load(event: Event | None = None) -> Load:
         return Load(shape, lambda _at_s: 1.0, end_s, event=event)
 
     healthy = await run_load(load(), policy, seed)
