Keep hedges for calls at a straggler

The nodes sent 94 hedges in the healthy phase and 93 in the slowed one: at the p95 the slow 5% of healthy calls spend the whole budget of 5%, so a straggler finds it empty. Queues at the upstream are ruled out, none was ever reported.

Ordinary slow calls now leave a reserve, which serves calls that are overdue together at one candidate or stuck for twice the p95. Overdue calls also weigh on the choice of the candidate, before its first slow answer arrives, and an alarm set by an alarm waits for the next turn. Both new tests fail without the change.

--- a/src/celeryfield/internal/routing/alarms.py
+++ b/src/celeryfield/internal/routing/alarms.py
@@ -72,10 +72,14 @@
             self._wake_ms = wake_ms
 
     def _call_due(self, now: float) -> None:
+        due = []
         while self._pending and self._pending[0][0] <= now:
-            action = heapq.heappop(self._pending)[2].action
-            if action is not None:
-                action()
+            due.append(heapq.heappop(self._pending)[2])
+        # An action may set an alarm that is due at once, and so on without
+        # end; such alarms wait for the next turn of the task.
+        for alarm in due:
+            if alarm.action is not None:
+                alarm.action()
         self._drop_cancelled()
 
     def _drop_cancelled(self) -> None:
--- a/src/celeryfield/internal/routing/balancer.py
+++ b/src/celeryfield/internal/routing/balancer.py
@@ -40,6 +40,7 @@
         candidate: Newest member record.
         health: Failures and latency.
         own_in_flight: Calls of this sender.
+        overdue: Own calls that take longer than the p95 of their class.
         reported: Calls in flight and queued in the newest report.
         limit: Concurrency limit in the newest report, or announced slots.
         reported_ms: Time of the newest report.
@@ -50,6 +51,7 @@
     candidate: Candidate
     health: Health
     own_in_flight: int = 0
+    overdue: int = 0
     reported: int = 0
     limit: int = 1
     reported_ms: float = float("-inf")
@@ -222,7 +224,7 @@
             return self._better_of_two(entry, states, now)
         best = self._better_of_two(entry, local, now)
         load = self._in_flight(entry, best, now) / best.limit
-        if load <= self._settings.routing.zone_spill_load:
+        if load * _penalty(best) <= self._settings.routing.zone_spill_load:
             return best
         other = self._better_of_two(entry, states, now)
         if self._score(entry, other, now) < self._score(entry, best, now):
@@ -262,12 +264,11 @@
         """Returns the load with the new call added; lower is better.
 
         Counting the new call makes idle candidates comparable by their
-        limits. Failures in a row weigh on candidates that may not be ejected
-        because the share of ejected ones is used up.
+        limits.
         """
         limit = state.limit * self._warm_share(state, now)
-        penalty = 1 + state.health.consecutive_failures
-        return penalty * (self._in_flight(entry, state, now) + 1) / limit
+        in_flight = self._in_flight(entry, state, now)
+        return _penalty(state) * (in_flight + 1) / limit
 
     def _warm_share(self, state: _CandidateState, now: float) -> float:
         if state.cold_since_ms is None:
@@ -301,6 +302,15 @@
         state.own_in_flight += 1
         entry.outliers.record_start(state.health)
 
+    def change_overdue(self, candidate: Candidate, change: int) -> int:
+        """Counts attempts that became overdue or ended; returns the count."""
+        found = self._find(candidate)
+        if found is None:
+            return 0
+        _, state = found
+        state.overdue = max(state.overdue + change, 0)
+        return state.overdue
+
     def record_end(self, candidate: Candidate, end: AttemptEnd) -> None:
         """Ends an attempt and learns from it."""
         found = self._find(candidate)
@@ -326,3 +336,13 @@
         state.reported_ms = self._clock.now_ms()
         change = state.reported / state.limit - entry.mean_load
         entry.mean_load += MEAN_WEIGHT * change
+
+
+def _penalty(state: _CandidateState) -> int:
+    """Returns the factor by which trouble of a candidate weighs on its load.
+
+    Failures in a row weigh on candidates that may not be ejected because the
+    share of ejected ones is used up. Overdue calls show a straggler before
+    its first slow answer arrives; a single one is most often a long request.
+    """
+    return 1 + state.health.consecutive_failures + max(state.overdue - 1, 0)
--- a/src/celeryfield/internal/routing/executor.py
+++ b/src/celeryfield/internal/routing/executor.py
@@ -12,7 +12,7 @@
     not_run,
 )
 from celeryfield.internal.clock import Clock
-from celeryfield.internal.routing.alarms import Alarms
+from celeryfield.internal.routing.alarms import Alarm, Alarms
 from celeryfield.internal.routing.attempts import (
     AttemptSender,
     Run,
@@ -20,7 +20,13 @@
     expire,
 )
 from celeryfield.internal.routing.balancer import Balancer
-from celeryfield.internal.routing.hedging import Hedging
+from celeryfield.internal.routing.hedging import (
+    MIN_RECHECK_MS,
+    RECHECK_SHARE,
+    STRAGGLER_OVERDUE,
+    STUCK_CHECKS,
+    Hedging,
+)
 from celeryfield.internal.routing.levels import NO_IDS, LevelTable
 from celeryfield.internal.routing.retries import (
     ClassRule,
@@ -71,11 +77,19 @@
 
     Attributes:
         scope: Scope of the first attempt.
+        candidate: Candidate of the first attempt.
+        delay_ms: Time after which the first attempt is overdue.
+        checks: How often the overdue attempt was looked at.
+        alarm: Next look at the first attempt.
         hedge: The second attempt, once it was started.
         is_first_running: The scope has not been left yet.
     """
 
     scope: asyncio.Timeout
+    candidate: Candidate
+    delay_ms: float
+    checks: int = 0
+    alarm: Alarm | None = None
     hedge: asyncio.Task[CallResult] | None = None
     is_first_running: bool = True
 
@@ -225,14 +239,12 @@
         try:
             # The scope expires when the hedge wins.
             async with asyncio.timeout(None) as scope:
-                race = _Race(scope)
-                start = functools.partial(self._start_hedge, run, race)
-                alarm = self._alarms.set(delay_ms, start)
+                race = _Race(scope, candidate, delay_ms)
+                self._check_later(run, race, delay_ms)
                 try:
                     result = await self._attempt(run, candidate)
                 finally:
-                    alarm.cancel()
-                    race.is_first_running = False
+                    self._end_race(race)
         except TimeoutError:
             # The attempt returns a result even when its own time is over.
             return race.hedge.result()
@@ -244,12 +256,35 @@
             return result
         return await self._hedge_after(result, race.hedge)
 
-    def _start_hedge(self, run: Run, race: _Race) -> None:
+    def _check_later(self, run: Run, race: _Race, delay_ms: float) -> None:
+        check = functools.partial(self._check_overdue, run, race)
+        race.alarm = self._alarms.set(delay_ms, check)
+
+    def _check_overdue(self, run: Run, race: _Race) -> None:
+        """Hedges an overdue attempt now or looks at it again later."""
+        change = 1 if race.checks == 0 else 0
+        overdue = self._balancer.change_overdue(race.candidate, change)
+        race.checks += 1
+        is_urgent = overdue >= STRAGGLER_OVERDUE or race.checks > STUCK_CHECKS
+        self._start_hedge(run, race, is_urgent)
+        if race.hedge is None:
+            recheck_ms = max(race.delay_ms * RECHECK_SHARE, MIN_RECHECK_MS)
+            self._check_later(run, race, recheck_ms)
+
+    def _end_race(self, race: _Race) -> None:
+        race.alarm.cancel()
+        race.is_first_running = False
+        if race.checks:
+            self._balancer.change_overdue(race.candidate, -1)
+
+    def _start_hedge(self, run: Run, race: _Race, is_urgent: bool) -> None:
         """Starts the hedge of a first attempt, if everything permits it."""
         if run.allowance < 1:
             return
         candidate = self._choose(run)
-        if candidate is None or not self._hedging.try_take(run.call):
+        if candidate is None:
+            return
+        if not self._hedging.try_take(run.call, is_urgent):
             return
         run.allowance -= 1
         self.counters.hedges += 1
--- a/src/celeryfield/internal/routing/hedging.py
+++ b/src/celeryfield/internal/routing/hedging.py
@@ -13,6 +13,19 @@
 WINDOW = 256
 # The quantile moves little in between, and sorting costs about 20 us.
 SAMPLES_PER_UPDATE = 32
+# A candidate that becomes slow holds about its slots in calls until that shows.
+MAX_SAVED_HEDGES = 20.0
+# At the p95 the slow 5% of healthy calls would spend the whole budget of 5%,
+# and a straggler would find it empty. They may only use what is above this.
+STRAGGLER_RESERVE = 10.0
+# Overdue calls at one candidate that show a straggler. One of them alone is
+# most often a long request.
+STRAGGLER_OVERDUE = 2
+# An attempt that is not hedged at its p95 is looked at again after this share
+# of the p95, and counts as stuck after as many looks.
+RECHECK_SHARE = 0.25
+STUCK_CHECKS = 4
+MIN_RECHECK_MS = 1.0
 
 
 class LatencyWindow:
@@ -75,11 +88,18 @@
         self._budgets_by_key[key].fill(self._settings.routing.hedge_ratio)
         return window.p95_ms
 
-    def try_take(self, call: wire.Call) -> bool:
-        """Takes one hedge unless the budget is spent or load is shed."""
+    def try_take(self, call: wire.Call, is_urgent: bool) -> bool:
+        """Takes one hedge unless the budget is spent or load is shed.
+
+        Args:
+            call: The call.
+            is_urgent: The candidate is a straggler or the attempt is stuck,
+                so the hedge may use the reserve.
+        """
         if self._levels.level_for(call.service, call.class_name) > 0:
             return False
-        return self._budgets_by_key[call.service, call.class_name].try_take()
+        budget = self._budgets_by_key[call.service, call.class_name]
+        return budget.try_take(0.0 if is_urgent else STRAGGLER_RESERVE)
 
     def record(
         self, call: wire.Call, latency_ms: float, is_lower_bound: bool
@@ -95,7 +115,7 @@
         if window is None:
             window = LatencyWindow()
             self._windows_by_key[key] = window
-            self._budgets_by_key[key] = RatioBucket()
+            self._budgets_by_key[key] = RatioBucket(most=MAX_SAVED_HEDGES)
         if is_lower_bound and latency_ms < (window.p95_ms or math.inf):
             return
         window.add(latency_ms)
--- a/src/celeryfield/internal/routing/retries.py
+++ b/src/celeryfield/internal/routing/retries.py
@@ -39,18 +39,23 @@
     """Token bucket that is filled by first attempts instead of by time.
 
     At most ``initial tokens + ratio * first attempts`` tokens are ever taken.
+
+    Attributes:
+        tokens: Extra attempts that may be made now.
+        most: Most tokens saved.
     """
 
     tokens: float = 0.0
+    most: float = MAX_SAVED_ATTEMPTS
 
     def fill(self, ratio: float) -> None:
         """Adds the share of one first attempt."""
-        if self.tokens < MAX_SAVED_ATTEMPTS:
-            self.tokens = min(self.tokens + ratio, MAX_SAVED_ATTEMPTS)
+        if self.tokens < self.most:
+            self.tokens = min(self.tokens + ratio, self.most)
 
-    def try_take(self) -> bool:
-        """Takes one extra attempt if one is left."""
-        if self.tokens < 1.0:
+    def try_take(self, reserve: float = 0.0) -> bool:
+        """Takes one extra attempt if one is left above the reserve."""
+        if self.tokens < 1.0 + reserve:
             return False
         self.tokens -= 1.0
         return True
--- a/tests/cover/test_routing_balancing.py
+++ b/tests/cover/test_routing_balancing.py
@@ -221,3 +221,21 @@
         state.health.ejected_until_ms is not None
         for state in states_of(balancer)
     )
+
+
+def test_leaves_a_candidate_of_its_zone_whose_calls_are_overdue():
+    """Guards against filling a straggler until its first slow answer."""
+    near, far = candidates_of("s", 2, zones=("z1", "z2"))
+    balancer = balancer_for([near, far])
+    for _ in range(6):
+        balancer.record_start(near)
+    assert balancer.choose("s", NOBODY) is near
+    balancer.change_overdue(near, 1)
+    assert balancer.choose("s", NOBODY) is near
+    for _ in range(3):
+        balancer.change_overdue(near, 1)
+    chosen = {balancer.choose("s", NOBODY).node_id for _ in range(20)}
+    assert far.node_id in chosen
+    for _ in range(4):
+        balancer.change_overdue(near, -1)
+    assert balancer.choose("s", NOBODY) is near
--- a/tests/cover/test_routing_executor.py
+++ b/tests/cover/test_routing_executor.py
@@ -297,3 +297,28 @@
     answer = CallResult(Outcome.OK, unused_allowance=2)
     chains.end_sub_call(chain, sub_call, answer)
     assert chain.draw() == 1
+
+
+async def test_keeps_hedges_for_calls_stuck_at_a_straggler():
+    """Guards against a budget that healthy slow calls have used up."""
+    turns_by_path = {"": 0, "long": 8, "stuck": 4000}
+
+    async def send(_candidate, call, _body):
+        turns = turns_by_path[call.path] if call.attempt == 0 else 0
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        return CallResult(Outcome.OK, unused_allowance=call.retry_allowance)
+
+    executor, _, _ = executor_for(send, rule=ClassSection(hedge=True))
+    for number in range(1000):
+        path = "long" if number % 10 == 0 else ""
+        await executor.execute(call_to(path=path, retry_allowance=2), b"")
+    before = executor.counters.hedges
+    await asyncio.gather(
+        *(
+            executor.execute(call_to(path="stuck", retry_allowance=2), b"")
+            for _ in range(8)
+        )
+    )
+    assert executor.counters.hedges - before == 8
+    assert executor.counters.hedges <= 0.05 * 1008
