Keep more of the hedges for stragglers

The reserve is now 16 of 20, and three overdue calls at one candidate show a straggler instead of two.

--- a/src/celeryfield/internal/routing/hedging.py
+++ b/src/celeryfield/internal/routing/hedging.py
@@ -17,10 +17,10 @@
 MAX_SAVED_HEDGES = 20.0
 # At the p95 the slow 5% of healthy calls would spend the whole budget of 5%,
 # and a straggler would find it empty. They may only use what is above this.
-STRAGGLER_RESERVE = 10.0
+STRAGGLER_RESERVE = 16.0
 # Overdue calls at one candidate that show a straggler. One of them alone is
 # most often a long request.
-STRAGGLER_OVERDUE = 2
+STRAGGLER_OVERDUE = 3
 # An attempt that is not hedged at its p95 is looked at again after this share
 # of the p95, and counts as stuck after as many looks.
 RECHECK_SHARE = 0.25
