Judge the baseline's runs by the same rule

Runs of the baseline were printed as not counted and still entered the median. Such runs are now left out on both sides.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -27,7 +27,7 @@
             outcomes[side].append(outcome)
             figures = {k: round(v, 4) for k, v in outcome.metrics.items()}
             valid = all(record.is_valid for record in outcome.records)
-            note = "" if valid else "  (CPU-bound, not counted)"
+            note = "" if valid else "  (CPU-bound or late callers, not counted)"
             print(f"{scenario.name} {side} seed {seed}: {figures}{note}")
             _write_details(scenario.name, side, seed, outcome)
     return _summary(scenario, outcomes)
@@ -45,12 +45,7 @@
 def _summary(scenario: Scenario, outcomes: dict[str, list[Outcome]]) -> dict:
     result: dict = {"target": scenario.target}
     for side, runs in outcomes.items():
-        # The baseline melts down; its processes may well be busy then.
-        counted = [
-            run
-            for run in runs
-            if side == "baseline" or all(r.is_valid for r in run.records)
-        ]
+        counted = [run for run in runs if all(r.is_valid for r in run.records)]
         result[side] = _combine(counted, statistics.median)
         result[f"{side}_min"] = _combine(counted, min)
         result[f"{side}_max"] = _combine(counted, max)
