Test the commands and make failed starts name what to change

A start with a port in use, an unreadable certificate or an exposed administration listener ended with code 1 and, for TLS and ports, a line without the file or the setting. Settings that cannot be used now end with 3 and name files and keys. A token pasted unhashed into [admin] token_hashes is refused without repeating it, and a node id that other nodes would drop is refused as a bad setting.

--- a/src/celeryfield/cli/apply.py
+++ b/src/celeryfield/cli/apply.py
@@ -107,7 +107,9 @@
     shown = ""
     while True:
         found = await client.get(
-            f"/v1/filesets/{team}/in-force", InForceAnswer, version=str(version)
+            f"/v1/filesets/{team}/in-force",
+            InForceAnswer,
+            {"version": str(version)},
         )
         if found.is_error() and found.error.code == ExitCode.DENIED:
             exit_with(found.error)
--- a/src/celeryfield/cli/client.py
+++ b/src/celeryfield/cli/client.py
@@ -90,10 +90,13 @@
             await self._session.close()
 
     async def get(
-        self, path: str, model: type[ModelT], **query: str
+        self,
+        path: str,
+        model: type[ModelT],
+        query: dict[str, str] | None = None,
     ) -> Result[ModelT, Failure]:
         """Reads something; a lost answer changes nothing."""
-        return await self._request("GET", path, model, query, b"")
+        return await self._request("GET", path, model, query or {}, b"")
 
     async def post(
         self, path: str, model: type[ModelT], body: pydantic.BaseModel
--- a/src/celeryfield/cli/explain.py
+++ b/src/celeryfield/cli/explain.py
@@ -40,7 +40,7 @@
 
 async def _explain(query: dict[str, str], client: AdminClient) -> None:
     async with client:
-        found = await client.get("/v1/explain", ExplainAnswer, **query)
+        found = await client.get("/v1/explain", ExplainAnswer, query)
     if found.is_error():
         exit_with(found.error)
     answer = found.ok
--- a/src/celeryfield/cli/node.py
+++ b/src/celeryfield/cli/node.py
@@ -9,7 +9,7 @@
 import typer
 
 from celeryfield.cli.exits import ExitCode, fail
-from celeryfield.errors import CeleryfieldError
+from celeryfield.errors import CeleryfieldError, SettingsError
 from celeryfield.internal import logs
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.inifile import load_node_settings
@@ -37,8 +37,14 @@
     logs.configure(loaded.ok)
     try:
         asyncio.run(_run(loaded.ok))
-    except (CeleryfieldError, OSError) as error:
+    except SettingsError as error:
+        fail(ExitCode.INVALID, [f"{settings.name}, {error}"])
+    except CeleryfieldError as error:
         fail(ExitCode.FAILED, [str(error)])
+    except OSError as error:
+        reason = error.strerror or str(error)
+        hint = "change [node] address or the port under [listen]"
+        fail(ExitCode.FAILED, [f"cannot listen: {reason}; {hint}"])
 
 
 async def _run(settings: settings_schema.NodeSettings) -> None:
--- a/src/celeryfield/internal/admin/auth.py
+++ b/src/celeryfield/internal/admin/auth.py
@@ -3,19 +3,30 @@
 import hashlib
 import hmac
 import ipaddress
+import re
 
 from celeryfield import errors
 from celeryfield.internal.schema import settings as settings_schema
 
 _SCHEME = "Bearer "
+_SHA256 = re.compile(r"[0-9a-fA-F]{64}")
 
 
 def check_exposure(settings: settings_schema.NodeSettings) -> None:
-    """Refuses an administration API that anybody could reach.
+    """Refuses an administration API that anybody or nobody could use.
 
     Raises:
-        SettingsError: The listener is not on loopback and has no token.
+        SettingsError: The listener is not on loopback and has no token, or a
+            hash can never match.
     """
+    for number, token_hash in enumerate(settings.admin.token_hashes, start=1):
+        if not _SHA256.fullmatch(token_hash):
+            # The value may be a token that was pasted unhashed; it is not
+            # repeated here.
+            raise errors.SettingsError(
+                f"[admin] token_hashes: entry {number} is not a SHA-256 hash "
+                "of 64 hex digits; make one with printf %s TOKEN | sha256sum"
+            )
     address = settings.listen.admin_address
     if settings.admin.token_hashes or is_loopback(address):
         return
--- a/src/celeryfield/internal/inifile.py
+++ b/src/celeryfield/internal/inifile.py
@@ -7,6 +7,7 @@
 import ipaddress
 import math
 import pathlib
+import re
 from collections.abc import Collection, Iterable, Mapping
 from typing import TypeVar
 
@@ -25,6 +26,8 @@
     ("log", "level"): ("debug", "info", "warning", "error"),
 }
 _ADDRESS_KEYS = (("node", "address"), ("listen", "admin_address"))
+_NAME_KEYS = (("node", "id"), ("node", "zone"), ("node", "region"))
+_NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
 _PORT_KEYS = (
     ("listen", "caller_port"),
     ("listen", "peer_port"),
@@ -260,7 +263,7 @@
 
     Raises:
         ValueError: The value is not among the choices, not a finite number,
-            not an IP address or not a port.
+            not an IP address, not a name or not a port.
     """
     section_key = (info.context["section"], info.field_name)
     reason = ""
@@ -271,6 +274,8 @@
         reason = "not a finite number"
     elif section_key in _ADDRESS_KEYS and not _is_address(value):
         reason = "not an IP address"
+    elif section_key in _NAME_KEYS and not _NAME.fullmatch(value):
+        reason = "use 1 to 64 letters, digits, dots, hyphens and underscores"
     elif section_key in _PORT_KEYS and not 0 <= value <= MAX_PORT:
         reason = f"not a port; use 0 to {MAX_PORT}"
     if reason:
--- a/src/celeryfield/internal/tls.py
+++ b/src/celeryfield/internal/tls.py
@@ -47,7 +47,8 @@
             peer_server.verify_mode = ssl.CERT_REQUIRED
     except (OSError, ssl.SSLError) as error:
         raise errors.SettingsError(
-            f"[tls] certificate, key or authority cannot be loaded: {error}"
+            f"[tls] cannot load {_file_names(settings)}: {error}; give "
+            "readable PEM files that belong together"
         ) from error
     return TlsContexts(http, peer_server, peer_client)
 
@@ -60,3 +61,8 @@
         settings.certificate_file, settings.key_file or None
     )
     return context
+
+
+def _file_names(settings: settings_schema.TlsSettings) -> str:
+    names = (settings.certificate_file, settings.key_file, settings.ca_file)
+    return ", ".join(name for name in names if name)
--- /dev/null
+++ b/tests/cover/test_cli_commands.py
@@ -0,0 +1,252 @@
+"""Commands of operators against a running node and against broken ones."""
+
+import asyncio
+import contextlib
+import json
+import shutil
+
+import pytest
+from aiohttp import web
+from cover.admin_helpers import EXAMPLE, running_nodes
+from cover.store_helpers import store_and_client, wait_until
+from cover.test_admin_api import TOKEN, TOKEN_HASH
+from typer.testing import CliRunner
+
+from celeryfield.cli import main as cli
+from celeryfield.cli.exits import ExitCode
+from celeryfield.standins.cluster import Cluster, NodePlan
+from celeryfield.standins.upstream import Endpoint
+
+
+async def run(*arguments, **env):
+    """Runs a command in a thread, so that nodes here can answer it."""
+    result = await asyncio.to_thread(
+        CliRunner().invoke, cli.app, list(arguments), env=env
+    )
+    assert result.exception is None or isinstance(result.exception, SystemExit)
+    assert "Traceback" not in result.stderr
+    return result
+
+
+@contextlib.asynccontextmanager
+async def fake_node(answer):
+    """Serves one answer for every request."""
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", answer)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    try:
+        yield f"http://127.0.0.1:{runner.addresses[0][1]}"
+    finally:
+        await runner.cleanup()
+
+
+@pytest.fixture
+def directory(tmp_path):
+    """A copy of an example file set."""
+    return shutil.copytree(EXAMPLE, tmp_path / "sohar")
+
+
+def edit(directory, old, new):
+    path = directory / "services.ini"
+    path.write_text(path.read_text(encoding="utf-8").replace(old, new))
+
+
+async def test_check_prints_every_problem(directory):
+    """Guards against problems that appear one by one."""
+    assert (await run("check", str(directory))).exit_code == ExitCode.OK
+    edit(directory, "slots = 10", "slots = many")
+    edit(directory, "default_class = tide-status", "default_class = tides")
+    result = await run("check", str(directory))
+    assert result.exit_code == ExitCode.INVALID
+    lines = result.stderr.splitlines()
+    assert [line.split(": ")[1] for line in lines] == [
+        "services.ini, [service timetable], slots",
+        "services.ini, [service tide], default_class",
+    ]
+
+
+async def test_operators_apply_compare_and_lose_a_race(directory):
+    """Guards against a second operator who overwrites the first unseen."""
+    async with (
+        store_and_client() as (store, _),
+        running_nodes(store_url=store.url) as [node],
+    ):
+        admin = ("--admin", node.url)
+        result = await run("apply", str(directory), *admin, "--author", "ann")
+        assert result.exit_code == ExitCode.OK, result.stderr
+        assert "in force at 1 of 1 nodes" in result.stdout
+        base = node.node.config.versions_by_team["sohar"]
+        result = await run("diff", str(directory), *admin)
+        assert "no difference in effect" in result.stdout
+        edit(directory, "slots = 10", "slots = 11")
+        result = await run("diff", str(directory), *admin)
+        assert "~ [service timetable] slots: 10 -> 11" in result.stdout
+        assert (await run("apply", str(directory), *admin)).exit_code == 0
+        edit(directory, "slots = 11", "slots = 12")
+        result = await run("apply", str(directory), *admin, "--base", str(base))
+        assert result.exit_code == ExitCode.CONFLICT
+        assert "~ [service timetable] slots: 11 -> 12" in result.stderr
+        store.set_down(True)
+        result = await run("apply", str(directory), *admin)
+        assert result.exit_code == ExitCode.UNAVAILABLE
+        assert "nothing was applied" in result.stderr
+
+
+async def test_apply_waits_for_nodes_that_lag_and_names_them(directory):
+    """Guards against a command that ends while old rules are in force."""
+    in_force = {
+        "team": "sohar",
+        "version": 7,
+        "members": 2,
+        "in_force": 1,
+        "behind": 1,
+        "unknown": 0,
+        "is_everywhere": False,
+        "missing": ["n2"],
+    }
+
+    async def answer(request):
+        if request.method == "POST":
+            return web.json_response({"team": "sohar", "version": 7})
+        return web.json_response(in_force)
+
+    async with fake_node(answer) as url:
+        arguments = ("apply", str(directory), "--base", "0", "--admin", url)
+        result = await run(*arguments, "--timeout", "0.1")
+        assert result.exit_code == ExitCode.NOT_IN_FORCE
+        assert "in force at 1 of 2 nodes" in result.stdout
+        assert "still missing: n2" in result.stderr
+
+
+async def test_shows_status_and_explanations(directory):
+    """Guards against fields that the node has and the command cannot show."""
+    async with (
+        store_and_client() as (store, _),
+        running_nodes(store_url=store.url) as [node],
+    ):
+        admin = ("--admin", node.url)
+        await run("apply", str(directory), *admin)
+        result = await run("status", *admin)
+        assert "node n0 in z1: ready" in result.stdout
+        assert "file set sohar: version" in result.stdout
+        status = json.loads((await run("status", "--json", *admin)).stdout)
+        assert list(status["configuration"]) == ["sohar"]
+        result = await run("explain", "bell", "bell-command", *admin)
+        assert "bell bell-command: priority 100, run once" in result.stdout
+        result = await run("explain", "tide", "--path", "/x", *admin)
+        assert "default_class of [service tide]" in result.stdout
+        result = await run("explain", "bell", "nothing", *admin)
+        assert result.exit_code == ExitCode.FAILED
+        result = await run("explain", "bell", *admin)
+        assert result.exit_code == ExitCode.USAGE
+
+
+async def test_sends_the_token_from_option_or_environment():
+    """Guards against a token that is ignored or sent in the wrong form."""
+    extra = f"[admin]\ntoken_hashes = {TOKEN_HASH}\n"
+    async with running_nodes(extra=extra) as [node]:
+        admin = ("--admin", node.url)
+        result = await run("status", *admin)
+        assert result.exit_code == ExitCode.DENIED
+        result = await run("status", *admin, "--token", TOKEN)
+        assert result.exit_code == ExitCode.OK
+        result = await run("status", *admin, CELERYFIELD_TOKEN=TOKEN)
+        assert result.exit_code == ExitCode.OK
+
+
+async def _not_json(request):
+    return web.Response(text="<html>gateway</html>")
+
+
+async def _wrong_json(request):
+    return web.json_response({"hello": 1})
+
+
+async def _redirect(request):
+    raise web.HTTPFound("http://127.0.0.1:1/")
+
+
+async def _cut_off(request):
+    request.transport.abort()
+    return web.Response()
+
+
+@pytest.mark.parametrize(
+    "answer", [_not_json, _wrong_json, _redirect, _cut_off]
+)
+async def test_garbage_is_one_line_and_a_lost_apply_is_unknown(
+    directory, answer
+):
+    """Guards against tracebacks, and against "not done" for a lost answer."""
+    async with fake_node(answer) as url:
+        result = await run("status", "--admin", url)
+        assert result.exit_code == ExitCode.UNAVAILABLE
+        assert len(result.stderr.splitlines()) == 1
+        arguments = ("apply", str(directory), "--base", "0", "--admin", url)
+        result = await run(*arguments)
+        assert result.exit_code == ExitCode.UNKNOWN
+        assert "may have been made or not" in result.stderr
+
+
+@pytest.mark.parametrize(
+    ("arguments", "code"),
+    [
+        (("status", "--admin", "http://127.0.0.1:1"), ExitCode.UNAVAILABLE),
+        (("drain", "n1", "--admin", "http://127.0.0.1:1"), 5),
+        (("status", "--admin", "127.0.0.1:7302"), ExitCode.USAGE),
+        (("status", "--admin", "http://127.0.0.1:99999"), ExitCode.USAGE),
+        (("status", "--ca", "/no/such.pem"), ExitCode.USAGE),
+    ],
+)
+async def test_unusable_addresses_are_one_line(arguments, code):
+    """Guards against tracebacks when no node answers."""
+    result = await run(*arguments)
+    assert result.exit_code == code
+    assert len(result.stderr.splitlines()) == 1
+    assert result.stderr.startswith("error: ")
+
+
+def test_unexpected_faults_show_no_traceback(monkeypatch, capsys):
+    """Guards against tracebacks from faults in the program itself."""
+
+    def crash():
+        raise RuntimeError("broken")
+
+    monkeypatch.setattr(cli, "app", crash)
+    with pytest.raises(SystemExit) as ended:
+        cli.main()
+    assert ended.value.code == ExitCode.FAILED
+    assert capsys.readouterr().err.count("\n") == 1
+
+
+async def test_drained_node_finishes_its_calls_and_ends_its_process(directory):
+    """Guards against a drain that cuts off calls or leaves the process."""
+    plans = [
+        NodePlan("tide-1", "tide", endpoints=(Endpoint("/", 800),)),
+        NodePlan("front-1"),
+    ]
+    async with Cluster(plans) as cluster:
+        await cluster.apply(directory)
+        await cluster.wait_ready()
+        node = cluster.nodes_by_id["tide-1"]
+        front = cluster.nodes_by_id["front-1"]
+        call = asyncio.ensure_future(
+            cluster.session.get(f"{front.caller_url}/tide/tides/now")
+        )
+        async with asyncio.timeout(10):
+            while not (  # noqa: ASYNC110
+                (await cluster.status(node))["local"]["in_flight"]
+            ):
+                await asyncio.sleep(0.02)
+        result = await run("drain", "tide-1", "--admin", front.admin_url)
+        assert result.exit_code == ExitCode.OK, result.stderr
+        async with await call as answer:
+            assert answer.status == 200
+        await wait_until(lambda: not node.is_running)
+        assert await node.stop() == 0
+        messages = [entry["message"] for entry in node.log]
+        assert "drain requested" in messages
+        assert "node has left" in messages
