Never re-send a request that was running when an upstream crashed

Change: such calls end with reason upstream-crashed, which is never followed by another attempt. Conclusion: requests of others that ran beside it are left to their callers to send again; they then run alone once.

--- a/src/celeryfield/internal/calls.py
+++ b/src/celeryfield/internal/calls.py
@@ -31,6 +31,7 @@
     CONNECTION_LOST = "connection-lost"
     UPSTREAM_ERROR = "upstream-error"
     UPSTREAM_SHED = "upstream-shed"
+    UPSTREAM_CRASHED = "upstream-crashed"
     TRUNCATED = "truncated"
     SUSPECT = "suspect"
     CANCELLED = "cancelled"
--- a/src/celeryfield/internal/dispatch/dispatcher.py
+++ b/src/celeryfield/internal/dispatch/dispatcher.py
@@ -103,6 +103,7 @@
             # Waiting calls must not start on the dead upstream when the
             # permits of the crashed ones are released.
             self._on_crash()
+            result.reason = Reason.UPSTREAM_CRASHED
         return result, RunEnd(service_ms, kind)
 
     async def _end_kind(self, result: CallResult) -> EndKind:
--- a/src/celeryfield/internal/routing/executor.py
+++ b/src/celeryfield/internal/routing/executor.py
@@ -41,6 +41,9 @@
 FINAL_REASONS = frozenset(
     {
         Reason.SUSPECT,
+        # The request may be what crashed the upstream; sending it again could
+        # take down the next one.
+        Reason.UPSTREAM_CRASHED,
         Reason.DEADLINE,
         Reason.CANCELLED,
         Reason.NO_ROUTE,
--- a/tests/cover/test_cli_commands.py
+++ b/tests/cover/test_cli_commands.py
@@ -237,9 +237,7 @@
             cluster.session.get(f"{front.caller_url}/tide/tides/now")
         )
         async with asyncio.timeout(10):
-            while not (  # noqa: ASYNC110
-                (await cluster.status(node))["local"]["in_flight"]
-            ):
+            while not ((await cluster.status(node))["local"]["in_flight"]):
                 await asyncio.sleep(0.02)
         result = await run("drain", "tide-1", "--admin", front.admin_url)
         assert result.exit_code == ExitCode.OK, result.stderr
