Test TLS between nodes and towards callers

Cause: TLS contexts had no test; a wrong context would fall back or let strangers send work. Change: tests with a certificate authority of their own. Measured: 3 tests pass. Conclusion: with ca_file set, peers without a certificate are refused.

--- /dev/null
+++ b/tests/cover/test_tls.py
@@ -0,0 +1,60 @@
+"""Tests of TLS on all listeners; the key in tests/data protects nothing."""
+
+import asyncio
+import pathlib
+import ssl
+
+import pytest
+from node_helpers import running_fleet
+
+from celeryfield import errors
+from celeryfield.internal import tls
+from celeryfield.internal.schema.settings import TlsSettings
+
+DATA = pathlib.Path(__file__).parents[1] / "data"
+TLS = {
+    "certificate_file": str(DATA / "node.pem"),
+    "key_file": str(DATA / "node-key.pem"),
+    "ca_file": str(DATA / "authority.pem"),
+}
+
+
+async def test_calls_cross_two_nodes_over_tls():
+    """Guards against a listener or connection that falls back to plain TCP."""
+    trusting = ssl.create_default_context(cafile=TLS["ca_file"])
+    async with running_fleet() as fleet:
+        near = await fleet.start("near", sections={"tls": TLS})
+        far = await fleet.start("far", sections={"tls": TLS})
+        far.admission.set_capacity(8, 8, "ready", "back")
+        url = f"https://127.0.0.1:{near.frontend.port}/back/x"
+        async with fleet.session.get(url, ssl=trusting) as answer:
+            assert answer.headers["x-celeryfield-reason"] == "no-upstream"
+        candidate = None
+        async with asyncio.timeout(5):
+            while candidate is None:
+                candidate = near.directory.find("far")
+                await asyncio.sleep(0.01)
+        connection = await near.pool._connect(candidate)
+        assert connection._transport.get_extra_info("cipher") is not None
+
+
+async def test_refuses_peers_without_a_certificate():
+    """Guards against strangers who send work or take over a ledger."""
+    async with running_fleet() as fleet:
+        node = await fleet.start("node", sections={"tls": TLS})
+        anonymous = ssl.create_default_context(cafile=TLS["ca_file"])
+        with pytest.raises((ssl.SSLError, OSError, EOFError)):
+            await read_one_byte(node.membership.port, anonymous)
+
+
+async def read_one_byte(port, context):
+    """With TLS 1.3 a refusal arrives with the first read."""
+    reader, _ = await asyncio.open_connection("127.0.0.1", port, ssl=context)
+    await reader.readexactly(1)
+
+
+def test_names_the_file_that_cannot_be_loaded():
+    """Guards against a node that starts without the TLS asked for."""
+    broken = TlsSettings(certificate_file="/no/such.pem")
+    with pytest.raises(errors.SettingsError, match="/no/such.pem"):
+        tls.load_contexts(broken)
