--- a/src/celeryfield/internal/admin/inforce.py
+++ b/src/celeryfield/internal/admin/inforce.py
@@ -82,14 +82,20 @@
         try:
             async with asyncio.timeout(MAX_INQUIRY_S):
                 await self._ask(sample, inquiry)
-                having = sum(self._has(inquiry, member) for member in sample)
-                if 2 * having >= len(sample):
+                if self._is_spread(inquiry):
                     await self._ask(rest, inquiry)
         except TimeoutError:
             # Members without an answer so far are counted as unknown.
             pass
         return self._summarise(inquiry)
 
+    @staticmethod
+    def _is_spread(inquiry: _Inquiry) -> bool:
+        """Tells whether at least half of those that answered have it."""
+        answers = inquiry.answers_by_id.values()
+        having = sum(version >= inquiry.version for version in answers)
+        return 2 * having >= len(answers)
+
     def _members(self) -> list[Member]:
         return [
             member
--- /dev/null
+++ b/tools/generate_reference.py
@@ -0,0 +1,147 @@
+"""Writes the reference tables of docs/operators.md.
+
+The tables come from the settings models, the exit codes and the table of
+operations. Each stands between two marks, so the rest of the page stays as it
+was written.
+"""
+
+import argparse
+import pathlib
+import re
+import sys
+
+ROOT = pathlib.Path(__file__).parents[1]
+PAGE = ROOT / "docs" / "operators.md"
+sys.path.insert(0, str(ROOT / "src"))
+
+from celeryfield.cli.exits import ExitCode  # noqa: E402
+from celeryfield.internal.admin.operations import OPERATIONS  # noqa: E402
+from celeryfield.internal.schema import fileset  # noqa: E402
+from celeryfield.internal.schema.settings import NodeSettings  # noqa: E402
+
+FILE_SET_MODELS = (
+    fileset.FileSetSection,
+    fileset.ServiceSection,
+    fileset.ClassSection,
+    fileset.RouteSection,
+    fileset.TenantSection,
+)
+TYPE_NAMES = {
+    int: "whole number",
+    float: "number",
+    bool: "yes or no",
+    str: "text",
+}
+
+
+def table(titles, rows):
+    """Returns the lines of a Markdown table."""
+    lines = [titles, ["---"] * len(titles), *rows]
+    return [f"| {' | '.join(line)} |" for line in lines]
+
+
+def key_row(name, field):
+    """Returns the row of one key."""
+    bounds = [
+        f"{mark} {getattr(item, attribute):g}"
+        for item in field.metadata
+        for attribute, mark in (("ge", "at least"), ("le", "at most"))
+        if hasattr(item, attribute)
+    ]
+    kind = TYPE_NAMES.get(field.annotation, "list, separated by commas")
+    return [
+        f"`{name}`",
+        ", ".join([kind, *bounds]),
+        "required" if field.is_required() else default_text(field.default),
+        field.description or "",
+    ]
+
+
+def default_text(default):
+    """Returns a default as it is written in an INI file."""
+    if isinstance(default, bool):
+        return "yes" if default else "no"
+    if default in ("", ()):
+        return "empty"
+    return f"{default:.10g}" if isinstance(default, float) else str(default)
+
+
+def section_lines(model):
+    """Returns the heading and the table of one section."""
+    rows = [key_row(*item) for item in model.model_fields.items()]
+    titles = ["key", "value", "default", "meaning"]
+    return [f"**{model.__doc__}**", "", *table(titles, rows), ""]
+
+
+def settings_lines():
+    """Returns the tables of the node's settings."""
+    models = [field.annotation for field in NodeSettings.model_fields.values()]
+    return [line for model in models for line in section_lines(model)][:-1]
+
+
+def fileset_lines():
+    """Returns the tables of file sets."""
+    models = FILE_SET_MODELS
+    return [line for model in models for line in section_lines(model)][:-1]
+
+
+def exit_lines():
+    """Returns the table of exit codes."""
+    meanings = dict(re.findall(r"^ +([A-Z_]+): (.+)$", ExitCode.__doc__, re.M))
+    rows = [[str(code.value), meanings[code.name]] for code in ExitCode]
+    return table(["code", "meaning"], rows)
+
+
+def operation_lines():
+    """Returns the table of the administration API."""
+    rows = [
+        [
+            f"`{operation.method} {operation.path}`",
+            operation.summary,
+            ", ".join(
+                str(status)
+                for status in (operation.status, *operation.error_statuses)
+            ),
+        ]
+        for operation in OPERATIONS
+    ]
+    return table(["request", "what it does", "status"], rows)
+
+
+TABLES_BY_NAME = {
+    "settings": settings_lines,
+    "filesets": fileset_lines,
+    "exits": exit_lines,
+    "operations": operation_lines,
+}
+
+
+def render(text):
+    """Returns the page with current tables."""
+    for name, make_lines in TABLES_BY_NAME.items():
+        start = f"<!-- generated: {name} -->"
+        end = f"<!-- end: {name} -->"
+        before, _, rest = text.partition(start)
+        _, found_end, after = rest.partition(end)
+        if not found_end:
+            sys.exit(f"{PAGE} lacks {start} or {end}")
+        body = "\n".join(make_lines())
+        text = f"{before}{start}\n\n{body}\n\n{end}{after}"
+    return text
+
+
+def main():
+    """Writes the tables, or checks that they are current."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--check", action="store_true")
+    arguments = parser.parse_args()
+    text = PAGE.read_text(encoding="utf-8")
+    current = render(text)
+    if not arguments.check:
+        PAGE.write_text(current, encoding="utf-8")
+    elif text != current:
+        sys.exit(f"{PAGE} is stale; run tools/generate_reference.py")
+
+
+if __name__ == "__main__":
+    main()
