--- a/src/celeryfield/internal/membership/service.py
+++ b/src/celeryfield/internal/membership/service.py
@@ -1,6 +1,7 @@
 """The membership service of one node."""
 
 import logging
+import math
 import random
 from collections.abc import Callable, Mapping
 
@@ -21,10 +22,8 @@
 )
 from celeryfield.internal.membership.datagrams import Endpoint
 from celeryfield.internal.membership.detector import FailureDetector
-from celeryfield.internal.membership.errors import (
-    DatagramError,
-    MembershipError,
-)
+from celeryfield.internal.membership.errors import MembershipError
+from celeryfield.internal.membership.inbox import Inbox, OnSuspect
 from celeryfield.internal.membership.joining import Joining, Seeds
 from celeryfield.internal.membership.local import LocalRecord
 from celeryfield.internal.membership.outbox import Outbox
@@ -44,8 +43,6 @@
 from celeryfield.internal.schema import gossip
 from celeryfield.internal.schema.settings import NodeSettings
 
-OnSuspect = Callable[[gossip.SuspectEntry], None]
-
 EXPIRE_TICKS = 10
 LEAVE_PUSHES = 3
 LEAVE_GAP_SHARE = 0.1
@@ -84,13 +81,11 @@
         self._interval_ms = settings.membership.probe_interval_ms
         self.port = 0
         self._tick = 0
-        self._raised_ms = -self._interval_ms
-        self._change_callbacks: list[Callable[[], None]] = []
-        self._suspect_callbacks: list[OnSuspect] = []
+        self._raised_ms = -math.inf
         self._build()
 
     def _build(self) -> None:
-        settings, clock, rng = self._settings, self._clock, self._rng
+        settings, clock = self._settings, self._clock
         self._table = MemberTable(settings, clock, self._on_own_record)
         self._local = LocalRecord(settings.node, self._table)
         self._refused = RefusedRequests(settings.dispatch, clock)
@@ -98,7 +93,7 @@
         self._deltas: Outbox[str, gossip.Delta] = Outbox(
             self._delta_of, delta_bytes
         )
-        self._courier = courier = Courier(
+        self._courier = Courier(
             settings.node.id,
             lambda: self._table.active_count,
             lambda: self._tracker.config_hash,
@@ -106,13 +101,31 @@
             self._tracker.outbox,
             self._refused.outbox,
         )
+        self._build_protocols()
+        self._handlers_by_kind = {
+            Kind.PING: self._on_ping,
+            Kind.ACK: lambda message, _: self._detector.on_ack(message),
+            Kind.NACK: lambda message, _: self._detector.on_nack(message),
+            Kind.PING_REQUEST: self._detector.on_ping_request,
+            Kind.DIGEST: self._repair.on_digest,
+            Kind.SUMMARY: self._repair.on_summary,
+            Kind.WANT: self._repair.on_want,
+            Kind.VERSION_QUERY: self._exchange.on_query,
+            Kind.VERSIONS: lambda message, _: self._exchange.on_versions(
+                message
+            ),
+        }
+
+    def _build_protocols(self) -> None:
+        settings, clock, rng = self._settings, self._clock, self._rng
+        courier = self._courier
         self._detector = FailureDetector(
             settings,
             clock,
             rng,
             self._table,
             courier,
-            self._mark_changed,
+            lambda member_id: self._inbox.mark_changed(member_id),
             self.add_future,
         )
         self._exchange = ConfigExchange(
@@ -148,19 +161,14 @@
             (self._deltas, self._tracker.outbox, self._refused.outbox),
             self.add_future,
         )
-        self._handlers_by_kind = {
-            Kind.PING: self._on_ping,
-            Kind.ACK: lambda message, _: self._detector.on_ack(message),
-            Kind.NACK: lambda message, _: self._detector.on_nack(message),
-            Kind.PING_REQUEST: self._detector.on_ping_request,
-            Kind.DIGEST: self._repair.on_digest,
-            Kind.SUMMARY: self._repair.on_summary,
-            Kind.WANT: self._repair.on_want,
-            Kind.VERSION_QUERY: self._exchange.on_query,
-            Kind.VERSIONS: lambda message, _: self._exchange.on_versions(
-                message
-            ),
-        }
+        self._inbox = Inbox(
+            self._table,
+            self._refused,
+            self._deltas,
+            courier,
+            self._joining,
+            self._spreader,
+        )
 
     @property
     def members_by_id(self) -> Mapping[str, Member]:
@@ -184,7 +192,7 @@
 
     def subscribe(self, on_change: Callable[[], None]) -> None:
         """Registers a callback for changes of any member."""
-        self._change_callbacks.append(on_change)
+        self._inbox.change_callbacks.append(on_change)
 
     def subscribe_versions(self, on_peer_versions: OnPeerVersions) -> None:
         """Registers a callback for versions newer than the own ones."""
@@ -192,7 +200,7 @@
 
     def subscribe_suspects(self, on_suspect: OnSuspect) -> None:
         """Registers a callback for requests that are to be refused."""
-        self._suspect_callbacks.append(on_suspect)
+        self._inbox.suspect_callbacks.append(on_suspect)
 
     def update_local(
         self, announcements: list[gossip.Announcement], state: str
@@ -208,7 +216,7 @@
     def _publish_local(self) -> None:
         if not self._local.incarnation:
             return
-        self._mark_changed(self._settings.node.id)
+        self._inbox.mark_changed(self._settings.node.id)
         self._spreader.push_now()
 
     def set_config_versions(self, versions_by_team: Mapping[str, int]) -> None:
@@ -287,7 +295,7 @@
         message = self._courier.open(datagram)
         if message is None:
             return
-        has_news = self._merge(message)
+        has_news = self._inbox.merge(message)
         sender = self._table.members_by_id.get(message.sender_id)
         if message.sender_id == self._settings.node.id:
             return
@@ -300,40 +308,6 @@
         if has_news and message.kind == Kind.RECORDS:
             self._joining.on_new_records(endpoint)
 
-    def _merge(self, message: gossip.GossipMessage) -> bool:
-        # A joining node hears of everybody; its news is old to the others.
-        is_bulk = message.kind == Kind.RECORDS and not self.is_synced
-        changed_ids = self._merge_deltas(message.deltas)
-        for entry in message.suspects:
-            self._merge_suspect(entry)
-        if not changed_ids:
-            return False
-        if not is_bulk:
-            for member_id in changed_ids:
-                self._deltas.add(member_id)
-            self._spreader.push_soon()
-        self._notify()
-        return True
-
-    def _merge_deltas(self, deltas: tuple[gossip.Delta, ...]) -> list[str]:
-        changed_ids: list[str] = []
-        for delta in deltas:
-            try:
-                changed_id = self._table.merge(delta)
-            except DatagramError:
-                self.counters.dropped_datagrams += 1
-                break
-            if changed_id is not None:
-                changed_ids.append(changed_id)
-        return changed_ids
-
-    def _merge_suspect(self, entry: gossip.SuspectEntry) -> None:
-        if not self._refused.merge(entry):
-            return
-        self._spreader.push_soon()
-        for callback in self._suspect_callbacks:
-            callback(entry)
-
     def _on_ping(
         self, message: gossip.GossipMessage, endpoint: Endpoint
     ) -> None:
@@ -367,17 +341,8 @@
                 self._local.incarnation,
             )
         if self._local.refute(record, health):
-            self._mark_changed(record.id)
+            self._inbox.mark_changed(record.id)
 
     def _delta_of(self, member_id: str) -> gossip.Delta | None:
         member = self._table.members_by_id.get(member_id)
         return None if member is None else self._table.delta_of(member)
-
-    def _mark_changed(self, member_id: str) -> None:
-        self._deltas.add(member_id)
-        self._spreader.push_soon()
-        self._notify()
-
-    def _notify(self) -> None:
-        for callback in self._change_callbacks:
-            callback()
--- a/src/celeryfield/internal/membership/spread.py
+++ b/src/celeryfield/internal/membership/spread.py
@@ -56,14 +56,12 @@
         await self._clock.sleep_ms(wait_ms)
         self._is_scheduled = False
         self.push_now()
-        if self._table.active_ids and self._has_unsent():
-            self.push_soon()
 
-    def _has_unsent(self) -> bool:
-        return any(outbox.has_unsent for outbox in self._outboxes)
+    def _needs_push(self) -> bool:
+        return any(outbox.needs_push for outbox in self._outboxes)
 
     def push_now(self) -> None:
-        """Sends the least sent changes to a few members."""
+        """Sends the least sent changes, and again later if needed."""
         if not any(self._outboxes):
             return
         receivers = self._table.sample_active(self._rng, PUSH_FANOUT)
@@ -71,3 +69,5 @@
         self._courier.send(message, [member.endpoint for member in receivers])
         gap_ms = GAP_SHARE * self._interval_ms
         self._next_push_ms = self._clock.now_ms() + gap_ms
+        if receivers and self._needs_push():
+            self.push_soon()
