Close coroutines of tasks that are cancelled before they start

Cause: stopping a member between scheduling and starting a push left a coroutine that was never awaited, which Python reports as a RuntimeWarning. Change: tasks of membership close their coroutine when they end; the limit on raising the incarnation moved beside the own record.

--- a/src/celeryfield/internal/membership/local.py
+++ b/src/celeryfield/internal/membership/local.py
@@ -1,7 +1,10 @@
 """This node's own record."""
 
 import dataclasses
+import logging
+import math
 
+from celeryfield.internal.clock import Clock
 from celeryfield.internal.membership.records import (
     MAX_SERVICES,
     Health,
@@ -11,7 +14,9 @@
 )
 from celeryfield.internal.membership.table import MemberTable
 from celeryfield.internal.schema import gossip
-from celeryfield.internal.schema.settings import IdentitySettings
+from celeryfield.internal.schema.settings import NodeSettings
+
+logger = logging.getLogger(__name__)
 
 _OWN_STATE_BY_STATE = {
     MemberState.ALIVE: OwnState.ALIVE,
@@ -27,8 +32,14 @@
     started again with a higher incarnation.
     """
 
-    def __init__(self, node: IdentitySettings, table: MemberTable) -> None:
+    def __init__(
+        self, settings: NodeSettings, clock: Clock, table: MemberTable
+    ) -> None:
+        node = settings.node
+        self._interval_ms = settings.membership.probe_interval_ms
+        self._clock = clock
         self._table = table
+        self._raised_ms = -math.inf
         self._record = gossip.MemberRecord(
             id=node.id,
             address=node.address,
@@ -122,6 +133,23 @@
         self._store(dataclasses.replace(own), heard.revision + 1)
         return True
 
+    def _raise_incarnation(self, heard: int) -> bool:
+        # Two nodes with one id would otherwise raise in turns at full speed.
+        now_ms = self._clock.now_ms()
+        if now_ms < self._raised_ms + self._interval_ms:
+            return False
+        self._raised_ms = now_ms
+        own = self._record
+        logger.warning(
+            "member %s has incarnation %d elsewhere; raising the own one "
+            "from %d; make sure that node ids are unique",
+            own.id,
+            heard,
+            own.incarnation,
+        )
+        self._store(dataclasses.replace(own, incarnation=heard + 1), 0)
+        return True
+
 
 def _limited(entry: gossip.Announcement, own_state: int) -> gossip.Announcement:
     """Shows the services of a leaving node as draining."""
--- a/src/celeryfield/internal/membership/service.py
+++ b/src/celeryfield/internal/membership/service.py
@@ -1,9 +1,7 @@
 """The membership service of one node."""
 
-import logging
-import math
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 
 import mode
 from expression import Result
@@ -47,8 +45,6 @@
 LEAVE_PUSHES = 3
 LEAVE_GAP_SHARE = 0.1
 
-logger = logging.getLogger(__name__)
-
 
 class Membership(mode.Service):
     """Knows all nodes of the fleet by gossip.
@@ -81,13 +77,12 @@
         self._interval_ms = settings.membership.probe_interval_ms
         self.port = 0
         self._tick = 0
-        self._raised_ms = -math.inf
         self._build()
 
     def _build(self) -> None:
         settings, clock = self._settings, self._clock
         self._table = MemberTable(settings, clock, self._on_own_record)
-        self._local = LocalRecord(settings.node, self._table)
+        self._local = LocalRecord(settings, clock, self._table)
         self._refused = RefusedRequests(settings.dispatch, clock)
         self._tracker = VersionTracker()
         self._deltas: Outbox[str, gossip.Delta] = Outbox(
@@ -126,7 +121,7 @@
             self._table,
             courier,
             lambda member_id: self._inbox.mark_changed(member_id),
-            self.add_future,
+            self._spawn,
         )
         self._exchange = ConfigExchange(
             settings.membership,
@@ -134,7 +129,7 @@
             self._tracker,
             courier,
             self._detector.next_sequence,
-            self.add_future,
+            self._spawn,
         )
         self._repair = Repair(
             rng,
@@ -150,7 +145,7 @@
             self._seeds,
             self._table,
             self._repair,
-            self.add_future,
+            self._spawn,
         )
         self._spreader = Spreader(
             settings.membership,
@@ -159,7 +154,7 @@
             self._table,
             courier,
             (self._deltas, self._tracker.outbox, self._refused.outbox),
-            self.add_future,
+            self._spawn,
         )
         self._inbox = Inbox(
             self._table,
@@ -170,6 +165,12 @@
             self._spreader,
         )
 
+    def _spawn(self, work: Coroutine) -> None:
+        """Starts a task that ends with the service."""
+        task = self.add_future(work)
+        # A task that is cancelled before its first step never awaits its work.
+        task.add_done_callback(lambda _: work.close())
+
     @property
     def members_by_id(self) -> Mapping[str, Member]:
         """All known members, this node included."""
@@ -326,20 +327,6 @@
     def _on_own_record(
         self, record: gossip.MemberRecord, health: Health
     ) -> None:
-        now_ms = self._clock.now_ms()
-        if record.incarnation > self._local.incarnation:
-            # Two nodes with one id would otherwise raise in turns at full
-            # speed.
-            if now_ms < self._raised_ms + self._interval_ms:
-                return
-            self._raised_ms = now_ms
-            logger.warning(
-                "member %s has incarnation %d elsewhere; raising the own one "
-                "from %d; make sure that node ids are unique",
-                record.id,
-                record.incarnation,
-                self._local.incarnation,
-            )
         if self._local.refute(record, health):
             self._inbox.mark_changed(record.id)
 
