End a call that is cancelled before its first step

Cause: PeerServer removed a running call in the `finally` of the coroutine that serves it. A task that is cancelled before its first step never enters the coroutine, so a CALL with its CANCEL right behind it stayed in the table for ever, and a graceful stop waited for it without end.

A second CALL frame with the id of a running call was also answered "not-run", although that call could start afterwards.

Change: a done callback of the task ends the call as well, and a second frame of a call that runs or has run is answered "unknown".

--- a/src/celeryfield/internal/transport/server.py
+++ b/src/celeryfield/internal/transport/server.py
@@ -155,25 +155,39 @@
 
     def _start_call(self, connection: PeerConnection, frame: Frame) -> None:
         call = wire.Call.decode(frame.header)
-        state = RunState()
-        if self._is_known(call.call_id):
-            self._spawn(
-                self._reply(
-                    connection, frame.stream_id, not_run(Reason.CANCELLED)
-                )
-            )
+        known = self._answer_if_known(call.call_id)
+        if known is not None:
+            self._spawn(self._reply(connection, frame.stream_id, known))
             return
+        state = RunState()
         self._running_by_call[call.call_id] = state
         state.task = self._spawn(
             self._serve(connection, frame.stream_id, call, frame.payload, state)
         )
-
-    def _is_known(self, call_id: str) -> bool:
-        return (
-            call_id in self._running_by_call
-            or call_id in self._finished_by_call
+        # A task that is cancelled before its first step never enters the
+        # ``finally`` of the coroutine.
+        state.task.add_done_callback(
+            lambda _: self._end_call(call.call_id, state)
         )
 
+    def _answer_if_known(self, call_id: str) -> CallResult | None:
+        """Returns the answer to a call that runs, ended or was cancelled."""
+        is_running = call_id in self._running_by_call
+        if not is_running and call_id not in self._finished_by_call:
+            return None
+        # A running call may still start.
+        if is_running or self._finished_by_call[call_id][1]:
+            return CallResult(
+                Outcome.UNKNOWN, Reason.CANCELLED, 503, started=True
+            )
+        return not_run(Reason.CANCELLED)
+
+    def _end_call(self, call_id: str, state: RunState) -> None:
+        """Moves a call to the ended ones; a second time has no effect."""
+        if self._running_by_call.get(call_id) is state:
+            del self._running_by_call[call_id]
+            self._remember(call_id, state.started)
+
     async def _serve(
         self,
         connection: PeerConnection,
@@ -189,8 +203,7 @@
             outcome = Outcome.UNKNOWN if state.started else Outcome.NOT_RUN
             result = CallResult(outcome, Reason.INTERNAL, 500)
         finally:
-            del self._running_by_call[call.call_id]
-            self._remember(call.call_id, state.started)
+            self._end_call(call.call_id, state)
         await self._reply(connection, stream_id, result)
 
     async def _reply(
--- a/tests/cover/test_transport.py
+++ b/tests/cover/test_transport.py
@@ -26,17 +26,16 @@
     )
 
 
+def make_server(settings, handle_call):
+    hello = wire.Hello(1, "server", INCARNATION)
+    return PeerServer(settings, Clock(), hello, handle_call, {})
+
+
 @contextlib.asynccontextmanager
 async def serving(handle_call, **routing):
     settings = make_settings(**routing)
     clock = Clock()
-    server = PeerServer(
-        settings,
-        clock,
-        wire.Hello(1, "server", INCARNATION),
-        handle_call,
-        {},
-    )
+    server = make_server(settings, handle_call)
     port = await server.start()
     pool = PeerPool(settings, clock, wire.Hello(1, "client", 1))
     candidate = Candidate("server", INCARNATION, "127.0.0.1", port, "z1", "s")
@@ -197,3 +196,60 @@
                 pass
         result = await pool.send(candidate, make_call(), b"")
     assert result.outcome is Outcome.OK
+
+
+async def exchange(port, *sent, answers):
+    """Sends frames in one segment; returns answers by stream id."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    hello = (frames.Kind.HELLO, 0, wire.Hello(1, "client", 1).encode())
+    writer.write(
+        b"".join(frames.encode_frame(*frame) for frame in (hello, *sent))
+    )
+    parser = frames.FrameParser()
+    found = {}
+    while len(found) <= answers:
+        for frame in parser.feed(await reader.read(65_536)):
+            found[frame.stream_id] = frame
+    writer.close()
+    return found
+
+
+async def test_call_cancelled_before_its_first_step_does_not_stay_running():
+    """Guards against a graceful stop that waits for such a call forever."""
+
+    async def handle(call, body, state):
+        return CallResult(Outcome.OK)
+
+    server = make_server(make_settings(), handle)
+    found = await exchange(
+        await server.start(),
+        (frames.Kind.CALL, 1, make_call().encode()),
+        (frames.Kind.CANCEL, 2, wire.Cancel("c1", abort=True).encode()),
+        answers=1,
+    )
+    await asyncio.sleep(0.01)
+    running_count = server.running_count
+    await server.stop()
+    assert not wire.CancelResult.decode(found[2].header).started
+    assert running_count == 0
+
+
+async def test_second_frame_of_a_running_call_is_not_told_not_run():
+    """Guards against "not run" for a call that starts afterwards."""
+    release = asyncio.Event()
+
+    async def handle(call, body, state):
+        await release.wait()
+        return CallResult(Outcome.OK)
+
+    server = make_server(make_settings(), handle)
+    call = make_call().encode()
+    found = await exchange(
+        await server.start(),
+        (frames.Kind.CALL, 1, call),
+        (frames.Kind.CALL, 2, call),
+        answers=1,
+    )
+    release.set()
+    await server.stop()
+    assert wire.Reply.decode(found[2].header).outcome == Outcome.UNKNOWN
