Tell senders of keyed requests "unknown" without word of the owner

Cause: three places answered a keyed request with "not-run" although an earlier request with the same key could have run. A node that asked the owner of the key again used the same call id, which the owner's transport refused as a duplicate while it ran the first one. A transport that gave up on the owner returned its own "not-run". The frontend refused keyed requests with "not-run" while draining and, after a restart, until it had a configuration (no-route).

--- a/src/celeryfield/internal/frontend/server.py
+++ b/src/celeryfield/internal/frontend/server.py
@@ -89,17 +89,16 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await self._read_body(request)
         if body.is_error():
-            return _problem_response(body.error)
+            return _problem_response(request, body.error)
         accepted = self._ingress.accept(request, body.ok)
         if accepted.is_error():
-            return _problem_response(accepted.error)
+            return _problem_response(request, accepted.error)
         # Calls of chains in flight are still served while draining.
         if self._is_draining and accepted.ok.chain is None:
-            return _problem_response(
-                RequestProblem(
-                    Reason.DRAINING, 503, "this node is stopping; use another"
-                )
+            problem = RequestProblem(
+                Reason.DRAINING, 503, "this node is stopping; use another"
             )
+            return _problem_response(request, problem)
         return await self._serve(accepted.ok, body.ok)
 
     async def _serve(self, incoming: IncomingCall, body: bytes) -> web.Response:
@@ -162,13 +161,19 @@
     return web.Response(status=result.status, body=body, headers=answer_headers)
 
 
-def _problem_response(problem: RequestProblem) -> web.Response:
+def _problem_response(
+    request: web.BaseRequest, problem: RequestProblem
+) -> web.Response:
+    # A request with a key may have run when it was sent before; only the
+    # owner of the key knows.
+    has_key = headers.IDEMPOTENCY_KEY in request.headers
+    outcome = Outcome.UNKNOWN if has_key else Outcome.NOT_RUN
     return web.Response(
         status=problem.status,
-        body=_error_body(Outcome.NOT_RUN, problem.reason, problem.message),
+        body=_error_body(outcome, problem.reason, problem.message),
         content_type="application/json",
         headers={
-            headers.OUTCOME: Outcome.NOT_RUN,
+            headers.OUTCOME: outcome,
             headers.REASON: problem.reason,
         },
     )
--- a/src/celeryfield/internal/gateway.py
+++ b/src/celeryfield/internal/gateway.py
@@ -130,11 +130,19 @@
                 break
             if candidate is None:
                 continue
+            # The owner may still hold the previous request; its transport
+            # would refuse another one with the same call id.
             request = dataclasses.replace(
-                call, to_key_owner=True, deadline_left_ms=left_ms
+                call,
+                call_id=f"{call.call_id}.{attempt}",
+                to_key_owner=True,
+                deadline_left_ms=left_ms,
             )
             result = await self._pool.send(candidate, request, body)
-            if result.reason not in _ASK_AGAIN:
+            if result.reason in _ASK_AGAIN:
+                continue
+            is_of_owner = result.load is not None
+            if is_of_owner or result.outcome is not Outcome.NOT_RUN:
                 return result
         # Not even "unreachable" means "not run" here: an earlier request with
         # this key may have run at the owner.
