Report untrusted certificates as unreachable nodes

An https node whose certificate nobody vouches for ended a command with code 2 and blamed the URL, because the library's certificate errors are ValueErrors. 'make schema' also writes the operators' tables.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 
 schema: venv
 	$(BIN)/python tools/generate_schema.py
+	$(BIN)/python tools/generate_reference.py
 
 test: venv lint
 	$(BIN)/python tools/generate_schema.py --check
--- a/src/celeryfield/cli/client.py
+++ b/src/celeryfield/cli/client.py
@@ -126,13 +126,16 @@
             ) as answer:
                 content = await _read(answer)
                 return self._decode(method, answer.status, content, model)
-        except (aiohttp.InvalidURL, ValueError) as error:
-            message = f"{self._url} cannot be used: {error}"
-            return Error(Failure(ExitCode.USAGE, message))
-        except aiohttp.ClientConnectorError as error:
-            return Error(self._unreachable(error))
-        except aiohttp.ConnectionTimeoutError as error:
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
             return Error(self._unreachable(error))
+        except ValueError as error:
+            # The library refuses the URL or the token; certificate errors are
+            # ValueErrors too, but of unreachable nodes.
+            message = f"{self._url} or the token cannot be used: {error}"
+            return Error(Failure(ExitCode.USAGE, message))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Error(self._lost(method, str(error) or "no answer in time"))
 
