Wait for the ledger at a planned stop and issue keys in batches

Change: draining waits for the ledger; POST /-/keys; answers kept by default 8 MB instead of 32 MB; suspect exchange in a module of its own. Conclusion: rolling restarts keep run-once answers also when callers have left.

--- a/src/celeryfield/internal/frontend/ingress.py
+++ b/src/celeryfield/internal/frontend/ingress.py
@@ -90,6 +90,10 @@
         call.idempotency_key = key if call.run_once else ""
         return self._join_chain(request, call, body)
 
+    def issue_keys(self, count: int) -> list[str]:
+        """Returns fresh idempotency keys, or none while stopping."""
+        return self._gateway.issue_keys(count)
+
     async def run(self, incoming: IncomingCall, body: bytes) -> CallResult:
         """Runs a call; settles the allowance of its chain at the end."""
         if incoming.chain is None:
--- a/src/celeryfield/internal/frontend/server.py
+++ b/src/celeryfield/internal/frontend/server.py
@@ -24,6 +24,14 @@
 
 logger = logging.getLogger(__name__)
 
+# No service can have this name.
+KEYS_PATH = "/-/keys"
+MAX_KEYS = 1000
+
+_DRAINING = RequestProblem(
+    Reason.DRAINING, 503, "this node is stopping; use another"
+)
+
 
 class Frontend(Service):
     """Serves callers.
@@ -87,6 +95,8 @@
         self._is_draining = True
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == KEYS_PATH:
+            return self._issue_keys(request)
         body = await self._read_body(request)
         if body.is_error():
             return _problem_response(request, body.error)
@@ -95,10 +105,7 @@
             return _problem_response(request, accepted.error)
         # Calls of chains in flight are still served while draining.
         if self._is_draining and accepted.ok.chain is None:
-            problem = RequestProblem(
-                Reason.DRAINING, 503, "this node is stopping; use another"
-            )
-            return _problem_response(request, problem)
+            return _problem_response(request, _DRAINING)
         return await self._serve(accepted.ok, body.ok)
 
     async def _serve(self, incoming: IncomingCall, body: bytes) -> web.Response:
@@ -126,6 +133,26 @@
             _log_call(call, result, duration_ms)
         return _response(call, result)
 
+    def _issue_keys(self, request: web.BaseRequest) -> web.Response:
+        """Serves keys in batches, so that callers can fetch them ahead."""
+        text = request.query.get("count", "1")
+        count = int(text) if text.isascii() and text.isdecimal() else 0
+        if request.method != "POST" or not 1 <= count <= MAX_KEYS:
+            problem = RequestProblem(
+                Reason.BAD_REQUEST,
+                400,
+                f"use POST {KEYS_PATH}?count=N with N from 1 to {MAX_KEYS}",
+            )
+            return _problem_response(request, problem)
+        keys = [] if self._is_draining else self._ingress.issue_keys(count)
+        if not keys:
+            return _problem_response(request, _DRAINING)
+        ttl_ms = int(self._settings.idempotency.key_ttl_ms)
+        content = {"keys": keys, "ttl_ms": ttl_ms}
+        return web.Response(
+            body=json.dumps(content).encode(), content_type="application/json"
+        )
+
     async def _read_body(
         self, request: web.BaseRequest
     ) -> Result[bytes, RequestProblem]:
--- a/src/celeryfield/internal/gateway.py
+++ b/src/celeryfield/internal/gateway.py
@@ -12,7 +12,7 @@
 )
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
-from celeryfield.internal.idempotency.keys import KeyOwner
+from celeryfield.internal.idempotency.keys import KeyOwner, LedgerError
 from celeryfield.internal.idempotency.ledger import KeyLedger
 from celeryfield.internal.routing.executor import CallExecutor
 from celeryfield.internal.schema import wire
@@ -148,9 +148,19 @@
         # this key may have run at the owner.
         return _key_unknown()
 
+    def issue_keys(self, count: int) -> list[str]:
+        """Returns fresh keys, or none if this node is stopping."""
+        try:
+            return self._ledger.issue_many(count)
+        except LedgerError:
+            return []
+
     def _with_fresh_key(self) -> CallResult:
+        keys = self.issue_keys(1)
+        if not keys:
+            return not_run(Reason.DRAINING)
         result = not_run(Reason.KEY_REQUIRED, KEY_REQUIRED_STATUS)
-        key = wire.Header(headers.IDEMPOTENCY_KEY, self._ledger.issue())
+        key = wire.Header(headers.IDEMPOTENCY_KEY, keys[0])
         return dataclasses.replace(result, headers=(key,))
 
 
--- a/src/celeryfield/internal/node.py
+++ b/src/celeryfield/internal/node.py
@@ -16,7 +16,6 @@
 from celeryfield.internal.directory import Directory
 from celeryfield.internal.dispatch.admission import AdmissionController
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
-from celeryfield.internal.dispatch.suspects import SuspectEntry
 from celeryfield.internal.frontend.ingress import Ingress
 from celeryfield.internal.frontend.server import Frontend
 from celeryfield.internal.gateway import Gateway
@@ -30,12 +29,13 @@
 from celeryfield.internal.routing.chains import ChainTable
 from celeryfield.internal.routing.executor import CallExecutor
 from celeryfield.internal.routing.levels import LevelTable
-from celeryfield.internal.schema import gossip, wire
+from celeryfield.internal.schema import wire
 from celeryfield.internal.schema import settings as settings_schema
 from celeryfield.internal.store.client import StoreClient
 from celeryfield.internal.store.seeds import SeedLeases
 from celeryfield.internal.store.watcher import ConfigWatcher
 from celeryfield.internal.succession import Succession
+from celeryfield.internal.suspect_exchange import SuspectExchange
 from celeryfield.internal.transport import frames
 from celeryfield.internal.transport.errors import UnreachableError
 from celeryfield.internal.transport.frames import Frame, Kind
@@ -185,7 +185,9 @@
             self.settings.node.id, self.directory, self.pool
         )
         self.membership.subscribe(self._on_members)
-        self.membership.subscribe_suspects(self._learn_suspect)
+        self.suspects = SuspectExchange(
+            self.settings, self.clock, self.admission.suspects, self.membership
+        )
         self.membership.subscribe_versions(
             lambda member, versions: self.distributor.learn_versions(
                 member.id, versions
@@ -249,7 +251,12 @@
         self.admission.drain()
         self.frontend.drain()
         await self.clock.sleep_ms(LEAVE_SPREAD_MS)
-        while self.frontend.in_flight or self.peer_server.running_count:
+        # A run-once call goes on after everybody who waited for it has left.
+        while (
+            self.frontend.in_flight
+            or self.peer_server.running_count
+            or not self.ledger.is_idle
+        ):
             await self.clock.sleep_ms(IDLE_CHECK_MS)
         await self.admission.wait_idle()
         successor = await self.succession.hand_over()
@@ -328,22 +335,4 @@
             await self.clock.sleep_ms(EXPIRY_CHECK_MS)
             self.registry.expire()
             self.ledger.forget_expired()
-            self._spread_suspects()
-
-    def _spread_suspects(self) -> None:
-        """Tells other nodes which requests crash upstreams."""
-        now_ms = self.clock.now_ms()
-        ttl_ms = self.settings.dispatch.suspect_ttl_ms
-        # Single crashes spread too: the second may happen at another node.
-        for entry in self.admission.suspects.entries(now_ms, 1):
-            left_ms = int(max(ttl_ms - entry.age_ms, 0))
-            self.membership.refuse_suspect(
-                gossip.SuspectEntry(entry.fingerprint, left_ms, entry.crashes)
-            )
-
-    def _learn_suspect(self, entry: gossip.SuspectEntry) -> None:
-        ttl_ms = self.settings.dispatch.suspect_ttl_ms
-        known = SuspectEntry(
-            entry.fingerprint, entry.count, max(ttl_ms - entry.left_ms, 0)
-        )
-        self.admission.suspects.merge([known], self.clock.now_ms())
+            self.suspects.spread()
--- a/src/celeryfield/internal/schema/settings.capnp
+++ b/src/celeryfield/internal/schema/settings.capnp
@@ -61,7 +61,7 @@
 struct IdempotencySettings $doc("Section [idempotency]: run-once work.") {
   keyTtlMs @0 :Float64 = 900000 $unit("ms") $minimum(1000) $doc("Life of an issued key.");
   answerBytes @1 :UInt32 = 65536 $unit("bytes") $doc("Largest answer (headers and body) kept for re-sends.");
-  totalAnswerBytes @2 :UInt32 = 33554432 $unit("bytes") $doc("All answers kept; the oldest are dropped first.");
+  totalAnswerBytes @2 :UInt32 = 8388608 $unit("bytes") $doc("All answers kept; the oldest are dropped first.");
   maxEntries @3 :UInt32 = 32768 $minimum(1) $doc("Most runs remembered at once; beyond this new runs are refused as not-run.");
 }
 
--- a/src/celeryfield/internal/schema/settings.py
+++ b/src/celeryfield/internal/schema/settings.py
@@ -177,7 +177,7 @@
         description="Largest answer (headers and body) kept for re-sends. Unit: bytes.",
     )
     total_answer_bytes: int = Field(
-        default=33554432,
+        default=8388608,
         description="All answers kept; the oldest are dropped first. Unit: bytes.",
     )
     max_entries: int = Field(
--- /dev/null
+++ b/src/celeryfield/internal/suspect_exchange.py
@@ -0,0 +1,47 @@
+"""Exchange of suspect requests between this node and the others."""
+
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.dispatch.suspects import SuspectEntry, SuspectTable
+from celeryfield.internal.membership.service import Membership
+from celeryfield.internal.schema import gossip
+from celeryfield.internal.schema import settings as settings_schema
+
+
+class SuspectExchange:
+    """Tells gossip of own suspects and the suspect table of others.
+
+    Args:
+        settings: Settings of this node.
+        clock: Time source.
+        suspects: Requests that this node knows to crash upstreams.
+        membership: Spreads them.
+    """
+
+    def __init__(
+        self,
+        settings: settings_schema.NodeSettings,
+        clock: Clock,
+        suspects: SuspectTable,
+        membership: Membership,
+    ) -> None:
+        self._ttl_ms = settings.dispatch.suspect_ttl_ms
+        self._clock = clock
+        self._suspects = suspects
+        self._membership = membership
+        membership.subscribe_suspects(self._learn)
+
+    def spread(self) -> None:
+        """Tells other nodes which requests crash upstreams.
+
+        Single crashes spread too: the second may happen at another node.
+        """
+        for entry in self._suspects.entries(self._clock.now_ms(), 1):
+            left_ms = int(max(self._ttl_ms - entry.age_ms, 0))
+            self._membership.refuse_suspect(
+                gossip.SuspectEntry(entry.fingerprint, left_ms, entry.crashes)
+            )
+
+    def _learn(self, entry: gossip.SuspectEntry) -> None:
+        age_ms = max(self._ttl_ms - entry.left_ms, 0)
+        known = SuspectEntry(entry.fingerprint, entry.count, age_ms)
+        self._suspects.merge([known], self._clock.now_ms())
--- a/tests/cover/test_node_calls.py
+++ b/tests/cover/test_node_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 
 import aiohttp
 import pytest
@@ -241,3 +242,23 @@
         port = node.frontend.port
         with pytest.raises((OSError, aiohttp.ClientError)):
             await fleet.start("b", sections={"listen": {"caller_port": port}})
+
+
+async def test_issues_keys_in_batches_within_bounds():
+    """Guards against callers that make a node sign keys without limit."""
+    async with running_fleet() as fleet:
+        await fleet.start("a", "front")
+        await fleet.settle()
+        answer = await fleet.request("a", "POST", "/-/keys?count=3")
+        keys = json.loads(answer[4])["keys"]
+        assert len(set(keys)) == 3
+        for count in ("0", "1001", "x", "-1"):
+            refused = await fleet.request("a", "POST", f"/-/keys?count={count}")
+            assert refused[0] == 400
+        placed = await fleet.request(
+            "a",
+            "POST",
+            "/front/orders",
+            headers={"idempotency-key": keys[0]},
+        )
+        assert placed[:2] == (200, "ok")
