Make the run-once machine re-send more and catch mutants sooner

Cause: an example made 2.5 sends in 40 steps, since most steps were faults or rules without effect, and rare mutants took about 1,000 examples. Hypothesis draws constants from all loaded modules, so the examples depend on which test files run; one mutant was missed within 3,000 examples for that reason. Change: one rule for all faults, a rule that sends the last key again, stops that wait for idle, restarts of stopped nodes. The mutant that replaces entries also drops running ones. Mutants get up to 10,000 examples, the ledger 1,000.

--- a/tests/cover/test_idempotency_machine.py
+++ b/tests/cover/test_idempotency_machine.py
@@ -31,6 +31,7 @@
 NODE_COUNT = 3
 MOST_USABLE_KEYS = 2
 RESENT_KEYS = 3
+REPEATED_SNAPSHOTS = 2
 LOOP_TURNS = 8
 SETTINGS = NodeSettings.model_validate(
     {
@@ -46,7 +47,6 @@
 
 picks = st.integers(0, 1_000)
 nodes = st.integers(0, NODE_COUNT - 1)
-# Faults that end the life of a key are rare, so that histories go on.
 rarely = st.sampled_from([False, False, False, True])
 durations = st.sampled_from([1_000, 3_000, 5_000])
 
@@ -157,14 +157,6 @@
 
     # Callers.
 
-    @precondition(lambda self: self.usable_count() < MOST_USABLE_KEYS)
-    @rule(index=nodes)
-    def issue(self, index):
-        node = self.nodes[index]
-        if node.paused or not self.is_open(node):
-            return
-        self.issued_ms_by_key[node.ledger.issue()] = self.world.now_ms
-
     def usable_count(self) -> int:
         oldest_ms = self.world.now_ms - TTL_MS
         return sum(
@@ -172,21 +164,36 @@
             for issued_ms in self.issued_ms_by_key.values()
         )
 
-    @precondition(lambda self: self.issued_ms_by_key)
+    def issue(self, node: Node) -> None:
+        if not node.paused and self.is_open(node):
+            self.issued_ms_by_key[node.ledger.issue()] = self.world.now_ms
+
     @rule(
+        issuer=nodes,
         via=nodes,
         pick=picks,
         other_body=st.sampled_from([False, False, False, True]),
         delayed=st.booleans(),
     )
-    def send(self, via, pick, other_body, delayed):
+    def send(self, issuer, via, pick, other_body, delayed):
+        if self.usable_count() < MOST_USABLE_KEYS:
+            self.issue(self.nodes[issuer])
         keys = list(self.issued_ms_by_key)[-RESENT_KEYS:]
-        key = keys[pick % len(keys)]
+        if keys:
+            fingerprint = b"other" if other_body else b"first"
+            self.send_key(keys[pick % len(keys)], fingerprint, via, delayed)
+
+    @precondition(lambda self: self.attempts)
+    @rule(via=nodes, delayed=st.booleans())
+    def send_again(self, via, delayed):
+        last = self.attempts[-1]
+        self.send_key(last.key, last.fingerprint, via, delayed)
+
+    def send_key(self, key, fingerprint, via, delayed):
         owner = self.nodes[via].ledger.owner_of(key).ok
         target = self.holders_by_owner.get(owner)
         if target is None:
             return
-        fingerprint = b"other" if other_body else b"first"
         attempt = Attempt(
             len(self.attempts), key, fingerprint, target, target.ledger
         )
@@ -260,85 +267,93 @@
     def finish(self, pick, outcome, length, raises):
         running = self.running()
         execution = running[pick % len(running)]
-        execution.outcome = Outcome.UNKNOWN if raises else outcome
-        execution.body = (b"%d." % execution.attempt_id).ljust(length, b".")
         if raises:
+            execution.outcome = Outcome.UNKNOWN
             execution.end.set_exception(OSError("connection reset"))
         else:
-            execution.end.set_result(
-                CallResult(outcome=outcome, body=execution.body)
-            )
+            self.end_execution(execution, outcome, length)
         self.settle()
 
+    def end_execution(self, execution, outcome, length=0):
+        body = b"%d." % execution.attempt_id
+        execution.outcome = outcome
+        execution.body = body.ljust(length, b".")
+        execution.end.set_result(
+            CallResult(outcome=outcome, body=execution.body)
+        )
+
     def running(self) -> list[Execution]:
         return [item for item in self.world.executions if not item.end.done()]
 
     # Faults.
 
-    @precondition(lambda self: self.issued_ms_by_key)
+    @precondition(lambda self: self.attempts)
     @rule(duration_ms=durations)
     def advance(self, duration_ms):
         self.world.now_ms += duration_ms
         self.settle()
 
-    @precondition(lambda self: self.issued_ms_by_key)
+    @precondition(lambda self: self.attempts)
     @rule(
+        fault=st.sampled_from(["step", "pause", "pause", "crash"]),
         index=nodes,
         duration_ms=durations,
         direction=st.sampled_from([-1, -1, 1]),
     )
-    def step_wall_clock(self, index, duration_ms, direction):
-        if not self.nodes[index].paused:
-            self.nodes[index].clock.skew_ms += duration_ms * direction
-            self.settle()
-
-    @precondition(lambda self: self.issued_ms_by_key)
-    @rule(index=nodes, stopped_ms=st.sampled_from([0, 1_000, TTL_MS]))
-    def pause_or_resume(self, index, stopped_ms):
-        """Suspending a VM stops its monotonic clock as well."""
+    def fail(self, fault, index, duration_ms, direction):
         node = self.nodes[index]
-        node.paused = not node.paused
-        if not node.paused:
-            node.clock.stopped_ms += stopped_ms
-            self.world.now_ms += stopped_ms
-            self.settle()
+        if node.paused:
+            self.resume(node, duration_ms)
+        elif fault == "step":
+            node.clock.skew_ms += duration_ms * direction
+        elif fault == "pause":
+            node.paused = True
+        else:
+            self.crash_and_restart(index)
+        self.settle()
+
+    def resume(self, node: Node, stopped_ms: int) -> None:
+        """Resumes a suspended VM, whose monotonic clock has stopped."""
+        node.clock.stopped_ms += stopped_ms
+        self.world.now_ms += stopped_ms
+        node.paused = False
 
-    @precondition(lambda self: self.issued_ms_by_key)
-    @rule(index=nodes, happens=rarely)
-    def crash_and_restart(self, index, happens):
+    def crash_and_restart(self, index: int) -> None:
         node = self.nodes[index]
-        if not happens and self.is_open(node):
-            return
         for owner, holder in list(self.holders_by_owner.items()):
             if holder is node:
                 del self.holders_by_owner[owner]
-        self.nodes[index] = self.new_node(index)
-        self.holders_by_owner[self.nodes[index].ledger.owner] = self.nodes[
-            index
-        ]
-        self.settle()
+        node = self.nodes[index] = self.new_node(index)
+        self.holders_by_owner[node.ledger.owner] = node
 
     # Planned stops.
 
-    @precondition(lambda self: self.issued_ms_by_key)
+    @precondition(lambda self: self.attempts)
     @rule(index=nodes, distance=st.integers(1, NODE_COUNT - 1), delayed=rarely)
     def stop(self, index, distance, delayed):
+        """Stops a node once it is idle; replaces one that has stopped."""
         node = self.nodes[index]
-        open_count = sum(self.is_open(item) for item in self.nodes)
-        if node.paused or open_count < NODE_COUNT:
+        if node.paused:
+            return
+        if not self.is_open(node):
+            self.crash_and_restart(index)
             return
+        for execution in self.running():
+            if self.attempts[execution.attempt_id].target is node:
+                self.end_execution(execution, Outcome.OK)
+        self.settle()
         successor = self.nodes[(index + distance) % NODE_COUNT].ledger.owner
         exported = node.ledger.close_and_export(successor)
-        if exported.is_ok():
-            self.snapshots.append(exported.ok.encode())
-            if not delayed:
-                self.deliver_snapshot(self.snapshots[-1], None)
+        self.snapshots.append(exported.ok.encode())
+        if not delayed:
+            self.deliver_snapshot(self.snapshots[-1], None)
 
     @precondition(lambda self: self.snapshots)
     @rule(pick=picks, stray=st.none() | nodes)
     def deliver_handover(self, pick, stray):
         """Delivers a snapshot any number of times, or to a wrong node."""
-        data = self.snapshots[pick % len(self.snapshots)]
+        recent = self.snapshots[-REPEATED_SNAPSHOTS:]
+        data = recent[pick % len(recent)]
         self.deliver_snapshot(data, stray)
 
     def deliver_snapshot(self, data: bytes, stray: int | None) -> None:
@@ -383,8 +398,7 @@
         """Ends all runs; every attempt that reached a live owner is told."""
         try:
             for execution in self.running():
-                execution.outcome = Outcome.OK
-                execution.end.set_result(CallResult(outcome=Outcome.OK))
+                self.end_execution(execution, Outcome.OK)
             self.settle()
             for attempt in self.attempts:
                 self.check_told(attempt)
@@ -466,13 +480,16 @@
 
     def drop_entries(self, owner):
         for key in list(self._entries_by_key):
-            is_finished = self._entries_by_key[key].end is None
-            if is_finished and self.owner_of(key).ok == owner:
+            if self.owner_of(key).ok == owner:
                 self._answers.forget(self._entries_by_key.pop(key))
         self._finished = collections.deque(
             [item for item in self._finished if item[1] in self._entries_by_key]
         )
 
+    def _record_end(self, key, entry, task):
+        self._entries_by_key.setdefault(key, entry)
+        super()._record_end(key, entry, task)
+
 
 class CancelsRunWithWaiter(KeyLedger):
     async def run_once(self, key, fingerprint, start):
@@ -502,7 +519,7 @@
             settings.default,
             derandomize=True,
             database=None,
-            stateful_step_count=40,
+            stateful_step_count=50,
             **options,
         ),
     )
@@ -510,7 +527,7 @@
 
 def test_runs_each_key_at_most_once_and_tells_the_truth():
     """Guards against second runs, false answers and waiters left hanging."""
-    run_machine(KeyLedger, max_examples=800)
+    run_machine(KeyLedger, max_examples=1_000)
 
 
 @pytest.mark.parametrize(
@@ -530,4 +547,4 @@
 def test_machine_catches_mutant(mutant, finding):
     """Guards against a machine that cannot fail."""
     with pytest.raises(AssertionError, match=finding):
-        run_machine(mutant, max_examples=3_000, phases=[Phase.generate])
+        run_machine(mutant, max_examples=10_000, phases=[Phase.generate])
