--- a/src/celeryfield/internal/config/manager.py
+++ b/src/celeryfield/internal/config/manager.py
@@ -1,6 +1,7 @@
 """Configuration in force at one node."""
 
 import dataclasses
+import functools
 import logging
 from collections.abc import Callable, Mapping
 
@@ -17,7 +18,7 @@
     """A name that the sets of two teams define.
 
     Attributes:
-        kind: service, class or tenant.
+        kind: service or class.
         name: The name.
         owner: Team whose section is in force.
         other_team: Team whose section is ignored.
@@ -94,12 +95,25 @@
         if owner is None:
             return None
         rule = owner.rule_for(service, method, path)
-        if rule is None:
-            return None
-        class_owner = self._owners_by_name[("class", rule.class_name)]
-        if class_owner is owner:
-            return rule
-        return _with_class_of(rule, class_owner)
+        return self._in_force(rule, owner) if rule else None
+
+    def rules_of(self, service: str) -> list[Rule]:
+        """Returns all rules of a service, the most specific route first."""
+        owner = self._owners_by_name.get(("service", service))
+        if owner is None:
+            return []
+        return [self._in_force(rule, owner) for rule in owner.rules_of(service)]
+
+    def team_of(self, kind: str, name: str) -> str:
+        """Returns the team whose section is in force, or an empty string."""
+        owner = self._owners_by_name.get((kind, name))
+        return owner.team if owner else ""
+
+    def service_names(self) -> list[str]:
+        """Returns the services in force."""
+        return sorted(
+            name for kind, name in self._owners_by_name if kind == "service"
+        )
 
     def service(self, name: str) -> ServiceSection | None:
         """Returns the section of a service that is in force."""
@@ -113,12 +127,23 @@
 
     def knows_tenant(self, tenant: str) -> bool:
         """Returns whether any set names the tenant."""
-        return ("tenant", tenant) in self._owners_by_name
+        return any(
+            tenant in applied.sections.tenants_by_name
+            for applied in self._sets_by_team.values()
+        )
 
-    def tenant_weight(self, tenant: str) -> float:
-        """Returns the weight of a tenant; 1 if no set names it."""
-        owner = self._owners_by_name.get(("tenant", tenant))
-        return owner.sections.tenants_by_name[tenant].weight if owner else 1.0
+    def tenant_weight(self, service: str, tenant: str) -> float:
+        """Returns the weight of a tenant at a service; 1 if not set."""
+        owner = self._owners_by_name.get(("service", service))
+        section = owner and owner.sections.tenants_by_name.get(tenant)
+        return section.weight if section else 1.0
+
+    def _in_force(self, rule: Rule, owner: AppliedFileSet) -> Rule:
+        """Returns a rule with the class section that is in force."""
+        class_owner = self._owners_by_name[("class", rule.class_name)]
+        if class_owner is owner:
+            return rule
+        return _with_class_of(rule, class_owner)
 
     def _is_newer(self, candidate: AppliedFileSet) -> bool:
         """Tells whether a candidate may replace the current set."""
@@ -134,12 +159,8 @@
         owners_by_name = {}
         conflicts = []
         for (kind, name), claimants in claimants_by_name.items():
-            claimants.sort(
-                key=lambda applied, kind=kind, name=name: (
-                    applied.since_version(kind, name),
-                    applied.team,
-                )
-            )
+            if len(claimants) > 1:
+                claimants.sort(key=functools.partial(_age, kind, name))
             owner, *others = claimants
             owners_by_name[(kind, name)] = owner
             conflicts += [
@@ -151,8 +172,9 @@
 
     def _report(self, conflicts: tuple[NameConflict, ...]) -> None:
         """Logs conflicts that are new."""
+        known_conflicts = set(self.conflicts)
         for conflict in conflicts:
-            if conflict not in self.conflicts:
+            if conflict not in known_conflicts:
                 logger.warning("two teams define a name: %s", conflict)
         self.conflicts = conflicts
 
@@ -164,6 +186,11 @@
             logger.exception("a subscriber failed on a new file set")
 
 
+def _age(kind: str, name: str, applied: AppliedFileSet) -> tuple[int, str]:
+    """Orders the claimants of a name, the owner first."""
+    return applied.since_version(kind, name), applied.team
+
+
 def _with_class_of(rule: Rule, class_owner: AppliedFileSet) -> Rule:
     """Returns a rule with the class of the team that owns the class.
 
--- a/src/celeryfield/internal/node.py
+++ b/src/celeryfield/internal/node.py
@@ -3,13 +3,13 @@
 import logging
 import random
 
-from aiohttp import web
 from mode import Service
 
 from celeryfield.internal import tls
-from celeryfield.internal.admin import auth
+from celeryfield.internal.admin import administration, auth
+from celeryfield.internal.admin.draining import Draining
 from celeryfield.internal.admin.server import AdminServer
-from celeryfield.internal.admin.status import node_status
+from celeryfield.internal.admin.status import GoodputMeter
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.config.distribution import ConfigDistributor
 from celeryfield.internal.config.manager import ConfigManager
@@ -72,6 +72,7 @@
         self.clock = clock
         self.config = ConfigManager()
         self.metrics = Metrics(self.config.knows_tenant)
+        self.goodput = GoodputMeter()
         self._random = random.Random()
         self._tls = tls.load_contexts(settings.tls)
         self._hello = wire.Hello(frames.PROTOCOL_VERSION, settings.node.id)
@@ -85,14 +86,18 @@
         self.chains = ChainTable(clock, self.levels)
         self.balancer = Balancer(settings, clock)
         self.admission = AdmissionController(settings, clock)
-        self.admission.set_tenant_weights(self.config.tenant_weight)
+        self.admission.set_tenant_weights(self._tenant_weight)
         self.upstream = UpstreamClient(settings, clock)
         self.registry = UpstreamRegistry(settings, clock, self._on_announcement)
         self.pool = PeerPool(
             settings, clock, self._hello, self._tls.peer_client
         )
         self.dispatcher = Dispatcher(
-            clock, self.admission, self.chains, self.upstream
+            clock,
+            self.admission,
+            self.chains,
+            self.upstream,
+            self.registry.forget,
         )
         self.distributor = ConfigDistributor(self.config, self._fetch_config)
         self.peer_server = PeerServer(
@@ -103,6 +108,7 @@
             {
                 Kind.FETCH_CONFIG: self.distributor.serve,
                 Kind.HANDOVER: lambda frame: self.succession.adopt(frame),
+                Kind.DRAIN: lambda frame: self.draining.serve_peer(frame),
             },
             self._tls.peer_server,
         )
@@ -143,14 +149,6 @@
         self.frontend = Frontend(
             settings, clock, self.metrics, ingress, self._tls.http
         )
-        self.admin = AdminServer(
-            settings,
-            self.registry,
-            self.metrics,
-            lambda: self.is_ready,
-            [web.get("/v1/status", self._serve_status)],
-            self._tls.http,
-        )
 
     @property
     def is_ready(self) -> bool:
@@ -166,7 +164,7 @@
         self._build_gateway()
         await self._start_store(port)
         await self.add_runtime_dependency(self.frontend)
-        await self.add_runtime_dependency(self.admin)
+        await self._start_admin()
         logger.info(
             "node started",
             extra={
@@ -183,6 +181,9 @@
             settings, self.clock, random.Random(), self._seed_addresses
         )
         self.directory = Directory(self.membership.members_by_id, self.balancer)
+        self.draining = Draining(
+            self.settings.node.id, self.directory, self.pool
+        )
         self.membership.subscribe(self._on_members)
         self.membership.subscribe_suspects(self._learn_suspect)
         self.membership.subscribe_versions(
@@ -218,8 +219,22 @@
         await self.add_runtime_dependency(self.seeds)
         await self.add_runtime_dependency(watcher)
 
+    async def _start_admin(self) -> None:
+        self.metrics.watch_counters("gossip", self.membership.counters)
+        self.metrics.watch_counters("executor", self.executor.counters)
+        self.admin = AdminServer(
+            self.settings,
+            self.registry,
+            self.metrics,
+            lambda: self.is_ready,
+            administration.routes(self),
+            self._tls.http,
+        )
+        await self.add_runtime_dependency(self.admin)
+
     async def on_shutdown(self) -> None:
         """Closes what the services use, after they have stopped."""
+        self.executor.close()
         self.pool.close()
         await self.peer_server.stop()
         await self.upstream.close()
@@ -261,6 +276,8 @@
                 announcement.state,
                 announcement.service,
             )
+            if announcement.load is not None:
+                self.admission.report_busy_slots(announcement.load)
         self._publish()
 
     def _publish(self) -> None:
@@ -268,14 +285,7 @@
         current = self.registry.current
         services = []
         if current is not None:
-            services.append(
-                gossip.Announcement(
-                    service=current.service,
-                    state=current.state,
-                    slots=current.slots,
-                    connections=current.connections,
-                )
-            )
+            services.append(current.for_gossip())
         self.membership.update_local(
             services, "leaving" if self.is_leaving else "alive"
         )
@@ -293,6 +303,11 @@
             for seed in self.seeds.seed_addresses()
         ]
 
+    def _tenant_weight(self, tenant: str) -> float:
+        current = self.registry.current
+        service = current.service if current else ""
+        return self.config.tenant_weight(service, tenant)
+
     def _zone_size(self) -> int:
         zone = self.settings.node.zone
         members = self.membership.members_by_id.values()
@@ -304,21 +319,23 @@
             raise UnreachableError(f"member {member_id} is gone")
         return await self.pool.request(candidate, Kind.FETCH_CONFIG, header)
 
-    async def _serve_status(self, _request: web.Request) -> web.Response:
-        return web.json_response(node_status(self))
-
     @Service.task
-    async def _expire_upstream(self) -> None:
+    async def _run_housekeeping(self) -> None:
         while not self.should_stop:
+            self.goodput.sample(
+                self.clock.now_ms(), self.metrics.totals_by_class
+            )
             await self.clock.sleep_ms(EXPIRY_CHECK_MS)
             self.registry.expire()
+            self.ledger.forget_expired()
             self._spread_suspects()
 
     def _spread_suspects(self) -> None:
         """Tells other nodes which requests crash upstreams."""
         now_ms = self.clock.now_ms()
         ttl_ms = self.settings.dispatch.suspect_ttl_ms
-        for entry in self.admission.suspects.entries(now_ms):
+        # Single crashes spread too: the second may happen at another node.
+        for entry in self.admission.suspects.entries(now_ms, 1):
             left_ms = int(max(ttl_ms - entry.age_ms, 0))
             self.membership.refuse_suspect(
                 gossip.SuspectEntry(entry.fingerprint, left_ms, entry.crashes)
--- a/src/celeryfield/internal/schema/wire.capnp
+++ b/src/celeryfield/internal/schema/wire.capnp
@@ -79,13 +79,18 @@
   team @0 :Text;
 }
 
+struct Drain $doc("Asks a node to leave and to end its process.") {
+  nodeId @0 :Text $doc("Node that is meant; any other refuses.");
+  requestedBy @1 :Text $doc("Node that an operator asked.");
+}
+
 struct FileEntry $doc("One file of a file set.") {
   name @0 :Text;
   text @1 :Text;
 }
 
 struct NameClaim $doc("A name that a team's file set defines.") {
-  kind @0 :Text $doc("service, class or tenant.");
+  kind @0 :Text $doc("service or class.");
   name @1 :Text;
   sinceVersion @2 :UInt64 $doc("Version that first held the name without a break; 0 stands for the version of this set.");
 }
--- a/src/celeryfield/internal/upstream/announcements.py
+++ b/src/celeryfield/internal/upstream/announcements.py
@@ -7,6 +7,7 @@
 import pydantic
 
 from celeryfield.internal.clock import Clock
+from celeryfield.internal.schema import gossip
 from celeryfield.internal.schema import settings as settings_schema
 
 State = Literal["starting", "ready", "draining"]
@@ -33,6 +34,15 @@
     state: State = "ready"
     load: int | None = pydantic.Field(default=None, ge=0)
 
+    def for_gossip(self) -> gossip.Announcement:
+        """Returns the part that other nodes need."""
+        return gossip.Announcement(
+            service=self.service,
+            state=self.state,
+            slots=self.slots,
+            connections=self.connections,
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class _Heard:
@@ -71,10 +81,15 @@
         self._heard = _Heard(announcement, self._clock.now_ms())
         self._on_heartbeat(announcement)
 
+    def forget(self) -> None:
+        """Drops an upstream that crashed, until its next heartbeat."""
+        if self._heard is not None:
+            self._heard = None
+            self._on_heartbeat(None)
+
     def expire(self) -> None:
         """Drops an upstream that stopped announcing itself."""
         if self._heard is None:
             return
         if self._clock.now_ms() - self._heard.heard_ms > self._ttl_ms:
-            self._heard = None
-            self._on_heartbeat(None)
+            self.forget()
