--- a/src/celeryfield/internal/node.py
+++ b/src/celeryfield/internal/node.py
@@ -29,8 +29,8 @@
 from celeryfield.internal.routing.chains import ChainTable
 from celeryfield.internal.routing.executor import CallExecutor
 from celeryfield.internal.routing.levels import LevelTable
-from celeryfield.internal.schema import wire
 from celeryfield.internal.schema import settings as settings_schema
+from celeryfield.internal.schema import wire
 from celeryfield.internal.store.client import StoreClient
 from celeryfield.internal.store.seeds import SeedLeases
 from celeryfield.internal.store.watcher import ConfigWatcher
