--- a/src/celeryfield/internal/frontend/ingress.py
+++ b/src/celeryfield/internal/frontend/ingress.py
@@ -87,7 +87,7 @@
                 "malformed",
             )
         call = self._make_call(request, rule, path, tenant, timeout.ok)
-        call.idempotency_key = key if call.run_once else ""
+        call.idempotency_key = key
         return self._join_chain(request, call, body)
 
     def issue_keys(self, count: int) -> list[str]:
--- a/tests/cover/test_node_calls.py
+++ b/tests/cover/test_node_calls.py
@@ -78,6 +78,29 @@
     assert 0 < call.deadline_left_ms < 1000
 
 
+async def test_upstream_gets_each_header_of_the_call_once():
+    """Guards against duplicated keys and tenants, which parsers refuse."""
+    async with running_fleet() as fleet:
+        await fleet.start("a", "front")
+        await fleet.settle()
+        seen = []
+        upstream = fleet.upstreams["a"]
+        run = upstream._run
+
+        async def spy(request, body):
+            seen.append(request.headers)
+            return await run(request, body)
+
+        upstream._run = spy
+        key = json.loads((await fleet.request("a", "POST", "/-/keys"))[4])
+        sent = {"x-tenant": "known", "idempotency-key": key["keys"][0]}
+        for method, path in (("POST", "/front/orders"), ("GET", "/front/x")):
+            await fleet.request("a", method, path, headers=sent)
+    for received in seen:
+        for name, value in sent.items():
+            assert received.getall(name) == [value]
+
+
 async def test_unknown_traceparent_gets_no_retries():
     """Guards against retries for chains that somebody else may retry."""
     seen = []
