Void probes at a third of the timeout of lag

Cause: with 300 members in one saturated process, acks that waited for the loops of both sides came late although no sleep was late by a whole timeout, so healthy members became suspect and the refutations kept the core busy. Change: a sleep late by a third of the probe timeout voids the probe.

--- a/src/celeryfield/internal/membership/detector.py
+++ b/src/celeryfield/internal/membership/detector.py
@@ -23,6 +23,10 @@
 # silent zones and frozen suspects are given up; regions lose contact for
 # minutes.
 HOLD_TIMES = 150
+# A sleep that is late by more than this share of the probe timeout voids the
+# probe. An ack waits for the loop of both sides, so a lag of a third of the
+# timeout already makes acks late.
+LATE_SHARE = 1 / 3
 # Gone members are probed this rarely, so that two sides that gave each other
 # up find each other again.
 GONE_PROBE_TICKS = 16
@@ -127,7 +131,7 @@
         started_ms = self._clock.now_ms()
         await self._clock.sleep_ms(duration_ms)
         late_ms = self._clock.now_ms() - started_ms - duration_ms
-        if late_ms <= self._timeout_ms:
+        if late_ms <= LATE_SHARE * self._timeout_ms:
             return
         missed_ticks = 1 + int(late_ms / self._settings.probe_interval_ms)
         self.doubt = min(self.doubt + missed_ticks, MAX_DOUBT)
