Refuse store URLs that cannot be used and test totals per class

A node with '[store] url = platform:80' started and then failed on every store call without naming the setting. It now ends with code 3 and one line. The test of draining also checks calls in flight and goodput of a class, and the outage test checks that file sets stay readable without the store.

--- a/src/celeryfield/internal/admin/inforce.py
+++ b/src/celeryfield/internal/admin/inforce.py
@@ -40,8 +40,9 @@
 class InForceCounter:
     """Combines what gossip tells with direct questions.
 
-    Versions of a member never go back, so a member that gossip shows to have
-    a version is not asked again.
+    A member that gossip shows to have a version is not asked again: versions
+    never go back, and a member that restarts is not ready before it has
+    fetched the newest sets.
 
     Args:
         membership: Knows the members and asks them.
--- a/src/celeryfield/internal/inifile.py
+++ b/src/celeryfield/internal/inifile.py
@@ -8,6 +8,7 @@
 import math
 import pathlib
 import re
+import urllib.parse
 from collections.abc import Collection, Iterable, Mapping
 from typing import TypeVar
 
@@ -28,6 +29,7 @@
 _ADDRESS_KEYS = (("node", "address"), ("listen", "admin_address"))
 _NAME_KEYS = (("node", "id"), ("node", "zone"), ("node", "region"))
 _NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
+_STORE_URL_KEY = ("store", "url")
 _PORT_KEYS = (
     ("listen", "caller_port"),
     ("listen", "peer_port"),
@@ -263,7 +265,7 @@
 
     Raises:
         ValueError: The value is not among the choices, not a finite number,
-            not an IP address, not a name or not a port.
+            not an IP address, not a name, not a URL or not a port.
     """
     section_key = (info.context["section"], info.field_name)
     reason = ""
@@ -276,6 +278,8 @@
         reason = "not an IP address"
     elif section_key in _NAME_KEYS and not _NAME.fullmatch(value):
         reason = "use 1 to 64 letters, digits, dots, hyphens and underscores"
+    elif section_key == _STORE_URL_KEY and not _is_http_url(value):
+        reason = "use http://HOST:PORT or https://HOST:PORT"
     elif section_key in _PORT_KEYS and not 0 <= value <= MAX_PORT:
         reason = f"not a port; use 0 to {MAX_PORT}"
     if reason:
@@ -290,3 +294,15 @@
     except ValueError:
         return False
     return True
+
+
+def _is_http_url(text: str) -> bool:
+    """Tells whether a text is a base URL; an empty one stands for none."""
+    if not text:
+        return True
+    try:
+        parts = urllib.parse.urlsplit(text)
+        has_host = bool(parts.hostname) and parts.port != 0
+        return has_host and parts.scheme in ("http", "https")
+    except ValueError:
+        return False
--- a/tests/cover/test_admin_api.py
+++ b/tests/cover/test_admin_api.py
@@ -1,10 +1,11 @@
 """The administration API: every answer and every error is JSON."""
 
 import asyncio
+import dataclasses
 
 import pytest
 from cover.admin_helpers import example_files, running_nodes
-from cover.store_helpers import store_and_client, wait_until
+from cover.store_helpers import files, store_and_client, wait_until
 
 from celeryfield.errors import SettingsError
 from celeryfield.internal.admin import auth
@@ -12,6 +13,7 @@
 from celeryfield.internal.admin.openapi import describe
 from celeryfield.internal.admin.server import MAX_BODY_BYTES
 from celeryfield.internal.admin.status import GoodputMeter
+from celeryfield.internal.config.fileset import AppliedFileSet, compile_files
 from celeryfield.internal.inifile import parse_node_settings
 from celeryfield.internal.metrics import ClassTotals
 
@@ -91,6 +93,13 @@
         )
 
 
+def applied_set(team, version):
+    """Returns a set as if the store had given it a version."""
+    compiled = compile_files(files(team)).ok
+    message = dataclasses.replace(compiled.message, version=version)
+    return AppliedFileSet(message, compiled.sections)
+
+
 async def test_tells_outage_from_unknown_outcome():
     """Guards against an unknown write that is reported as not done."""
     extra = "[log]\nlevel = error\n"
@@ -101,6 +110,13 @@
         store.set_down(True)
         status, answer = await node.apply(example_files(), 0)
         assert (status, answer["error"]["code"]) == (503, "unavailable")
+        # What is in force is read from the node, so an outage hides nothing
+        # but the history.
+        node.node.config.offer(applied_set("sohar", 3))
+        status, shown = await node.request("GET", "/v1/filesets/sohar")
+        assert (status, shown["current"]["version"]) == (200, 3)
+        assert shown["history"] == []
+        assert shown["history_error"]
         store.set_down(False)
         store.lose_answers(100)
         store.set_stalled(True, ("get",))
--- a/tests/cover/test_cli_commands.py
+++ b/tests/cover/test_cli_commands.py
@@ -239,10 +239,15 @@
         async with asyncio.timeout(10):
             while not ((await cluster.status(node))["local"]["in_flight"]):
                 await asyncio.sleep(0.02)
+        classes = (await cluster.status(front))["classes"]
+        assert classes["tide-status"]["in_flight"] == 1
         result = await run("drain", "tide-1", "--admin", front.admin_url)
         assert result.exit_code == ExitCode.OK, result.stderr
         async with await call as answer:
             assert answer.status == 200
+        totals = (await cluster.status(front))["classes"]["tide-status"]
+        assert (totals["in_flight"], totals["ok"]) == (0, 1)
+        assert totals["goodput"] > 0
         await wait_until(lambda: not node.is_running)
         assert await node.stop() == 0
         messages = [entry["message"] for entry in node.log]
--- a/tests/cover/test_cli_node.py
+++ b/tests/cover/test_cli_node.py
@@ -67,6 +67,8 @@
         ("[tls]\ncertificate_file = {path}\n", "node.ini"),
         ("[admin]\ntoken_hashes = my-secret\n", "entry 1"),
         ("admin_address = 0.0.0.0\n", "admin_address"),
+        ("[store]\nurl = platform:80\n", "[store], url"),
+        ("[store]\nurl = http://platform:x\n", "[store], url"),
     ],
 )
 def test_refuses_settings_that_cannot_be_used(tmp_path, extra, part):
