Retrieve the error of a connection that nobody waits for any more

Cause: PeerPool opens a connection in a task that its callers shield. When all of them give up before it fails, no one retrieves its error, and asyncio logs "Task exception was never retrieved" at level ERROR.

Change: the done callback of the task retrieves the error.

The test fails without the change.

--- a/src/celeryfield/internal/transport/pool.py
+++ b/src/celeryfield/internal/transport/pool.py
@@ -160,10 +160,18 @@
             opening = asyncio.ensure_future(self._open(candidate))
             self._opening_by_peer[peer] = opening
             opening.add_done_callback(
-                lambda _: self._opening_by_peer.pop(peer, None)
+                lambda task: self._end_opening(peer, task)
             )
         return await asyncio.shield(opening)
 
+    def _end_opening(
+        self, peer: tuple[str, int], task: asyncio.Task[PeerConnection]
+    ) -> None:
+        self._opening_by_peer.pop(peer, None)
+        if not task.cancelled():
+            # If all callers have given up, nobody else retrieves the error.
+            task.exception()
+
     async def _open(self, candidate: Candidate) -> PeerConnection:
         peer = (candidate.node_id, candidate.incarnation)
         self._connection_number += 1
--- a/tests/cover/test_transport.py
+++ b/tests/cover/test_transport.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 
 import pytest
 
@@ -253,3 +254,23 @@
     release.set()
     await server.stop()
     assert wire.Reply.decode(found[2].header).outcome == Outcome.UNKNOWN
+
+
+async def test_connection_that_fails_after_its_caller_gave_up_is_no_error():
+    """Guards against error logs for callers that are merely impatient."""
+    problems = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _, context: problems.append(context)
+    )
+    pool = PeerPool(make_settings(), Clock(), wire.Hello(1, "client", 1))
+    unreachable = Candidate("gone", INCARNATION, "127.0.0.1", 1, "z1", "s")
+    sending = asyncio.ensure_future(pool.send(unreachable, make_call(), b""))
+    await asyncio.sleep(0)
+    sending.cancel()
+    await asyncio.wait([sending])
+    await asyncio.sleep(0.05)
+    # The traceback of the cancelled task would keep the failed one alive.
+    del sending
+    gc.collect()
+    pool.close()
+    assert problems == []
