Check the invariants on real nodes under seeded faults

Cause: each part tested its own rules; nothing showed that they hold together on real processes while several faults overlap.

Change: standins/faults.py draws a schedule from a seed (SIGKILL, SIGSTOP beyond leases and suspicion, graceful stops, crashes, drains, slow and failing upstreams, store outages, delays, lost answers and dropped watches, racing operators) and carries it out. tests/nocover/test_history.py runs callers against 8 nodes meanwhile and checks the recorded history; `--soak` draws new seeds. The checker learns two rules: accepted changes are never lost, and a request is refused after it crashed two upstreams. tests/history/faulty_node.py breaks each of the nine rules in real nodes, and the checks report all nine. A storm is followed by a calm without cutting faults, so that planned stops are judged on calls that nothing else can have cut.

A crashed stand-in upstream no longer announces itself, a node whose UDP port is taken starts again on another one, and a cluster that fails to start ends its nodes.

Not covered here: connections between nodes that go silent while new ones work. A relay would have to carry TCP and UDP of the one peer port that a node announces; test_transport.py covers the silence of one connection.

--- a/src/celeryfield/standins/cluster.py
+++ b/src/celeryfield/standins/cluster.py
@@ -13,6 +13,7 @@
 import signal
 import sys
 import tempfile
+import time
 
 import aiohttp
 
@@ -33,6 +34,8 @@
 
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
+# The free TCP port that a node gets may be taken for UDP.
+START_ATTEMPTS = 3
 LINE_LIMIT_BYTES = 1_048_576
 
 
@@ -62,12 +65,18 @@
 class NodeProcess:
     """One running ``celeryfield node``."""
 
-    def __init__(self, plan: NodePlan, settings_path: pathlib.Path) -> None:
+    def __init__(
+        self,
+        plan: NodePlan,
+        settings_path: pathlib.Path,
+        program: list[str] | None = None,
+    ) -> None:
         self.plan = plan
         self.caller_url = ""
         self.admin_url = ""
         self.peer_port = 0
         self.log: list[dict] = []
+        self._program = program or [sys.executable, "-m", "celeryfield"]
         self._settings_path = settings_path
         self._process: asyncio.subprocess.Process | None = None
         self._reader: asyncio.Task[None] | None = None
@@ -83,9 +92,21 @@
         return self._process is not None and self._process.returncode is None
 
     async def start(self) -> None:
-        """Starts the process and waits until its listeners are open."""
+        """Starts the process and waits until its listeners are open.
+
+        A node that has ended can be started again; its log goes on.
+        """
+        for _ in range(START_ATTEMPTS):
+            if await self._start_once():
+                self._reader = asyncio.ensure_future(self._read_log())
+                return
+        raise RuntimeError(f"node {self.plan.id} did not start")
+
+    async def _start_once(self) -> bool:
+        """Starts the process; returns whether it opened its listeners."""
+        self.caller_url = ""
         self._process = await asyncio.create_subprocess_exec(
-            *_program(),
+            *self._program,
             "node",
             "--settings",
             str(self._settings_path),
@@ -96,9 +117,10 @@
             while not self.caller_url:
                 line = await self._process.stdout.readline()
                 if not line:
-                    raise RuntimeError(f"node {self.plan.id} did not start")
+                    await self._process.wait()
+                    return False
                 self._take_line(line)
-        self._reader = asyncio.ensure_future(self._read_log())
+        return True
 
     async def stop(self) -> int:
         """Asks for a graceful stop and returns the exit status."""
@@ -111,7 +133,8 @@
         except TimeoutError:
             self.send(signal.SIGKILL)
             status = await self._process.wait()
-        await self._reader
+        if self._reader is not None:
+            await self._reader
         return status
 
     def send(self, number: signal.Signals) -> None:
@@ -133,6 +156,7 @@
             entry = json.loads(line)
         except ValueError:
             entry = {"message": line.decode(errors="replace")}
+        entry["read_s"] = time.monotonic()
         self.log.append(entry)
         if entry.get("message") == "node started":
             self.caller_url = f"http://127.0.0.1:{entry['caller_port']}"
@@ -148,6 +172,7 @@
         policy: Routing policy of all nodes.
         settings: Further settings of all nodes, by section and key.
         upstream_processes: Run each upstream in a process of its own.
+        program: Command that runs the program instead of this one.
     """
 
     def __init__(
@@ -156,6 +181,7 @@
         policy: str = "adaptive",
         settings: dict[str, dict[str, str]] | None = None,
         upstream_processes: bool = False,
+        program: list[str] | None = None,
     ) -> None:
         self.plans = plans
         self.platform = PlatformStore()
@@ -166,6 +192,7 @@
         )
         self._policy = policy
         self._settings = settings or {}
+        self._program = program
         self._directory = tempfile.TemporaryDirectory(prefix="celeryfield-")
         self.session: aiohttp.ClientSession | None = None
 
@@ -175,13 +202,18 @@
             connector=aiohttp.TCPConnector(limit=0)
         )
         await self.platform.start()
-        await asyncio.gather(*(self.start_node(plan) for plan in self.plans))
+        try:
+            await asyncio.gather(*map(self.start_node, self.plans))
+        except BaseException:
+            await self.__aexit__()
+            raise
         return self
 
     async def __aexit__(self, *_: object) -> None:
         """Stops everything."""
+        nodes = self.nodes_by_id.values()
         await asyncio.gather(
-            *(node.stop() for node in self.nodes_by_id.values()),
+            *(node.stop() for node in nodes if node.is_running),
             return_exceptions=True,
         )
         for upstream in self.upstreams_by_id.values():
@@ -194,12 +226,20 @@
         """Starts a node and its upstream."""
         path = pathlib.Path(self._directory.name) / f"{plan.id}.ini"
         path.write_text(self._settings_text(plan))
-        node = NodeProcess(plan, path)
+        node = NodeProcess(plan, path, self._program)
         self.nodes_by_id[plan.id] = node
         await node.start()
         if plan.service:
             await self._start_upstream(plan, node)
 
+    async def restart_node(self, node_id: str) -> None:
+        """Starts a node again that has ended; its upstream follows it."""
+        node = self.nodes_by_id[node_id]
+        await node.start()
+        upstream = self.upstreams_by_id.get(node_id)
+        if upstream is not None:
+            await upstream.set_node(node.caller_url, node.admin_url)
+
     async def apply(self, directory: pathlib.Path) -> int:
         """Applies a file set and returns its version."""
         loaded = load_directory(directory)
@@ -275,8 +315,3 @@
             lines.append(f"[{name}]")
             lines += [f"{key} = {value}" for key, value in values.items()]
         return "\n".join(lines) + "\n"
-
-
-def _program() -> list[str]:
-    """Returns the command that runs this program again."""
-    return [sys.executable, "-m", "celeryfield"]
--- /dev/null
+++ b/src/celeryfield/standins/faults.py
@@ -0,0 +1,351 @@
+"""A seeded schedule of faults for a cluster, and its injection."""
+
+import asyncio
+import dataclasses
+import enum
+import random
+import signal
+import time
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+
+from celeryfield.standins.cluster import Cluster, NodePlan
+from celeryfield.standins.operators import Operators
+
+RESTART_DELAY_S = 0.5
+ANNOUNCE_RETRY_S = 0.05
+# Callers follow the health of a leaving node within this time.
+CALLER_NOTICE_S = 0.25
+SLOWDOWN = 10.0
+FAILURE_SHARE = 0.7
+PLATFORM_DELAY_MS = 800.0
+LOST_ANSWER_SHARE = 0.5
+RACING_OPERATORS = ("east", "west", "north")
+
+
+class FaultKind(enum.StrEnum):
+    """What is done to a node, an upstream or the platform."""
+
+    KILL = "kill"
+    PAUSE = "pause"
+    STOP = "stop"
+    CRASH = "crash"
+    DRAIN = "drain"
+    SLOW = "slow"
+    FAIL = "fail"
+    PLATFORM_DOWN = "platform-down"
+    PLATFORM_SLOW = "platform-slow"
+    PLATFORM_LOSES_ANSWERS = "platform-loses-answers"
+    PLATFORM_DROPS_WATCHES = "platform-drops-watches"
+    RACE = "race"
+
+
+NODE_KINDS = (FaultKind.KILL, FaultKind.PAUSE, FaultKind.STOP)
+UPSTREAM_KINDS = (
+    FaultKind.CRASH,
+    FaultKind.DRAIN,
+    FaultKind.SLOW,
+    FaultKind.FAIL,
+)
+PLATFORM_KINDS = (
+    FaultKind.PLATFORM_DOWN,
+    FaultKind.PLATFORM_SLOW,
+    FaultKind.PLATFORM_LOSES_ANSWERS,
+    FaultKind.PLATFORM_DROPS_WATCHES,
+)
+# These may end calls that they meet without an answer.
+CUTTING_KINDS = frozenset({FaultKind.KILL, FaultKind.PAUSE, FaultKind.CRASH})
+# Every calm has two planned stops, a drain and failures to retry; the rest
+# are drawn.
+CALM_KINDS = (FaultKind.STOP, FaultKind.STOP, FaultKind.FAIL)
+DRAWN_CALM_KINDS = (FaultKind.SLOW, *PLATFORM_KINDS, FaultKind.RACE)
+DRAWN_CALM_COUNT = 2
+
+# A pause outlasts leases (2 s) and suspicion (0.8 s) of the test settings; a
+# drain outlasts the 2 s after which no new work may arrive.
+DURATION_S_BY_KIND = {
+    FaultKind.KILL: RESTART_DELAY_S,
+    FaultKind.PAUSE: 3.0,
+    FaultKind.STOP: RESTART_DELAY_S,
+    FaultKind.CRASH: 0.8,
+    FaultKind.DRAIN: 4.0,
+    FaultKind.SLOW: 1.5,
+    FaultKind.FAIL: 1.0,
+    FaultKind.PLATFORM_DOWN: 1.5,
+    FaultKind.PLATFORM_SLOW: 2.0,
+    FaultKind.PLATFORM_LOSES_ANSWERS: 2.0,
+    FaultKind.PLATFORM_DROPS_WATCHES: 2.0,
+    FaultKind.RACE: 0.0,
+}
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PlannedFault:
+    """One fault of a schedule.
+
+    Attributes:
+        at_s: Start, counted from the start of the schedule.
+        kind: Kind of fault.
+        target: Node or upstream by node id; empty for the platform.
+    """
+
+    at_s: float
+    kind: FaultKind
+    target: str = ""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class InjectedFault:
+    """A fault that took place.
+
+    Attributes:
+        kind: Kind of fault.
+        target: Node or upstream by node id; empty for the platform.
+        started_s: Monotonic start.
+        ended_s: When it was undone.
+        exited_s: When the process had ended, for stops.
+        exit_status: Its status, for stops.
+        epoch: Epoch of the upstream at its drain.
+    """
+
+    kind: FaultKind
+    target: str
+    started_s: float
+    ended_s: float
+    exited_s: float = 0.0
+    exit_status: int = 0
+    epoch: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Phases:
+    """Lengths of the parts of one cycle.
+
+    In the storm all kinds of fault overlap. The calm has planned stops and
+    only faults that cut no call, so that a call cut by a stop is seen.
+
+    Attributes:
+        storm_s: Time in which the faults of the storm begin.
+        settle_s: Time until their effects have ended.
+        calm_s: Time in which the faults of the calm begin; 0 for no calm.
+        storm_kinds: Each occurs at least once in the storm.
+    """
+
+    storm_s: float = 5.0
+    settle_s: float = 5.0
+    calm_s: float = 3.0
+    storm_kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+
+    @property
+    def calm_start_s(self) -> float:
+        """Start of the calm."""
+        return self.storm_s + self.settle_s
+
+
+def make_schedule(
+    rng: random.Random,
+    plans: list[NodePlan],
+    phases: Phases,
+) -> list[PlannedFault]:
+    """Returns the faults of one cycle, with drawn times, in order of time."""
+    node_ids = [plan.id for plan in plans]
+    served_ids = [plan.id for plan in plans if plan.service]
+
+    def pick(kind: FaultKind, excluded_id: str = "") -> str:
+        if kind in NODE_KINDS:
+            return rng.choice([id_ for id_ in node_ids if id_ != excluded_id])
+        if kind is FaultKind.FAIL:
+            # Only failures of the deepest service are retried at every hop.
+            return served_ids[-1]
+        return rng.choice(served_ids) if kind in UPSTREAM_KINDS else ""
+
+    kinds = phases.storm_kinds
+    storm = [*kinds, *rng.choices(kinds or (None,), k=len(kinds) // 2)]
+    faults = [
+        PlannedFault(rng.random() * phases.storm_s, kind, pick(kind))
+        for kind in storm
+    ]
+    if not phases.calm_s:
+        return sorted(faults, key=lambda fault: fault.at_s)
+    drained_id = rng.choice(served_ids)
+    # A drain shows nothing at a node that is stopped meanwhile.
+    calm = [
+        (FaultKind.DRAIN, drained_id),
+        *((kind, pick(kind, drained_id)) for kind in CALM_KINDS),
+        *(
+            (kind, pick(kind))
+            for kind in rng.sample(DRAWN_CALM_KINDS, DRAWN_CALM_COUNT)
+        ),
+    ]
+    faults += [
+        PlannedFault(
+            phases.calm_start_s + rng.random() * phases.calm_s, kind, target
+        )
+        for kind, target in calm
+    ]
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+class FaultInjector:
+    """Carries out a schedule.
+
+    Faults of the same process take turns; all others may overlap.
+
+    Attributes:
+        injected: Faults that were undone.
+        avoided_ids: Nodes that callers know to be leaving.
+    """
+
+    def __init__(self, cluster: Cluster, operators: Operators) -> None:
+        self.injected: list[InjectedFault] = []
+        self.avoided_ids: set[str] = set()
+        self._cluster = cluster
+        self._operators = operators
+        self._locks_by_target: dict[tuple[bool, str], asyncio.Lock] = {}
+        self._actions: dict[
+            FaultKind, Callable[[str], Awaitable[dict[str, float]]]
+        ] = {
+            FaultKind.KILL: self._kill,
+            FaultKind.PAUSE: self._pause,
+            FaultKind.STOP: self._stop,
+            FaultKind.CRASH: self._crash,
+            FaultKind.DRAIN: self._drain,
+            FaultKind.SLOW: self._slow,
+            FaultKind.FAIL: self._fail,
+            FaultKind.RACE: self._race,
+        }
+
+    async def run(self, schedule: list[PlannedFault]) -> None:
+        """Injects all faults and waits until they are undone."""
+        started_s = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            for fault in schedule:
+                delay_s = started_s + fault.at_s - time.monotonic()
+                await asyncio.sleep(max(delay_s, 0.0))
+                group.create_task(self._inject(fault))
+
+    async def _inject(self, fault: PlannedFault) -> None:
+        is_node = fault.kind in NODE_KINDS
+        place = (is_node, fault.target or fault.kind)
+        lock = self._locks_by_target.setdefault(place, asyncio.Lock())
+        async with lock:
+            started_s = time.monotonic()
+            if fault.kind in PLATFORM_KINDS:
+                details = await self._disturb_platform(fault.kind)
+            else:
+                details = await self._actions[fault.kind](fault.target)
+            self.injected.append(
+                InjectedFault(
+                    fault.kind,
+                    fault.target,
+                    started_s,
+                    time.monotonic(),
+                    **details,
+                )
+            )
+
+    async def _kill(self, node_id: str) -> dict[str, float]:
+        await self._cluster.nodes_by_id[node_id].kill()
+        await asyncio.sleep(RESTART_DELAY_S)
+        await self._cluster.restart_node(node_id)
+        return {}
+
+    async def _pause(self, node_id: str) -> dict[str, float]:
+        node = self._cluster.nodes_by_id[node_id]
+        node.send(signal.SIGSTOP)
+        await _last(FaultKind.PAUSE)
+        node.send(signal.SIGCONT)
+        return {}
+
+    async def _stop(self, node_id: str) -> dict[str, float]:
+        node = self._cluster.nodes_by_id[node_id]
+        loop = asyncio.get_running_loop()
+        notice = loop.call_later(CALLER_NOTICE_S, self.avoided_ids.add, node_id)
+        status = await node.stop()
+        exited_s = time.monotonic()
+        notice.cancel()
+        self.avoided_ids.add(node_id)
+        await _last(FaultKind.STOP)
+        await self._cluster.restart_node(node_id)
+        self.avoided_ids.discard(node_id)
+        return {"exited_s": exited_s, "exit_status": status}
+
+    async def _crash(self, node_id: str) -> dict[str, float]:
+        upstream = self._cluster.upstreams_by_id[node_id]
+        await upstream.crash()
+        await _last(FaultKind.CRASH)
+        await upstream.restart()
+        return {}
+
+    async def _drain(self, node_id: str) -> dict[str, float]:
+        epoch = self._cluster.upstreams_by_id[node_id].epoch
+        await self._announce(node_id, "draining")
+        announced_s = time.monotonic()
+        await _last(FaultKind.DRAIN)
+        await self._announce(node_id, "ready")
+        return {"epoch": epoch, "exited_s": announced_s}
+
+    async def _announce(self, node_id: str, state: str) -> None:
+        """Announces a state until the node has taken it."""
+        upstream = self._cluster.upstreams_by_id[node_id]
+        while True:
+            try:
+                await upstream.set_state(state)
+                return
+            except aiohttp.ClientError:
+                await asyncio.sleep(ANNOUNCE_RETRY_S)
+
+    async def _slow(self, node_id: str) -> dict[str, float]:
+        upstream = self._cluster.upstreams_by_id[node_id]
+        await upstream.set_slowdown(SLOWDOWN)
+        await _last(FaultKind.SLOW)
+        await upstream.set_slowdown(1.0)
+        return {}
+
+    async def _fail(self, node_id: str) -> dict[str, float]:
+        """Makes all upstreams of one service answer with failures."""
+        service = self._cluster.upstreams_by_id[node_id].spec.service
+        upstreams = [
+            upstream
+            for upstream in self._cluster.upstreams_by_id.values()
+            if upstream.spec.service == service
+        ]
+        for upstream in upstreams:
+            upstream.failure_share = FAILURE_SHARE
+        await _last(FaultKind.FAIL)
+        for upstream in upstreams:
+            upstream.failure_share = 0.0
+        return {}
+
+    async def _disturb_platform(self, kind: FaultKind) -> dict[str, float]:
+        platform = self._cluster.platform
+        match kind:
+            case FaultKind.PLATFORM_DOWN:
+                platform.set_down(True)
+                await _last(kind)
+                platform.set_down(False)
+            case FaultKind.PLATFORM_SLOW:
+                platform.set_delay(PLATFORM_DELAY_MS)
+                await _last(kind)
+                platform.set_delay(0.0)
+            case FaultKind.PLATFORM_LOSES_ANSWERS:
+                platform.set_lost_answers(LOST_ANSWER_SHARE)
+                await asyncio.gather(self._race(""), _last(kind))
+                platform.set_lost_answers(0.0)
+            case FaultKind.PLATFORM_DROPS_WATCHES:
+                platform.faults.drop_watch_share = 1.0
+                platform.drop_watches()
+                await _last(kind)
+                platform.faults.drop_watch_share = 0.0
+        return {}
+
+    async def _race(self, _: str) -> dict[str, float]:
+        await asyncio.gather(
+            *map(self._operators.apply_change, RACING_OPERATORS)
+        )
+        return {}
+
+
+async def _last(kind: FaultKind) -> None:
+    await asyncio.sleep(DURATION_S_BY_KIND[kind])
--- a/src/celeryfield/standins/upstream.py
+++ b/src/celeryfield/standins/upstream.py
@@ -60,7 +60,14 @@
 
 @dataclasses.dataclass(slots=True)
 class Execution:
-    """One request that the upstream ran."""
+    """One request that the upstream ran.
+
+    Attributes:
+        call_id: What the caller sent in the header ``x-test-call-id``.
+        epoch: Number of times the upstream had drained and returned before.
+        ended_s: When the answer was complete.
+        crashed_s: When the request crashed the upstream.
+    """
 
     service: str
     path: str
@@ -69,10 +76,21 @@
     traceparent: str
     started_s: float
     ended_s: float | None = None
+    call_id: str = ""
+    epoch: int = 0
+    crashed_s: float | None = None
 
 
 class StandInUpstream:
-    """One upstream server on loopback."""
+    """One upstream server on loopback.
+
+    Attributes:
+        crash_marker: Requests with this text in their path crash the upstream.
+        restart_delay_s: How long after such a crash it starts again; None
+            leaves it down.
+        failure_share: Share of requests that are answered with 500.
+        epoch: Raised by the return from a drain.
+    """
 
     def __init__(self, spec: UpstreamSpec) -> None:
         self.spec = spec
@@ -82,7 +100,11 @@
         self.executions: list[Execution] = []
         self.keeps_executions = True
         self.crash_marker = ""
+        self.restart_delay_s: float | None = None
+        self.failure_share = 0.0
+        self.epoch = 0
         self.execution_count = 0
+        self._crashes: set[asyncio.Task[None]] = set()
         self._rng = random.Random(spec.seed)
         self._slots = asyncio.Semaphore(spec.slots)
         self._waiting = 0
@@ -101,8 +123,9 @@
 
     async def stop(self) -> None:
         """Stops announcing and closes the listener."""
-        if self._announcer is not None:
-            self._announcer.cancel()
+        for task in (self._announcer, *self._crashes):
+            if task is not None:
+                task.cancel()
         await self._close_listener()
         if self._session is not None:
             await self._session.close()
@@ -113,11 +136,20 @@
 
     async def set_state(self, state: str) -> None:
         """Changes the announced state and announces it at once."""
+        if self.state == "draining" and state != "draining":
+            self.epoch += 1
         self.state = state
         await self.announce()
 
+    async def set_node(self, node_url: str, admin_url: str) -> None:
+        """Follows the node beside it to other ports after a restart."""
+        self.spec.node_url = node_url
+        self.spec.admin_url = admin_url
+
     async def crash(self) -> None:
-        """Resets all connections and refuses new ones."""
+        """Resets all connections, refuses new ones and stops announcing."""
+        if self._runner is None:
+            return
         for connection in list(self._runner.server.connections):
             if connection.transport is not None:
                 connection.transport.abort()
@@ -125,7 +157,8 @@
 
     async def restart(self) -> None:
         """Listens again on the same port after a crash."""
-        await self._listen(self.port)
+        if self._runner is None:
+            await self._listen(self.port)
 
     async def announce(self) -> None:
         """Sends one heartbeat to the node."""
@@ -159,7 +192,8 @@
     async def _announce_forever(self) -> None:
         while True:
             try:
-                await self.announce()
+                if self._runner is not None:
+                    await self.announce()
             except aiohttp.ClientError:
                 # The node is not up yet or restarts.
                 await asyncio.sleep(ANNOUNCE_INTERVAL_S / 10)
@@ -168,13 +202,25 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         body = await request.read()
+        execution = self._record(request, body)
         if self.crash_marker and self.crash_marker in request.path:
-            asyncio.ensure_future(self.crash())  # noqa: RUF006
+            execution.crashed_s = time.monotonic()
+            task = asyncio.ensure_future(self._crash_and_restart())
+            self._crashes.add(task)
+            task.add_done_callback(self._crashes.discard)
             await asyncio.sleep(1)
+        if self._rng.random() < self.failure_share:
+            return web.Response(status=500)
         async with self._slots:
-            return await self._run(request, body)
+            return await self._run(request, execution)
 
-    async def _run(self, request: web.BaseRequest, body: bytes) -> web.Response:
+    async def _crash_and_restart(self) -> None:
+        await self.crash()
+        if self.restart_delay_s is not None:
+            await asyncio.sleep(self.restart_delay_s)
+            await self.restart()
+
+    def _record(self, request: web.BaseRequest, body: bytes) -> Execution:
         execution = Execution(
             self.spec.service,
             request.path,
@@ -182,10 +228,17 @@
             hashlib.sha256(body).hexdigest()[:16],
             request.headers.get("traceparent", ""),
             time.monotonic(),
+            call_id=request.headers.get("x-test-call-id", ""),
+            epoch=self.epoch,
         )
         self.execution_count += 1
         if self.keeps_executions:
             self.executions.append(execution)
+        return execution
+
+    async def _run(
+        self, request: web.BaseRequest, execution: Execution
+    ) -> web.Response:
         endpoint = self._endpoint_of(request.path)
         await asyncio.sleep(self._service_s(endpoint))
         for deeper in endpoint.calls:
@@ -204,6 +257,7 @@
             "key": execution.key,
             "body_hash": execution.body_hash,
             "number": next(self._numbers),
+            "filler_bytes": endpoint.answer_bytes,
             "filler": "x" * endpoint.answer_bytes,
         }
         return web.Response(
--- a/src/celeryfield/standins/upstream_process.py
+++ b/src/celeryfield/standins/upstream_process.py
@@ -56,8 +56,12 @@
         """Multiplies the time of every request."""
         await self._ask("slowdown", factor=factor)
 
+    async def set_node(self, node_url: str, admin_url: str) -> None:
+        """Follows the node beside it to other ports after a restart."""
+        await self._ask("node", node_url=node_url, admin_url=admin_url)
+
     async def crash(self) -> None:
-        """Resets all connections and refuses new ones."""
+        """Resets all connections, refuses new ones and stops announcing."""
         await self._ask("crash")
 
     async def restart(self) -> None:
@@ -113,6 +117,8 @@
             await upstream.set_state(request["state"])
         case "slowdown":
             upstream.slowdown = request["factor"]
+        case "node":
+            await upstream.set_node(request["node_url"], request["admin_url"])
         case "crash":
             await upstream.crash()
         case "restart":
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,23 @@
 """Shared test setup."""
 
+import os
+import pathlib
+
 import hypothesis
 
 hypothesis.settings.register_profile(
     "ci", derandomize=True, deadline=None, max_examples=100, database=None
 )
 hypothesis.settings.load_profile("ci")
+
+# Node processes that tests start run the code under test.
+_SOURCE = pathlib.Path(__file__).resolve().parent.parent / "src"
+os.environ["PYTHONPATH"] = str(_SOURCE)
+
+
+def pytest_addoption(parser):
+    parser.addoption(
+        "--soak",
+        action="store_true",
+        help="run the fault histories with new seeds for longer",
+    )
--- /dev/null
+++ b/tests/history/callers.py
@@ -0,0 +1,196 @@
+"""Concurrent callers that record what they send and what they are told."""
+
+import asyncio
+import hashlib
+import itertools
+import json
+import random
+import time
+
+import aiohttp
+from history.checker import AnswerReceived, CallSent, Event
+
+ORDER, CHAIN, ITEM = "/order/orders", "/order/orders/chain", "/stock/items"
+CRASH_MARKER = "crash-"
+TIMEOUT_S = 8.0
+PAUSE_S = 0.03
+KINDS_OF_CALLER = ("order", "order", "order", "chain", "item", "impatient")
+
+
+def identity(path, body=b""):
+    """Returns what names a request and, in an answer, the request it is for."""
+    return f"{path}#{hashlib.sha256(body).hexdigest()[:16]}"
+
+
+class Callers:
+    """Runs callers against the nodes of a cluster.
+
+    Attributes:
+        events: Calls sent and answers received.
+        resends: Keyed orders that were sent more than once.
+    """
+
+    def __init__(self, cluster, injector, seed):
+        self.events: list[Event] = []
+        self.resends = 0
+        self._cluster = cluster
+        self._injector = injector
+        self._random = random.Random(seed)
+        self._numbers = itertools.count(1)
+        self._stopping = asyncio.Event()
+        self._may_crash = asyncio.Event()
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True)
+        )
+
+    async def run(self, count):
+        """Runs until stop() and finishes the calls that are under way."""
+        kinds = itertools.islice(itertools.cycle(KINDS_OF_CALLER), count)
+        try:
+            await asyncio.gather(
+                *(self._repeat(getattr(self, f"_{kind}")) for kind in kinds),
+                self._repeat(self._crasher),
+            )
+        finally:
+            await self._session.close()
+
+    def stop(self):
+        self._stopping.set()
+
+    def set_crashing(self, allowed):
+        """Lets requests that crash upstreams be sent, or not."""
+        (self._may_crash.set if allowed else self._may_crash.clear)()
+
+    async def _repeat(self, step):
+        while not self._stopping.is_set():
+            await step()
+            await asyncio.sleep(self._random.random() * 2 * PAUSE_S)
+
+    def _node(self):
+        nodes = self._cluster.nodes_by_id
+        choices = [
+            node
+            for node_id, node in nodes.items()
+            if node.is_running
+            and node.caller_url
+            and node_id not in self._injector.avoided_ids
+        ]
+        return self._random.choice(choices)
+
+    def _order_body(self):
+        return json.dumps({"order": next(self._numbers)}).encode()
+
+    async def _key(self, body):
+        while not self._stopping.is_set():
+            answer, headers = await self._call("POST", ORDER, body)
+            if answer.reason == "key-required":
+                return headers["idempotency-key"]
+            await asyncio.sleep(PAUSE_S)
+        return ""
+
+    async def _order(self):
+        """Sends one order to two nodes at once, and again if unsure."""
+        body = self._order_body()
+        key = await self._key(body)
+        if not key:
+            return
+        answers = await asyncio.gather(
+            *(
+                self._call("POST", ORDER, body, key)
+                for _ in range(self._random.choice((1, 2)))
+            )
+        )
+        self.resends += 1
+        for _ in range(3):
+            if answers[-1][0].outcome == "ok" and self._random.random() < 0.8:
+                break
+            answers = [await self._call("POST", ORDER, body, key)]
+
+    async def _chain(self):
+        await self._call("GET", f"{CHAIN}/{next(self._numbers)}")
+
+    async def _item(self):
+        await self._call("GET", f"{ITEM}/{next(self._numbers)}")
+
+    async def _impatient(self):
+        """Gives up early and sends the same order to another node."""
+        body = self._order_body()
+        key = await self._key(body)
+        for patience_s in (0.004, 0.02, TIMEOUT_S):
+            if key:
+                await self._call("POST", ORDER, body, key, patience_s)
+        self.resends += 1
+
+    async def _crasher(self):
+        """Sends a request that crashes upstreams until it is refused."""
+        if not self._may_crash.is_set():
+            return
+        path = f"{ITEM}/{CRASH_MARKER}{next(self._numbers)}"
+        for _ in range(12):
+            answer, _ = await self._call("GET", path)
+            if answer.reason == "suspect" or not self._may_crash.is_set():
+                break
+            await asyncio.sleep(0.4)
+
+    async def _call(self, method, path, body=b"", key="", patience_s=TIMEOUT_S):
+        node = self._node()
+        call_id = f"call-{next(self._numbers)}"
+        headers = {"x-tenant": "fitters", "x-test-call-id": call_id}
+        if key:
+            headers["idempotency-key"] = key
+        name = identity(
+            path.removeprefix("/order").removeprefix("/stock"), body
+        )
+        self.events.append(
+            CallSent(_now_ms(), call_id, node.plan.id, name, key)
+        )
+        try:
+            async with (
+                asyncio.timeout(patience_s),
+                self._session.request(
+                    method, node.caller_url + path, data=body, headers=headers
+                ) as response,
+            ):
+                content = await response.read()
+                answer = _answer(call_id, response, content)
+                answer_headers = response.headers
+        except (TimeoutError, aiohttp.ClientError) as error:
+            answer = _ended(call_id, error)
+            answer_headers = {}
+        self.events.append(answer)
+        return answer, answer_headers
+
+
+def _answer(call_id, response, content):
+    outcome = response.headers.get("x-celeryfield-outcome", "missing")
+    reason = response.headers.get("x-celeryfield-reason", "")
+    if outcome != "ok" or reason:
+        return AnswerReceived(_now_ms(), call_id, outcome, reason)
+    try:
+        said = json.loads(content)
+    except ValueError:
+        said = {"path": "", "body_hash": "", "filler": "", "filler_bytes": -1}
+    return AnswerReceived(
+        _now_ms(),
+        call_id,
+        outcome,
+        reason,
+        f"{said['path']}#{said['body_hash']}",
+        len(said["filler"]),
+        said["filler_bytes"],
+    )
+
+
+def _ended(call_id, error):
+    """Returns the event of a call that ended without an answer."""
+    if isinstance(error, TimeoutError):
+        reason = "gave-up"
+    elif isinstance(error, aiohttp.ClientConnectorError):
+        reason = "connection-refused"
+    else:
+        reason = "connection-lost"
+    return AnswerReceived(_now_ms(), call_id, "unknown", reason)
+
+
+def _now_ms():
+    return time.monotonic() * 1000
--- a/tests/history/checker.py
+++ b/tests/history/checker.py
@@ -11,6 +11,9 @@
 from collections.abc import Callable, Iterable, Iterator
 
 DRAIN_LIMIT_MS = 2_000
+# A request that crashed two upstreams is refused everywhere within seconds.
+CRASH_LIMIT = 2
+SUSPECT_SPREAD_MS = 5_000
 ANSWER_NOT_KEPT = "answer-not-kept"
 CUT_REASONS = frozenset({"connection-lost", "truncated"})
 
@@ -99,6 +102,38 @@
     version: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ConfigAccepted(Event):
+    """An operator was told that a change of a file set was accepted.
+
+    Attributes:
+        team: Team of the file set.
+        expected_version: Version that the operator changed.
+        version: Version that the change got.
+    """
+
+    team: str
+    expected_version: int
+    version: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ConfigInForce(Event):
+    """The version at a node after the last write has had time to spread."""
+
+    node_id: str
+    team: str
+    version: int
+    stored_version: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class UpstreamCrashed(Event):
+    """An execution crashed its upstream."""
+
+    execution_id: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class UpstreamDrained(Event):
     """An upstream announced that it is draining."""
@@ -206,7 +241,8 @@
                 call.at_ms > run.at_ms
             )
             if call.call_id == run.call_id or is_later_resend:
-                yield f"{call} was told not-run, but {run}"
+                answer = history.answer_by_call[call.call_id]
+                yield f"{call} was told {answer}, but {run}"
         if earlier and all(call in refused for call in earlier):
             yield f"every call of {run} was told not-run"
 
@@ -243,6 +279,37 @@
         versions[place] = max(seen.version, versions.get(place, 0))
 
 
+def check_accepted_versions(history: History) -> Iterator[str]:
+    """Finds accepted changes that were lost or are not in force at the end."""
+    accepted_by_team = collections.defaultdict(list)
+    for accepted in history.of(ConfigAccepted):
+        accepted_by_team[accepted.team].append(accepted)
+    for team_accepted in accepted_by_team.values():
+        team_accepted.sort(key=lambda item: item.version)
+        for older, newer in itertools.pairwise(team_accepted):
+            if newer.expected_version < older.version:
+                yield f"{newer} was accepted over {older}"
+    for seen in history.of(ConfigInForce):
+        accepted = accepted_by_team[seen.team]
+        newest = max((item.version for item in accepted), default=0)
+        if seen.version != seen.stored_version or seen.version < newest:
+            yield f"{seen}, newest accepted version {newest}"
+
+
+def check_suspects(history: History) -> Iterator[str]:
+    """Finds requests that still ran long after they crashed two upstreams."""
+    runs_by_id = {run.execution_id: run for run in history.of(ExecutionStarted)}
+    crashes_by_body = collections.defaultdict(list)
+    for crash in history.of(UpstreamCrashed):
+        crashes_by_body[runs_by_id[crash.execution_id].body_id].append(crash)
+    for run in runs_by_id.values():
+        crashes = crashes_by_body.get(run.body_id, ())
+        if len(crashes) < CRASH_LIMIT:
+            continue
+        if run.at_ms > crashes[CRASH_LIMIT - 1].at_ms + SUSPECT_SPREAD_MS:
+            yield f"{run} after {crashes}"
+
+
 def check_attempts(history: History) -> Iterator[str]:
     """Finds root calls with more attempts than their allowance permits."""
     attempts_by_root = collections.Counter()
@@ -284,33 +351,33 @@
         exit_ms = exited_ms.get(run.upstream_id, float("inf"))
         if finished_ms.get(run.execution_id, float("inf")) > exit_ms:
             yield f"{run} was under way at the exit at {exit_ms}"
-    for call in history.of(CallSent):
-        yield from _cut_call(history, call, stopped_ms, exited_ms)
+    for call, process_ids in calls_during_stops(history):
+        answer = history.answer_by_call.get(call.call_id)
+        if answer is None or answer.reason in CUT_REASONS:
+            yield f"{call} ended as {answer} during the stop of {process_ids}"
 
 
-def _cut_call(
+def calls_during_stops(
     history: History,
-    call: CallSent,
-    stopped_ms: dict[str, float],
-    exited_ms: dict[str, float],
-) -> Iterator[str]:
-    """Tells whether a stop, and no other fault, can have cut the call."""
-    answer = history.answer_by_call.get(call.call_id)
-    end_ms = float("inf") if answer is None else answer.at_ms
-    if any(
-        fault.at_ms <= end_ms and call.at_ms <= fault.until_ms
-        for fault in history.of(FaultInjected)
-    ):
-        return
-    if answer is None or answer.reason in CUT_REASONS:
-        stops = [
-            process_id
-            for process_id, at_ms in stopped_ms.items()
-            if at_ms <= end_ms
-            and call.at_ms <= exited_ms.get(process_id, float("inf"))
+) -> Iterator[tuple[CallSent, list[str]]]:
+    """Yields calls that planned stops, and no other fault, can have cut."""
+    exited_ms = {
+        item.process_id: item.at_ms for item in history.of(ProcessExited)
+    }
+    for call in history.of(CallSent):
+        answer = history.answer_by_call.get(call.call_id)
+        end_ms = float("inf") if answer is None else answer.at_ms
+        process_ids = [
+            stop.process_id
+            for stop in history.of(PlannedStop)
+            if stop.at_ms <= end_ms
+            and call.at_ms <= exited_ms.get(stop.process_id, float("inf"))
         ]
-        if stops:
-            yield f"{call} ended as {answer} during the stop of {stops}"
+        if process_ids and not any(
+            fault.at_ms <= end_ms and call.at_ms <= fault.until_ms
+            for fault in history.of(FaultInjected)
+        ):
+            yield call, process_ids
 
 
 Check = Callable[[History], Iterator[str]]
@@ -320,6 +387,8 @@
     "not-run": check_not_run,
     "answers": check_answers,
     "config-versions": check_config_versions,
+    "accepted-versions": check_accepted_versions,
+    "suspects": check_suspects,
     "attempts": check_attempts,
     "drained": check_drained,
     "planned-stops": check_planned_stops,
--- /dev/null
+++ b/tests/history/faulty_node.py
@@ -0,0 +1,133 @@
+"""Starts a node that breaks one rule, to show that the checker notices.
+
+The environment variable CELERYFIELD_TEST_FAULT names the fault. The product
+itself has no such switch: each fault replaces a method before the start.
+"""
+
+import asyncio
+import os
+
+from celeryfield.cli.main import main
+from celeryfield.internal.calls import Outcome, Reason, not_run
+from celeryfield.internal.config.manager import ConfigManager
+from celeryfield.internal.dispatch.suspects import SuspectTable, Verdict
+from celeryfield.internal.idempotency.ledger import KeyLedger
+from celeryfield.internal.node import Node
+from celeryfield.internal.routing.executor import CallExecutor
+from celeryfield.internal.routing.retries import RetryRatios
+from celeryfield.internal.upstream.announcements import UpstreamRegistry
+from celeryfield.internal.upstream.client import UpstreamClient
+
+STALE_DELAY_S = 0.2
+SWAPPED_SHARE = 20
+
+
+def forget_runs():
+    async def run_once(self, key, fingerprint, start):
+        return await start()
+
+    KeyLedger.run_once = run_once
+
+
+def report_lost_as_not_run():
+    request = UpstreamClient.request
+
+    async def request_and_deny(self, call, body, traceparent, timeout_ms):
+        result = await request(self, call, body, traceparent, timeout_ms)
+        if result.reason is Reason.CONNECTION_LOST:
+            return not_run(Reason.CONNECTION_LOST)
+        return result
+
+    UpstreamClient.request = request_and_deny
+
+
+def swap_answers():
+    request = UpstreamClient.request
+    answers = []
+
+    async def request_and_swap(self, call, body, traceparent, timeout_ms):
+        result = await request(self, call, body, traceparent, timeout_ms)
+        if result.outcome is Outcome.OK:
+            answers.append(result)
+            if len(answers) % SWAPPED_SHARE == 0:
+                return answers[-2]
+        return result
+
+    UpstreamClient.request = request_and_swap
+
+
+def accept_older_versions():
+    offer = ConfigManager.offer
+
+    def offer_with_stale_copy(self, candidate):
+        previous = self.current_by_team.get(candidate.team)
+        is_new = offer(self, candidate)
+        if is_new and previous is not None:
+            asyncio.get_running_loop().call_later(
+                STALE_DELAY_S, offer, self, previous
+            )
+        return is_new
+
+    ConfigManager.offer = offer_with_stale_copy
+    ConfigManager._is_newer = lambda self, candidate: True
+
+
+def ignore_changes():
+    offer = ConfigManager.offer
+
+    def offer_once(self, candidate):
+        known = candidate.team in self.current_by_team
+        return False if known else offer(self, candidate)
+
+    ConfigManager.offer = offer_once
+
+
+def stop_at_once():
+    async def drain(self):
+        os._exit(0)
+
+    Node.drain = drain
+
+
+def spend_no_allowance():
+    pay = CallExecutor._pay
+
+    def pay_and_refund(self, run):
+        is_paid = pay(self, run)
+        run.allowance += is_paid
+        return is_paid
+
+    CallExecutor._pay = pay_and_refund
+    # The ratio of retries would hide most of the extra attempts.
+    RetryRatios.try_take = lambda self, class_name: True
+
+
+def serve_draining_upstream():
+    accept = UpstreamRegistry.accept
+
+    def accept_as_ready(self, announcement):
+        accept(self, announcement.model_copy(update={"state": "ready"}))
+
+    UpstreamRegistry.accept = accept_as_ready
+
+
+def never_refuse_suspects():
+    SuspectTable.verdict = lambda self, fingerprint, now_ms: Verdict.CLEAR
+
+
+# Faults by the rule of the checker that must report them.
+FAULTS_BY_RULE = {
+    "run-once": forget_runs,
+    "not-run": report_lost_as_not_run,
+    "answers": swap_answers,
+    "config-versions": accept_older_versions,
+    "accepted-versions": ignore_changes,
+    "planned-stops": stop_at_once,
+    "attempts": spend_no_allowance,
+    "drained": serve_draining_upstream,
+    "suspects": never_refuse_suspects,
+}
+
+if __name__ == "__main__":
+    FAULTS_BY_RULE[os.environ["CELERYFIELD_TEST_FAULT"]]()
+    main()
--- /dev/null
+++ b/tests/history/runs.py
@@ -0,0 +1,271 @@
+"""One run: a cluster, callers and faults, and the history that they leave."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import pathlib
+import random
+import shutil
+import sys
+import time
+
+from history import callers as calling
+from history import checker
+
+from celeryfield.standins import demo
+from celeryfield.standins.cluster import Cluster, NodePlan
+from celeryfield.standins.faults import (
+    CUTTING_KINDS,
+    FaultInjector,
+    FaultKind,
+    Phases,
+    make_schedule,
+)
+from celeryfield.standins.operators import Operators
+from celeryfield.standins.upstream import DeeperCall, Endpoint
+
+FAULTY_NODE = pathlib.Path(__file__).parent / "faulty_node.py"
+FAULT_VARIABLE = "CELERYFIELD_TEST_FAULT"
+CALLERS = 24
+PHASES = Phases()
+IN_FORCE_TIMEOUT_S = 17.0
+AFTERMATH_MS = 2_000.0
+CRASH_RESTART_S = 0.6
+# Retry allowance of the classes in the example, by the path of the root call.
+ROOT_ALLOWANCE = {"/orders": 3, "/orders/chain": 2}
+SETTINGS = {
+    "membership": {
+        "probe_interval_ms": "200",
+        "probe_timeout_ms": "100",
+        "suspicion_ms": "800",
+        "lease_ms": "2000",
+    },
+    "dispatch": {"announce_ttl_ms": "3000"},
+}
+
+
+def plans():
+    """Returns eight nodes in two zones with a chain of three services."""
+    order = Endpoint("/", 10, (DeeperCall("pricing", "/prices/pipe"),))
+    pricing = Endpoint("/", 5, (DeeperCall("stock", "/items/pipe"),))
+    # Answers of several frames, so that a cut one is seen.
+    stock = Endpoint("/", 5, answer_bytes=200_000)
+    return [
+        NodePlan(f"{service}-{number}", service, zone, 16, 64, (endpoint,))
+        for service, endpoint, count in (
+            ("order", order, 3),
+            ("pricing", pricing, 2),
+            ("stock", stock, 3),
+        )
+        for number, zone in zip(range(1, count + 1), "aba", strict=False)
+    ]
+
+
+@dataclasses.dataclass(slots=True)
+class Record:
+    """What a run left."""
+
+    events: list[checker.Event]
+    outcomes: collections.Counter
+    faults: collections.Counter
+    executions: int
+    resends: int
+    calls_in_stops: int
+    stop_statuses: set[int]
+    log_errors: list[dict]
+
+    def violations(self):
+        return checker.check_history(self.events)
+
+
+class FaultRun:
+    """Runs cycles of faults on one cluster."""
+
+    def __init__(self, seed, directory, fault=""):
+        self.seed = seed
+        self._files = directory / "files"
+        shutil.copytree(demo.EXAMPLE, self._files)
+        program = None
+        if fault:
+            variable = f"{FAULT_VARIABLE}={fault}"
+            program = ["env", variable, sys.executable, str(FAULTY_NODE)]
+        self.cluster = Cluster(plans(), settings=SETTINGS, program=program)
+
+    async def run(self, cycles=1, phases=PHASES):
+        """Returns the record of a run."""
+        rng = random.Random(self.seed)
+        async with self.cluster as cluster:
+            await cluster.apply(self._files)
+            await cluster.wait_ready()
+            for upstream in cluster.upstreams_by_id.values():
+                upstream.crash_marker = calling.CRASH_MARKER
+                upstream.restart_delay_s = CRASH_RESTART_S
+            operators = Operators(cluster.platform.url, self._files)
+            self.injector = FaultInjector(cluster, operators)
+            self.callers = calling.Callers(cluster, self.injector, self.seed)
+            running = asyncio.ensure_future(self.callers.run(CALLERS))
+            for _ in range(cycles):
+                schedule = make_schedule(rng, cluster.plans, phases)
+                await self._cycle(schedule, phases)
+            self.callers.stop()
+            await running
+            in_force = await self._final_versions()
+            return self._record(operators, in_force)
+
+    async def _cycle(self, schedule, phases):
+        self.callers.set_crashing(bool(phases.storm_kinds))
+        loop = asyncio.get_running_loop()
+        last_crash_s = phases.calm_start_s - CRASH_RESTART_S
+        last_crash_s -= AFTERMATH_MS / 1000
+        end = loop.call_later(last_crash_s, self.callers.set_crashing, False)
+        try:
+            await self.injector.run(schedule)
+        finally:
+            end.cancel()
+
+    async def _final_versions(self):
+        """Waits until all nodes have the stored version, or gives up."""
+        found = []
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(IN_FORCE_TIMEOUT_S):
+                while not found or any(
+                    item.version != item.stored_version for item in found
+                ):
+                    await asyncio.sleep(0.1)
+                    found = await self._versions()
+        return found
+
+    async def _versions(self):
+        objects = self.cluster.platform.objects_by_key
+        stored = {
+            key.removeprefix("config/"): item.version
+            for key, item in objects.items()
+            if key.startswith("config/")
+        }
+        found = []
+        for node_id, node in self.cluster.nodes_by_id.items():
+            status = await self.cluster.status(node)
+            found += [
+                checker.ConfigInForce(
+                    time.monotonic() * 1000,
+                    node_id,
+                    team,
+                    status["configuration"].get(team, 0),
+                    version,
+                )
+                for team, version in stored.items()
+            ]
+        return found
+
+    def _record(self, operators, in_force):
+        executions = [
+            (node_id, number, item)
+            for node_id, upstream in self.cluster.upstreams_by_id.items()
+            for number, item in enumerate(upstream.executions)
+        ]
+        nodes = self.cluster.nodes_by_id
+        events = [
+            *self.callers.events,
+            *in_force,
+            *_config_events(nodes, operators),
+            *_execution_events(executions),
+            *_attempt_events([item for _, _, item in executions]),
+            *_fault_events(self.injector.injected),
+        ]
+        injected = self.injector.injected
+        return Record(
+            events,
+            collections.Counter(
+                item.outcome
+                for item in self.callers.events
+                if isinstance(item, checker.AnswerReceived)
+            ),
+            collections.Counter(fault.kind for fault in injected),
+            len(executions),
+            self.callers.resends,
+            len(list(checker.calls_during_stops(checker.History(events)))),
+            {f.exit_status for f in injected if f.kind is FaultKind.STOP},
+            [
+                entry
+                for node in nodes.values()
+                for entry in node.log
+                if entry.get("level") in ("ERROR", "CRITICAL")
+                or "level" not in entry
+            ],
+        )
+
+
+def _config_events(nodes, operators):
+    for node_id, node in nodes.items():
+        for entry in node.log:
+            if entry.get("message") == "file set in force":
+                yield checker.ConfigVersionSeen(
+                    entry["read_s"] * 1000,
+                    node_id,
+                    entry["team"],
+                    entry["version"],
+                )
+    for write in operators.attempts:
+        if write.result == "accepted":
+            yield checker.ConfigAccepted(
+                write.ended_s * 1000,
+                write.team,
+                write.expected_version,
+                write.version,
+            )
+
+
+def _execution_events(executions):
+    for node_id, number, item in executions:
+        execution_id = f"{node_id}/{number}"
+        yield checker.ExecutionStarted(
+            item.started_s * 1000,
+            execution_id,
+            f"{node_id}#{item.epoch}",
+            f"{item.path}#{item.body_hash}",
+            item.key,
+            item.call_id,
+        )
+        if item.ended_s is not None:
+            yield checker.ExecutionFinished(item.ended_s * 1000, execution_id)
+        if item.crashed_s is not None:
+            yield checker.UpstreamCrashed(item.crashed_s * 1000, execution_id)
+            # Requests beside the crashing one are cut.
+            yield checker.FaultInjected(
+                item.crashed_s * 1000, item.crashed_s * 1000 + AFTERMATH_MS
+            )
+
+
+def _attempt_events(executions):
+    """Counts the runs at the deepest service for each root call."""
+    allowance_by_trace = {}
+    for item in executions:
+        if item.service == "order":
+            route = item.path.rpartition("/")[0] or item.path
+            allowance_by_trace[_trace(item)] = ROOT_ALLOWANCE[route]
+    for item in executions:
+        trace = _trace(item)
+        if item.service == "stock" and trace in allowance_by_trace:
+            yield checker.AttemptsCounted(
+                item.started_s * 1000, trace, 1, allowance_by_trace[trace]
+            )
+
+
+def _trace(item):
+    return item.traceparent.split("-")[1]
+
+
+def _fault_events(injected):
+    for number, fault in enumerate(injected):
+        started_ms, ended_ms = fault.started_s * 1000, fault.ended_s * 1000
+        if fault.kind in CUTTING_KINDS:
+            yield checker.FaultInjected(started_ms, ended_ms + AFTERMATH_MS)
+        elif fault.kind is FaultKind.STOP:
+            process_id = f"{fault.target}@{number}"
+            yield checker.PlannedStop(started_ms, process_id)
+            yield checker.ProcessExited(fault.exited_s * 1000, process_id)
+        elif fault.kind is FaultKind.DRAIN:
+            yield checker.UpstreamDrained(
+                fault.exited_s * 1000, f"{fault.target}#{fault.epoch}"
+            )
