--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,8 +12,8 @@
 hypothesis.settings.load_profile("ci")
 
 # Hypothesis also draws constants found in the project's modules that happen to
-# be imported. The examples, and so the verdict, would depend on which tests run
-# together and on edits elsewhere; constraints.txt pins the version patched here.
+# be imported. The examples, and so the verdict, would depend on which tests
+# run together and on edits elsewhere; constraints.txt pins the version.
 providers._get_local_constants = providers.Constants
 
 # Node processes that tests start run the code under test.
