Take a crash in the middle of an answer for a crash

Cause: the dispatcher looked for a crashed upstream only after a lost connection. An upstream that dies after it sent the answer's headers ends the request as "truncated"; such a request became no suspect, could be sent again and could crash the next upstream. Found by reading the dispatcher while the crashes per call were counted; the fault histories crash before the headers.

Change: a truncated answer leads to the same probe of the upstream.

The test for a truncated answer of a server that is gone fails without the change; those for a server that still accepts connections pass with both.

--- a/src/celeryfield/internal/dispatch/dispatcher.py
+++ b/src/celeryfield/internal/dispatch/dispatcher.py
@@ -15,6 +15,8 @@
 
 # Less time than this cannot cover one round trip to the upstream.
 MINIMUM_TIMEOUT_MS = 1.0
+# A crash ends answers that have begun as well as those that have not.
+CUT_REASONS = frozenset((Reason.CONNECTION_LOST, Reason.TRUNCATED))
 
 
 class Dispatcher:
@@ -113,9 +115,7 @@
             return EndKind.SHED
         if result.reason is Reason.DEADLINE:
             return EndKind.CANCELLED
-        if result.reason is Reason.CONNECTION_LOST and (
-            not await self._is_accepting()
-        ):
+        if result.reason in CUT_REASONS and not await self._is_accepting():
             return EndKind.CRASHED
         return EndKind.ERROR
 
