Check the sub-calls of upstreams in fault histories

A sub-call that was wrongly told "not-run", or that a planned stop cut, could hide behind a retry or a failed chain.

Change: the stand-in upstream gives each deeper call an id and records what it was told; the history contains these calls. A call that crashes more than two upstreams breaks the rule "suspects".

--- a/src/celeryfield/standins/upstream.py
+++ b/src/celeryfield/standins/upstream.py
@@ -10,6 +10,7 @@
 import itertools
 import json
 import random
+import secrets
 import time
 
 import aiohttp
@@ -58,6 +59,27 @@
     admin_token: str = ""
 
 
+@dataclasses.dataclass(slots=True)
+class DeeperAnswer:
+    """What the upstream was told about a deeper call; empty if cut off.
+
+    Attributes:
+        call_id: Sent in the header ``x-test-call-id``.
+        sent_s: When the call was sent.
+        ended_s: When its answer had arrived, or it was given up.
+        status: HTTP status.
+        outcome: Outcome that the node stated.
+        reason: Reason that the node stated.
+    """
+
+    call_id: str
+    sent_s: float
+    ended_s: float = 0.0
+    status: int = 0
+    outcome: str = ""
+    reason: str = ""
+
+
 @dataclasses.dataclass(slots=True)
 class Execution:
     """One request that the upstream ran.
@@ -67,6 +89,7 @@
         epoch: Number of times the upstream had drained and returned before.
         ended_s: When the answer was complete.
         crashed_s: When the request crashed the upstream.
+        deeper: Its deeper calls.
     """
 
     service: str
@@ -79,6 +102,7 @@
     call_id: str = ""
     epoch: int = 0
     crashed_s: float | None = None
+    deeper: list[DeeperAnswer] = dataclasses.field(default_factory=list)
 
 
 class StandInUpstream:
@@ -242,10 +266,22 @@
         endpoint = self._endpoint_of(request.path)
         await asyncio.sleep(self._service_s(endpoint))
         for deeper in endpoint.calls:
-            status = await self._call_deeper(deeper, request)
-            if status >= 400:
+            answer = DeeperAnswer(secrets.token_hex(8), time.monotonic())
+            execution.deeper.append(answer)
+            try:
+                await self._call_deeper(deeper, request, answer)
+            except aiohttp.ClientConnectorError:
+                answer.reason = "connection-refused"
+                raise
+            except aiohttp.ClientError:
+                answer.reason = "connection-lost"
+                raise
+            finally:
+                answer.ended_s = time.monotonic()
+            if answer.status >= 400:
                 return web.json_response(
-                    {"failed": deeper.service, "status": status}, status=502
+                    {"failed": deeper.service, "status": answer.status},
+                    status=502,
                 )
         execution.ended_s = time.monotonic()
         return self._answer(execution, endpoint)
@@ -265,17 +301,23 @@
         )
 
     async def _call_deeper(
-        self, deeper: DeeperCall, request: web.BaseRequest
-    ) -> int:
+        self,
+        deeper: DeeperCall,
+        request: web.BaseRequest,
+        answer: DeeperAnswer,
+    ) -> None:
         async with self._session.request(
             deeper.method,
             f"{self.spec.node_url}/{deeper.service}{deeper.path}",
             headers={
                 "traceparent": request.headers.get("traceparent", ""),
+                "x-test-call-id": answer.call_id,
             },
         ) as response:
             await response.read()
-            return response.status
+            answer.status = response.status
+            answer.outcome = response.headers.get("x-celeryfield-outcome", "")
+            answer.reason = response.headers.get("x-celeryfield-reason", "")
 
     def _endpoint_of(self, path: str) -> Endpoint:
         matches = [e for e in self.spec.endpoints if path.startswith(e.prefix)]
--- a/tests/history/checker.py
+++ b/tests/history/checker.py
@@ -297,11 +297,22 @@
 
 
 def check_suspects(history: History) -> Iterator[str]:
-    """Finds requests that still ran long after they crashed two upstreams."""
+    """Finds requests that still ran long after they crashed two upstreams.
+
+    One call may crash a second upstream when it is hedged or its first node
+    is paused, but a crash that was seen is never followed by a re-send.
+    """
     runs_by_id = {run.execution_id: run for run in history.of(ExecutionStarted)}
     crashes_by_body = collections.defaultdict(list)
     for crash in history.of(UpstreamCrashed):
         crashes_by_body[runs_by_id[crash.execution_id].body_id].append(crash)
+    crashes_by_call = collections.Counter(
+        runs_by_id[crash.execution_id].call_id
+        for crash in history.of(UpstreamCrashed)
+    )
+    for call_id, count in crashes_by_call.items():
+        if call_id and count > CRASH_LIMIT:
+            yield f"call {call_id} crashed {count} upstreams"
     for run in runs_by_id.values():
         crashes = crashes_by_body.get(run.body_id, ())
         if len(crashes) < CRASH_LIMIT:
--- a/tests/history/runs.py
+++ b/tests/history/runs.py
@@ -227,6 +227,7 @@
             item.key,
             item.call_id,
         )
+        yield from _sub_call_events(node_id, item)
         if item.ended_s is not None:
             yield checker.ExecutionFinished(item.ended_s * 1000, execution_id)
         if item.crashed_s is not None:
@@ -237,6 +238,16 @@
             )
 
 
+def _sub_call_events(node_id, execution):
+    """Yields the calls of an upstream; bodies were checked by their caller."""
+    for call in execution.deeper:
+        yield checker.CallSent(call.sent_s * 1000, call.call_id, node_id, "")
+        reason = call.reason if call.outcome else call.reason or "gave-up"
+        yield checker.AnswerReceived(
+            call.ended_s * 1000, call.call_id, call.outcome or "unknown", reason
+        )
+
+
 def _attempt_events(executions):
     """Counts the runs at the deepest service for each root call."""
     allowance_by_trace = {}
--- a/tests/history/test_checker.py
+++ b/tests/history/test_checker.py
@@ -109,6 +109,17 @@
     ("accepted-versions", [*VALID, ConfigAccepted(34, "team", 4, 6)]),
     ("accepted-versions", [*VALID, ConfigInForce(9_001, "n2", "team", 5, 6)]),
     ("accepted-versions", [*VALID, ConfigAccepted(34, "team", 6, 7)]),
+    (
+        "suspects",
+        [
+            *VALID,
+            *(
+                ExecutionStarted(38, f"y{i}", "u5", "b", "", "c9")
+                for i in "123"
+            ),
+            *(UpstreamCrashed(39, f"y{i}") for i in "123"),
+        ],
+    ),
     ("suspects", [*VALID, ExecutionStarted(5_038, "x4", "u4", "crash")]),
     ("attempts", [*VALID, AttemptsCounted(42, "r1", 1, 2)]),
     (
