Find VMs that are restarted in place while the store is down

Cause: without the store a new node has no seeds. Others probed only dead members at their old address, never those that left, and a node with a new id ignored such a probe. The limit on raising the own incarnation was no longer called since it moved beside the own record. Ruled out: probing all gone members each interval; one in 16 intervals is enough, since all members probe. Change: gone members are probed whether they died or left; a node that knows nobody joins through whoever pings it. The limit on raising is called again. Conclusion: a VM restarted in place needs no store, at one ping per 16 intervals and member, as before.

--- a/src/celeryfield/internal/membership/detector.py
+++ b/src/celeryfield/internal/membership/detector.py
@@ -28,7 +28,8 @@
 # timeout already makes acks late.
 LATE_SHARE = 1 / 3
 # Gone members are probed this rarely, so that two sides that gave each other
-# up find each other again.
+# up find each other again, and so that a VM that is restarted at its old
+# address is found while the store, and with it the seed leases, is down.
 GONE_PROBE_TICKS = 16
 
 
@@ -162,14 +163,10 @@
         self._courier.send(message, [target.endpoint])
 
     def _probe_gone(self) -> None:
-        gone = [
-            member
-            for member_id in self._table.gone_ids
-            if (member := self._table.members_by_id[member_id]).health
-            is Health.DEAD
-        ]
-        if gone:
-            self._ping(self._rng.choice(gone), self.next_sequence())
+        gone_ids = list(self._table.gone_ids)
+        if gone_ids:
+            member = self._table.members_by_id[self._rng.choice(gone_ids)]
+            self._ping(member, self.next_sequence())
 
     def _ask_helpers(self, probe: Probe) -> None:
         # One lost datagram is likelier than a failure.
--- a/src/celeryfield/internal/membership/joining.py
+++ b/src/celeryfield/internal/membership/joining.py
@@ -88,7 +88,19 @@
         endpoints = [(seed.address, seed.port) for seed in seeds]
         others = [entry for entry in endpoints if entry != local.endpoint]
         chosen = self._rng.sample(others, min(MAX_SEEDS, len(others)))
-        self._repair.send_digest(chosen, self._table.delta_of(local))
+        self._introduce(chosen)
+
+    def _introduce(self, endpoints: list[Endpoint]) -> None:
+        local = self._table.members_by_id[self._node.id]
+        self._repair.send_digest(endpoints, self._table.delta_of(local))
+
+    def on_ping(self, endpoint: Endpoint) -> None:
+        """Joins through any member that pings while no other is known.
+
+        The ping may be meant for an earlier node at this address.
+        """
+        if not self._table.active_ids:
+            self._introduce([endpoint])
 
     def on_summary(self, brought_news: bool) -> None:
         """Notes whether the other member had newer records."""
--- a/src/celeryfield/internal/membership/local.py
+++ b/src/celeryfield/internal/membership/local.py
@@ -122,9 +122,7 @@
         if self.has_left or not own.incarnation:
             return False
         if heard.incarnation > own.incarnation:
-            raised = dataclasses.replace(own, incarnation=heard.incarnation + 1)
-            self._store(raised, 0)
-            return True
+            return self._raise_incarnation(heard.incarnation)
         heard_version = (heard.incarnation, heard.revision)
         own_version = (own.incarnation, own.revision)
         differs = health is not Health.HEALTHY or heard != own
--- a/src/celeryfield/internal/membership/service.py
+++ b/src/celeryfield/internal/membership/service.py
@@ -313,6 +313,7 @@
         self, message: gossip.GossipMessage, endpoint: Endpoint
     ) -> None:
         local_id = self._settings.node.id
+        self._joining.on_ping(endpoint)
         if message.target_id != local_id:
             return
         answer = gossip.GossipMessage(
--- a/tests/cover/membership_network.py
+++ b/tests/cover/membership_network.py
@@ -104,6 +104,7 @@
         self.loss = 0.0
         self.max_delay_ms = 5.0
         self.is_cut = lambda source, target: False
+        self.has_store = True
         self.nodes_by_id = {}
         self.nodes_by_endpoint = {}
         self.largest_bytes = 0
@@ -133,19 +134,28 @@
             receiver.deliver(data, source)
 
     async def _seeds(self):
+        if not self.has_store:
+            raise OSError("the store is down")
         endpoints = list(self.nodes_by_endpoint)[:3]
         return [SeedAddress(address, port) for address, port in endpoints]
 
-    async def start(self, node_id, zone="z1", region="r1", services=("stock",)):
+    async def start(
+        self,
+        node_id,
+        zone="z1",
+        region="r1",
+        services=("stock",),
+        endpoint=None,
+    ):
         """Starts a member, or a later incarnation of it."""
         self._port += 1
+        endpoint = endpoint or ("127.0.0.1", self._port)
         settings = NodeSettings(
             node=IdentitySettings(id=node_id, zone=zone, region=region),
-            listen=ListenSettings(peer_port=self._port),
+            listen=ListenSettings(peer_port=endpoint[1]),
             membership=MembershipSettings(**self._membership),
         )
         clock = NodeClock()
-        endpoint = ("127.0.0.1", self._port)
 
         async def open_socket(address, port, on_datagram):
             node.on_datagram = on_datagram
--- a/tests/cover/test_membership_scenarios.py
+++ b/tests/cover/test_membership_scenarios.py
@@ -6,6 +6,7 @@
 from membership_network import Network, announce, run_virtual
 
 from celeryfield.internal.membership.datagrams import MAX_DATAGRAM_BYTES
+from celeryfield.internal.membership.records import Health
 from celeryfield.internal.schema import gossip
 
 
@@ -256,3 +257,35 @@
     other.merge(gossip.Delta(record.encode()))
     await settled(network)
     assert node.membership.incarnation > high
+
+
+@pytest.mark.parametrize("new_id", ["n4", "n99"])
+@pytest.mark.parametrize("has_left", [True, False])
+def test_a_vm_restarted_in_place_is_found_without_the_store(new_id, has_left):
+    """Guards against nodes that stay alone while the store is down."""
+
+    @scenario(12, zones=3)
+    async def run(network):
+        node = network.nodes_by_id["n4"]
+        if has_left:
+            await node.membership.leave()
+        await network.crash("n4")
+        await asyncio.sleep(15)
+        network.has_store = False
+        await network.start(new_id, "z1", "r0", endpoint=node.endpoint)
+        await settled(network, seconds=20)
+
+    run()
+
+
+@scenario(3)
+async def test_the_own_incarnation_is_raised_once_per_interval(network):
+    """Guards against two nodes with one id that outbid each other."""
+    node = network.nodes_by_id["n1"].membership
+    heard = gossip.MemberRecord.decode(node.members_by_id["n1"].blob)
+    raised = []
+    for pause_s in (0, 0, 1.1):
+        await asyncio.sleep(pause_s)
+        heard.incarnation = node.incarnation + 10
+        raised.append(node._local.refute(heard, Health.HEALTHY))
+    assert raised == [True, False, True]
