Share a priority among tenants at the admission level

Cause: a flood of one tenant shed the same share of every tenant of its priority.

Change: the level divides its priority by weighted max-min shares. Up to 16 tenants above their share carry levels of their own in load reports, which senders apply and pass on; the other tenants share the plain level. At most 128 pairs of priority and tenant are tracked; those beyond share one entry per priority that counts as so many tenants of the median load.

--- a/src/celeryfield/internal/dispatch/admission.py
+++ b/src/celeryfield/internal/dispatch/admission.py
@@ -66,6 +66,7 @@
     def set_tenant_weights(self, weight_of: WeightOf) -> None:
         """Sets the function that returns the weight of a tenant."""
         self._queue.weight_of = weight_of
+        self._control.level.weight_of = weight_of
         self._solo.queue.weight_of = weight_of
 
     def set_capacity(
@@ -140,7 +141,10 @@
         now_ms = self._clock.now_ms()
         self._control.adjust_if_due(now_ms)
         service = self._upstream.service
-        level = wire.ServiceLevel(service, self._control.level.level)
+        current = self._control.level
+        level = wire.ServiceLevel(
+            service, current.level, heavy_tenants=current.heavy_tenants
+        )
         return wire.LoadReport(
             self._upstream.current,
             self._slots.count,
--- a/src/celeryfield/internal/dispatch/control.py
+++ b/src/celeryfield/internal/dispatch/control.py
@@ -18,7 +18,7 @@
 
     Attributes:
         limit: Limit of calls in flight.
-        level: Lowest rank that is not shed.
+        level: Lowest rank that is not shed, by tenant.
         times: Service times by class.
     """
 
@@ -43,14 +43,15 @@
     @property
     def is_overloaded(self) -> bool:
         """Whether load is being shed."""
-        return self.level.level > 0
+        return self.level.is_shedding
 
     def offer(self, call: wire.Call) -> bool:
         """Counts an arrival; returns whether the level admits it."""
         rank = admission_rank(call)
+        cost_ms = 0.0
         if not call.long_running:
-            self.level.offer(rank, self.times.mean_ms(call.class_name))
-        return rank >= self.level.level
+            cost_ms = self.times.mean_ms(call.class_name)
+        return self.level.offer(call, rank, cost_ms)
 
     def note_wait(self) -> None:
         """Notes that a call had to wait for a slot."""
--- a/src/celeryfield/internal/dispatch/levels.py
+++ b/src/celeryfield/internal/dispatch/levels.py
@@ -1,15 +1,33 @@
-"""Admission level: the lowest rank that is not shed."""
+"""Admission level: the lowest priority admitted, with fair tenant shares."""
 
-from celeryfield.internal.calls import RANKS_PER_PRIORITY
+import collections
+import statistics
+
+from celeryfield.internal.dispatch.queue import (
+    MIN_WEIGHT,
+    WeightOf,
+    equal_weight,
+)
+from celeryfield.internal.dispatch.shares import (
+    TenantLoad,
+    fair_share,
+    level_for,
+)
+from celeryfield.internal.schema import wire
 from celeryfield.internal.schema.settings import DispatchSettings
 
-# Ranks are counted in groups of eight, 16 groups to a priority.
-GROUP_RANKS = 8
-# Weight of the last interval in the offered load of a group.
+# Tenant names come from callers. Beyond this number of entries, new tenants of
+# a priority share one. No tenant name is empty, so no caller can claim that
+# one. Each entry costs a few microseconds per interval.
+MAX_TENANT_LOADS = 128
+OTHER_TENANTS = ""
+# Bounds the load report. Further tenants have one level in common.
+MAX_HEAVY_TENANTS = 16
+# Weight of the last interval in the offered load.
 OFFER_WEIGHT = 0.5
-# Senders shed below the level too, so load below the level is invisible here.
-# It is remembered and fades; without a memory the level would fall to zero
-# and rise again with every interval. It fades faster while slots are idle.
+# Load that senders shed is invisible here. Of priorities that are shed wholly
+# it is remembered and fades; without a memory the level would fall to zero and
+# rise again with every interval. It fades faster while slots are idle.
 MEMORY_FACTOR = 0.9
 IDLE_MEMORY_FACTOR = 0.6
 FORGOTTEN_LOAD = 0.001
@@ -28,39 +46,71 @@
 class AdmissionLevel:
     """Level that admits the most important work that fits.
 
-    The offered load is counted by rank. Under overload the level is the rank
-    above which the offered load equals the limit, corrected by the queue
-    delay. One adjustment therefore finds the level for a sudden overload.
+    The offered load is counted by priority and tenant. Under overload the
+    level is the priority above which the offered load fits the limit, which is
+    corrected by the queue delay. Tenants share what is left for the priority
+    at the level. One adjustment finds the level for a sudden overload.
 
     Attributes:
-        level: Calls whose rank is below are refused.
+        level: Calls whose rank is below are refused, except those of the
+            heavy tenants.
+        heavy_tenants: Tenants above their share that shed most, with their
+            own levels.
+        is_shedding: Whether any load is refused.
+        weight_of: Returns the weight of a tenant.
     """
 
     def __init__(self, settings: DispatchSettings) -> None:
         self._settings = settings
         self.level = 0
+        self.heavy_tenants: tuple[wire.TenantLevel, ...] = ()
+        self.is_shedding = False
+        self.weight_of: WeightOf = equal_weight
         self._load_share = 1.0
-        self._offered_ms_by_group: dict[int, float] = {}
-        self._load_by_group: dict[int, float] = {}
+        self._loads_by_tenant: dict[tuple[int, str], TenantLoad] = {}
+        self._load_by_priority: dict[int, float] = {}
+
+    def __len__(self) -> int:
+        """Returns the number of tracked loads."""
+        return len(self._loads_by_tenant)
 
-    def offer(self, rank: int, cost_ms: float) -> None:
+    def offer(self, call: wire.Call, rank: int, cost_ms: float) -> bool:
         """Counts an arrival.
 
         Args:
-            rank: Admission rank of the call.
-            cost_ms: Expected slot time of the call.
+            call: The call.
+            rank: Its admission rank.
+            cost_ms: Its expected slot time, 0 if it is not counted.
+
+        Returns:
+            Whether the level admits the call.
         """
-        group = rank // GROUP_RANKS
-        offered = self._offered_ms_by_group
-        offered[group] = offered.get(group, 0.0) + cost_ms
+        load = self._loads_by_tenant.get((call.priority, call.tenant))
+        if load is None:
+            load = self._track(call)
+        if rank >= load.level:
+            load.admitted_ms += cost_ms
+            return True
+        load.shed_ms += cost_ms
+        return False
+
+    def _track(self, call: wire.Call) -> TenantLoad:
+        loads = self._loads_by_tenant
+        tenant = call.tenant
+        if len(loads) >= MAX_TENANT_LOADS:
+            tenant = OTHER_TENANTS
+        key = (call.priority, tenant)
+        load = loads.get(key)
+        if load is None:
+            load = loads[key] = TenantLoad(call.priority, tenant, self.level)
+        return load
 
     def load_above(self, priority: int) -> float:
         """Returns the slots that work of higher priorities keeps busy."""
-        first_group = (priority + 1) * RANKS_PER_PRIORITY // GROUP_RANKS
         return sum(
             load
-            for group, load in self._load_by_group.items()
-            if group >= first_group
+            for other_priority, load in self._load_by_priority.items()
+            if other_priority > priority
         )
 
     def adjust(
@@ -81,36 +131,34 @@
             idle: Slots were free at the end of the interval.
         """
         intervals = elapsed_ms / self._settings.interval_ms
-        self._update_load(elapsed_ms, intervals, idle)
+        self._update_loads(elapsed_ms, intervals, idle)
         share = self._corrected_share(delay_ms)
         short_slots = max(limit - long_count, 1)
-        self.level = self._level_for(limit, short_slots * share, delay_ms)
+        if not self.is_shedding and delay_ms <= self._settings.queue_target_ms:
+            return
+        self._set_level(limit, short_slots, short_slots * share)
 
-    def _update_load(
+    def _update_loads(
         self, elapsed_ms: float, intervals: float, idle: bool
     ) -> None:
-        offered = self._offered_ms_by_group
-        self._offered_ms_by_group = {}
         factor = IDLE_MEMORY_FACTOR if idle else MEMORY_FACTOR
         memory = factor**intervals
         weight = 1.0 - (1.0 - OFFER_WEIGHT) ** intervals
-        for group in self._load_by_group.keys() | offered.keys():
-            seen = offered.get(group, 0.0) / elapsed_ms
-            known = self._load_by_group.get(group, 0.0)
-            load = known + weight * (seen - known)
-            if group * GROUP_RANKS < self.level:
-                load = max(load, known * memory)
-            if load > FORGOTTEN_LOAD:
-                self._load_by_group[group] = load
+        load_by_priority: dict[int, float] = collections.defaultdict(float)
+        for key, load in list(self._loads_by_tenant.items()):
+            load.update(elapsed_ms, weight, memory)
+            if load.slots > FORGOTTEN_LOAD:
+                load_by_priority[load.priority] += load.slots
             else:
-                self._load_by_group.pop(group, None)
+                del self._loads_by_tenant[key]
+        self._load_by_priority = dict(load_by_priority)
 
     def _corrected_share(self, delay_ms: float) -> float:
         setpoint_ms = self._settings.queue_target_ms * SETPOINT_SHARE
         error = max(-1.0, min(1.0, 1.0 - delay_ms / setpoint_ms))
         if error < 0:
             self._load_share += FALL_STEP * error
-        elif self.level > 0:
+        elif self.is_shedding:
             self._load_share += RISE_STEP * error
         else:
             self._load_share += RISE_STEP * (1.0 - self._load_share)
@@ -118,30 +166,95 @@
         self._load_share = bounded
         return bounded + PROPORTIONAL_GAIN * error
 
-    def _level_for(
-        self, limit: float, corrected_limit: float, delay_ms: float
-    ) -> int:
-        """Returns the rank above which the offered load fits."""
-        starting = self.level == 0
-        if starting and delay_ms <= self._settings.queue_target_ms:
-            return 0
-        groups = sorted(self._load_by_group, reverse=True)
-        if not groups:
-            return 0
-        top_priority = groups[0] * GROUP_RANKS // RANKS_PER_PRIORITY
-        top_load = self.load_above(top_priority - 1)
-        if top_load > limit:
-            return self._rank_within(groups, corrected_limit)
-        # The correction follows a noisy delay. It must not shed the most
-        # important work while that work fits.
-        return self._rank_within(groups, max(corrected_limit, top_load))
-
-    def _rank_within(self, groups: list[int], limit: float) -> int:
-        remaining = limit
-        for group in groups:
-            load = self._load_by_group[group]
-            if load > remaining + FORGOTTEN_LOAD:
-                admitted_ranks = int(GROUP_RANKS * remaining / load)
-                return (group + 1) * GROUP_RANKS - admitted_ranks
-            remaining -= load
-        return 0
+    def _set_level(
+        self, limit: int, short_slots: int, corrected_limit: float
+    ) -> None:
+        """Sets the level above which the offered load fits."""
+        priorities = sorted(self._load_by_priority, reverse=True)
+        if priorities:
+            top_load = self._load_by_priority[priorities[0]]
+            # The correction follows a noisy delay. It must not shed the most
+            # important work while that work fits.
+            if top_load <= limit:
+                corrected_limit = max(corrected_limit, top_load)
+        used = 0.0
+        for priority in priorities:
+            load = self._load_by_priority[priority]
+            if used + load > corrected_limit + FORGOTTEN_LOAD:
+                slots = max(short_slots - used, 0.0)
+                self._share_out(priority, slots, corrected_limit - used)
+                return
+            used += load
+        self.level = 0
+        self.heavy_tenants = ()
+        self.is_shedding = False
+        for tenant_load in self._loads_by_tenant.values():
+            tenant_load.level = 0
+
+    def _share_out(
+        self, priority: int, slots: float, corrected_slots: float
+    ) -> None:
+        """Sheds lower priorities and shares slots among the tenants of one.
+
+        Tenants within their share of the slots are admitted wholly. The
+        correction follows a noisy delay, so only the other tenants, who cause
+        the overload, are held to it.
+        """
+        self.is_shedding = True
+        sharing = [
+            load
+            for load in self._loads_by_tenant.values()
+            if load.priority == priority
+        ]
+        self._set_weights(sharing)
+        share = fair_share(sharing, slots)
+        heavy = [load for load in sharing if load.slots > share * load.weight]
+        if not heavy:
+            heavy = sharing
+        heavy_slots = sum(load.slots for load in heavy)
+        light_slots = self._load_by_priority[priority] - heavy_slots
+        share = fair_share(heavy, max(corrected_slots - light_slots, 0.0))
+        heavy.sort(key=lambda load: load.excess(share), reverse=True)
+        named = [load for load in heavy if load.tenant != OTHER_TENANTS]
+        self._set_levels(priority, share, heavy, named[:MAX_HEAVY_TENANTS])
+
+    def _set_weights(self, sharing: list[TenantLoad]) -> None:
+        """Looks up the weights of tenants and estimates that of the others.
+
+        The others count as so many tenants of the median load.
+        """
+        median = statistics.median_low(load.slots for load in sharing)
+        for load in sharing:
+            load.weight = max(self.weight_of(load.tenant), MIN_WEIGHT)
+            if load.tenant == OTHER_TENANTS:
+                load.weight *= max(1.0, load.slots / median)
+
+    def _set_levels(
+        self,
+        priority: int,
+        share: float,
+        heavy: list[TenantLoad],
+        named: list[TenantLoad],
+    ) -> None:
+        """Sets the levels of the named tenants and that of all others.
+
+        The unnamed ones have one level, so that senders shed what the node
+        would shed.
+        """
+        unnamed_slots = self._load_by_priority[priority]
+        shed_slots = sum(load.excess(share) for load in heavy)
+        for load in named:
+            unnamed_slots -= load.slots
+            shed_slots -= load.excess(share)
+        kept_slots = unnamed_slots
+        if shed_slots > FORGOTTEN_LOAD:
+            kept_slots -= shed_slots
+        self.level = level_for(priority, unnamed_slots, kept_slots)
+        for load in self._loads_by_tenant.values():
+            load.level = self.level
+        for load in named:
+            slots = share * load.weight
+            load.level = level_for(priority, load.slots, slots)
+        self.heavy_tenants = tuple(
+            wire.TenantLevel(load.tenant, load.level) for load in named
+        )
--- a/src/celeryfield/internal/dispatch/queue.py
+++ b/src/celeryfield/internal/dispatch/queue.py
@@ -19,6 +19,11 @@
     return True
 
 
+def equal_weight(_tenant: str) -> float:
+    """Gives every tenant the same share."""
+    return 1.0
+
+
 # Lower bound of tenant weights; keeps shares finite.
 MIN_WEIGHT = 0.001
 # Removed waiters stay in the expiry heap until it is this many times longer
@@ -136,7 +141,7 @@
     """
 
     def __init__(self, max_waiters: int, max_long: int) -> None:
-        self.weight_of: WeightOf = lambda _tenant: 1.0
+        self.weight_of: WeightOf = equal_weight
         self.long_count = 0
         self.short_cost_ms = 0.0
         self._max_waiters = max_waiters
--- a/src/celeryfield/internal/routing/hedging.py
+++ b/src/celeryfield/internal/routing/hedging.py
@@ -77,7 +77,7 @@
 
     def try_take(self, call: wire.Call) -> bool:
         """Takes one hedge unless the budget is spent or load is shed."""
-        if self._levels.level_for(call.service, call.class_name) > 0:
+        if self._levels.is_overloaded(call.service, call.class_name):
             return False
         return self._budgets_by_key[call.service, call.class_name].try_take()
 
--- a/src/celeryfield/internal/routing/levels.py
+++ b/src/celeryfield/internal/routing/levels.py
@@ -22,10 +22,15 @@
 
 @dataclasses.dataclass(slots=True)
 class _Report:
-    """A level and the time at which its service reported it."""
+    """Levels and the time at which their service reported them."""
 
     level: int
     reported_ms: float
+    levels_by_tenant: dict[str, int]
+    is_raised: bool
+
+    def level_of(self, tenant: str) -> int:
+        return self.levels_by_tenant.get(tenant, self.level)
 
 
 @dataclasses.dataclass(slots=True)
@@ -34,8 +39,8 @@
 
     Attributes:
         reports_by_id: Newest report by reporting node.
-        raised_ms: Time of the newest report above zero. While it is old, the
-            level is zero and no report has to be looked at.
+        raised_ms: Time of the newest report that sheds anything. While it is
+            old, no report has to be looked at.
     """
 
     reports_by_id: dict[str, _Report] = dataclasses.field(default_factory=dict)
@@ -72,36 +77,38 @@
             load: The report in the answer.
         """
         now = self._clock.now_ms()
-        own_level = 0
-        own_age_ms = 0
+        own = wire.ServiceLevel(service)
         for entry in load.levels:
             if entry.service == service:
-                own_level = entry.level
-                own_age_ms = entry.age_ms
+                own = entry
                 continue
             self._learn_deeper(service, class_name, entry.service, now)
-            self._learn_level(
-                reporter_id, entry.service, entry.level, now - entry.age_ms
-            )
-        self._learn_level(reporter_id, service, own_level, now - own_age_ms)
+            self._learn_level(reporter_id, entry, now)
+        self._learn_level(reporter_id, own, now)
 
     def _learn_level(
-        self, reporter_id: str, service: str, level: int, reported_ms: float
+        self, reporter_id: str, entry: wire.ServiceLevel, now: float
     ) -> None:
+        service = entry.service
         levels = self._levels_by_service.get(service)
         if levels is None:
             _drop_oldest(self._levels_by_service, MAX_SERVICES)
             levels = _ServiceLevels()
             self._levels_by_service[service] = levels
+        reported_ms = now - entry.age_ms
         report = levels.reports_by_id.get(reporter_id)
         if report is None:
             self._drop_expired(levels)
-            report = _Report(level, reported_ms)
-            levels.reports_by_id[reporter_id] = report
-        elif reported_ms >= report.reported_ms:
-            report.level = level
-            report.reported_ms = reported_ms
-        if level > 0:
+        elif reported_ms < report.reported_ms:
+            return
+        levels_by_tenant = {
+            heavy.tenant: heavy.level for heavy in entry.heavy_tenants
+        }
+        is_raised = entry.level > 0 or bool(levels_by_tenant)
+        levels.reports_by_id[reporter_id] = _Report(
+            entry.level, reported_ms, levels_by_tenant, is_raised
+        )
+        if is_raised:
             levels.raised_ms = max(levels.raised_ms, reported_ms)
 
     def _learn_deeper(
@@ -128,40 +135,47 @@
         for reporter_id in expired:
             del levels.reports_by_id[reporter_id]
 
-    def level(self, service: str) -> int:
-        """Returns the lowest fresh level reported for a service, or 0."""
-        report = self._lowest(service)
-        return report.level if report is not None else 0
+    def level(self, service: str, tenant: str = "") -> int:
+        """Returns the lowest fresh level of a tenant at a service, or 0."""
+        reports = self._fresh(service)
+        if not reports:
+            return 0
+        return min([report.level_of(tenant) for report in reports])
 
-    def _lowest(self, service: str) -> _Report | None:
-        """Returns the lowest fresh report if it is above zero."""
+    def _fresh(self, service: str) -> list[_Report]:
+        """Returns the fresh reports if all of them shed something."""
         levels = self._levels_by_service.get(service)
         if levels is None:
-            return None
+            return []
         oldest_ms = self._clock.now_ms() - self._ttl_ms
         if levels.raised_ms < oldest_ms:
-            return None
-        lowest = None
+            return []
+        fresh = []
         for report in levels.reports_by_id.values():
             if report.reported_ms < oldest_ms:
                 continue
-            if report.level == 0:
-                return None
-            if lowest is None or report.level < lowest.level:
-                lowest = report
-        return lowest
+            if not report.is_raised:
+                return []
+            fresh.append(report)
+        return fresh
 
-    def level_for(self, service: str, class_name: str) -> int:
+    def level_for(self, service: str, class_name: str, tenant: str = "") -> int:
         """Returns the level that calls of a class have to reach.
 
         It is the highest among the service and the deeper services that its
-        calls of this class use.
+        calls of this class use. Without a tenant it is the level of tenants
+        within their share.
         """
-        level = self.level(service)
+        level = self.level(service, tenant)
         for deeper in self._deeper_services(service, class_name):
-            level = max(level, self.level(deeper))
+            level = max(level, self.level(deeper, tenant))
         return level
 
+    def is_overloaded(self, service: str, class_name: str) -> bool:
+        """Returns whether a service on the way sheds calls everywhere."""
+        deeper_services = self._deeper_services(service, class_name)
+        return any(self._fresh(name) for name in (service, *deeper_services))
+
     def _deeper_services(self, service: str, class_name: str) -> list[str]:
         deeper_services = self._deeper_by_class.get((service, class_name))
         if not deeper_services:
@@ -173,7 +187,7 @@
 
     def admits(self, call: wire.Call) -> bool:
         """Returns whether no service on the way is known to refuse a call."""
-        level = self.level_for(call.service, call.class_name)
+        level = self.level_for(call.service, call.class_name, call.tenant)
         return level == 0 or admission_rank(call) >= level
 
     def refusing_ids(self, call: wire.Call) -> frozenset[str]:
@@ -186,7 +200,8 @@
         return frozenset(
             reporter_id
             for reporter_id, report in levels.reports_by_id.items()
-            if report.level > rank and report.reported_ms >= oldest_ms
+            if report.level_of(call.tenant) > rank
+            and report.reported_ms >= oldest_ms
         )
 
     def levels_to_pass_on(
@@ -201,14 +216,31 @@
         now = self._clock.now_ms()
         entries = []
         for name in services:
-            report = self._lowest(name)
-            if report is None:
+            reports = self._fresh(name)
+            if not reports:
                 continue
-            age_ms = min(int(now - report.reported_ms), MAX_AGE_MS)
-            entries.append(wire.ServiceLevel(name, report.level, age_ms))
+            lowest = min(reports, key=lambda report: report.level)
+            age_ms = min(int(now - lowest.reported_ms), MAX_AGE_MS)
+            entries.append(
+                wire.ServiceLevel(
+                    name, lowest.level, age_ms, _common_heavy(lowest, reports)
+                )
+            )
         return entries
 
 
+def _common_heavy(
+    lowest: _Report, reports: list[_Report]
+) -> tuple[wire.TenantLevel, ...]:
+    """Returns the tenant levels of the lowest report that all reports reach."""
+    heavy = []
+    for tenant in lowest.levels_by_tenant:
+        level = min(report.level_of(tenant) for report in reports)
+        if level != lowest.level:
+            heavy.append(wire.TenantLevel(tenant, level))
+    return tuple(heavy)
+
+
 def _drop_oldest(items: dict, most: int) -> None:
     """Makes room for one more item."""
     if len(items) >= most:
--- a/src/celeryfield/internal/schema/wire.capnp
+++ b/src/celeryfield/internal/schema/wire.capnp
@@ -39,10 +39,16 @@
   fingerprint @19 :Data $doc("Hash of tenant, route and body.");
 }
 
+struct TenantLevel $doc("Admission level of one tenant.") {
+  tenant @0 :Text;
+  level @1 :UInt16 $doc("Lowest admitted rank, a priority scaled by 128.");
+}
+
 struct ServiceLevel $doc("Admission level of one service.") {
   service @0 :Text;
   level @1 :UInt16 $doc("Lowest admitted priority, scaled by 128.");
   ageMs @2 :UInt16 $unit("ms") $doc("Time since the service itself reported the level.");
+  heavyTenants @3 :List(TenantLevel) $doc("Tenants above their share, with levels in place of the plain one.");
 }
 
 struct LoadReport $doc("Load of the upstream beside the answering node.") {
--- a/src/celeryfield/internal/schema/wire.py
+++ b/src/celeryfield/internal/schema/wire.py
@@ -216,6 +216,51 @@
             raise MessageError(message) from error
 
 
+@dataclasses.dataclass(slots=True)
+class TenantLevel:
+    """Admission level of one tenant.
+
+    Attributes:
+        level: Lowest admitted rank, a priority scaled by 128.
+    """
+
+    tenant: str = ""
+    level: int = 0
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.tenant = self.tenant
+        builder.level = self.level
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.TenantLevel.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "TenantLevel":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.tenant,
+            reader.level,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "TenantLevel":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.TenantLevel.from_bytes(data) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed TenantLevel message"
+            raise MessageError(message) from error
+
+
 @dataclasses.dataclass(slots=True)
 class ServiceLevel:
     """Admission level of one service.
@@ -223,17 +268,23 @@
     Attributes:
         level: Lowest admitted priority, scaled by 128.
         age_ms: Time since the service itself reported the level. Unit: ms.
+        heavy_tenants: Tenants above their share, with levels in place of the plain one.
     """
 
     service: str = ""
     level: int = 0
     age_ms: int = 0
+    heavy_tenants: tuple[TenantLevel, ...] = ()
 
     def fill(self, builder: Any) -> None:
         """Copies the fields into a message builder."""
         builder.service = self.service
         builder.level = self.level
         builder.ageMs = self.age_ms
+        if self.heavy_tenants:
+            items = builder.init("heavyTenants", len(self.heavy_tenants))
+            for index, item in enumerate(self.heavy_tenants):
+                item.fill(items[index])
 
     def encode(self) -> bytes:
         """Returns the message as bytes."""
@@ -248,6 +299,7 @@
             reader.service,
             reader.level,
             reader.ageMs,
+            tuple([TenantLevel.read(item) for item in reader.heavyTenants]),
         )
 
     @classmethod
--- a/tests/cover/test_dispatch_goodput.py
+++ b/tests/cover/test_dispatch_goodput.py
@@ -48,6 +48,7 @@
         sender_sheds=False,
         seed=7,
         real_slots=None,
+        weights_by_tenant=None,
     ):
         node = settings.NodeSettings(
             node={"id": "n", "zone": "z", "region": "r"},
@@ -57,6 +58,8 @@
         self.clock = ManualClock(0.0)
         self.controller = AdmissionController(node, self.clock)
         self.controller.set_capacity(SLOTS, 500, "ready", "service")
+        if weights_by_tenant:
+            self.controller.set_tenant_weights(weights_by_tenant.get)
         self.flows = flows
         self.duration_ms = duration_ms
         self.offered = collections.Counter()
@@ -69,7 +72,7 @@
         self.random = random.Random(seed)
         self.sequence = 0
         self.sender_sheds = sender_sheds
-        self.sender_level = 0
+        self.sender_level = wire.ServiceLevel()
         self.sender_level_ms = 0.0
 
     async def run(self):
@@ -148,11 +151,16 @@
     def is_shed_by_sender(self, call, now_ms):
         if not self.sender_sheds:
             return False
-        is_fresh = now_ms - self.sender_level_ms < LEVEL_TTL_MS
-        return is_fresh and admission_rank(call) < self.sender_level
+        if now_ms - self.sender_level_ms >= LEVEL_TTL_MS:
+            return False
+        level = self.sender_level.level
+        for heavy in self.sender_level.heavy_tenants:
+            if heavy.tenant == call.tenant:
+                level = heavy.level
+        return admission_rank(call) < level
 
     def read_level(self):
-        self.sender_level = self.controller.load_report().levels[0].level
+        self.sender_level = self.controller.load_report().levels[0]
         self.sender_level_ms = self.clock.now_ms()
 
     def share(self, name):
@@ -219,6 +227,38 @@
     assert result.goodput() >= 0.9 * 15 / SLOTS
 
 
+def flood(quiet_loads, flood_load=5.0):
+    quiet = [
+        Flow(f"q{number}", 50, load, 10.0, "exponential", f"q{number}")
+        for number, load in enumerate(quiet_loads)
+    ]
+    return [*quiet, Flow("flood", 50, flood_load, 10.0, "exponential", "f")]
+
+
+@pytest.mark.parametrize(
+    ("quiet_loads", "weights", "sender_sheds"),
+    [
+        ([0.3], None, False),
+        ([0.3], None, True),
+        ([0.6], {"q0": 3.0, "f": 1.0}, True),
+        ([0.05] * 9, None, True),
+    ],
+    ids=["equal", "equal-senders-shed", "weights-3-to-1", "ten-tenants"],
+)
+async def test_flood_of_one_tenant_leaves_others_their_share(
+    quiet_loads, weights, sender_sheds
+):
+    """Guards against shedding tenants that stay within their share."""
+    flows = flood(quiet_loads)
+    result = await Simulation(
+        flows, sender_sheds=sender_sheds, weights_by_tenant=weights
+    ).run()
+    quiet = [flow.name for flow in flows if flow.name != "flood"]
+    good = sum(result.good[name] for name in quiet)
+    assert good >= 0.99 * sum(result.offered[name] for name in quiet)
+    assert result.goodput() >= 0.9
+
+
 def report(title, result):
     shares = ", ".join(
         f"{f.name} {result.share(f.name):.3f}" for f in result.flows
@@ -232,6 +272,8 @@
     "3x, long": overload(LONG),
     "short 0.3": [Flow("stock", 50, 0.3, spread="exponential")],
     "short 0.3, long": [Flow("stock", 50, 0.3, spread="exponential"), LONG],
+    "tenants 0.3 and 5": flood([0.3]),
+    "ten tenants": flood([0.05] * 9),
 }
 
 
--- a/tests/cover/test_dispatch_parts.py
+++ b/tests/cover/test_dispatch_parts.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -12,6 +13,11 @@
 )
 
 from celeryfield.internal.calls import Reason
+from celeryfield.internal.dispatch.levels import (
+    MAX_HEAVY_TENANTS,
+    MAX_TENANT_LOADS,
+    AdmissionLevel,
+)
 from celeryfield.internal.dispatch.limiter import ConcurrencyLimit
 from celeryfield.internal.dispatch.permits import Permit
 from celeryfield.internal.dispatch.queue import (
@@ -19,6 +25,7 @@
     WaitQueue,
     any_priority,
 )
+from celeryfield.internal.dispatch.shares import TenantLoad, fair_share
 from celeryfield.internal.dispatch.suspects import (
     SuspectEntry,
     SuspectTable,
@@ -237,3 +244,37 @@
     assert receiver.verdict(b"a", 50.0) is Verdict.REFUSE
     receiver.record_completion(b"a", 60.0)
     assert receiver.verdict(b"a", 60.0) is Verdict.REFUSE
+
+
+@given(
+    st.lists(
+        st.tuples(st.floats(0.01, 100.0), st.floats(0.01, 10.0)), min_size=1
+    ),
+    st.floats(0.0, 100.0),
+)
+def test_shares_out_all_slots_and_no_more(needs, slots):
+    """Guards against shares that waste slots or exceed them."""
+    loads = [TenantLoad(0, "", 0, need, weight) for need, weight in needs]
+    share = fair_share(loads, slots)
+    used = sum(min(load.slots, share * load.weight) for load in loads)
+    needed = sum(load.slots for load in loads)
+    assert used == pytest.approx(min(slots, needed), abs=1e-6)
+
+
+def test_bounds_the_tenants_that_it_tracks_and_names():
+    """Guards against memory and reports that grow with made-up names."""
+    level = AdmissionLevel(settings.DispatchSettings())
+    for number in range(3 * MAX_TENANT_LOADS):
+        call = wire.Call(tenant=f"t{number}", priority=number % 2)
+        level.offer(call, 128 * call.priority, 400.0)
+    # Each of the two priorities has an entry for the other tenants.
+    assert len(level) == MAX_TENANT_LOADS + 2
+    level.adjust(100.0, 20, 0, 1_000.0, idle=False)
+    assert len(level.heavy_tenants) == MAX_HEAVY_TENANTS
+    assert "" not in {heavy.tenant for heavy in level.heavy_tenants}
+    # The rest is shed by the plain level, which senders apply to all others.
+    assert level.level > 128
+    for _ in range(200):
+        level.adjust(100.0, 20, 0, 0.0, idle=True)
+    assert len(level) == 0
+    assert not level.is_shedding
--- a/tests/cover/test_routing_executor.py
+++ b/tests/cover/test_routing_executor.py
@@ -250,12 +250,36 @@
     assert (await executor.execute(call_to(), b"")).outcome is Outcome.OK
 
 
+def test_applies_a_tenant_level_only_to_tenants_that_all_reporters_name():
+    """Guards against senders that shed tenants within their share."""
+    clock = ManualClock()
+    table = LevelTable(settings_with(), clock)
+    top = 51 * 128
+    heavy = (wire.TenantLevel("f", top), wire.TenantLevel("g", top))
+    raised = load_with(("s", 50 * 128, 0, heavy))
+    table.learn("s-0", "s", "k", raised)
+    table.learn("s-1", "s", "k", load_with(("s", 50 * 128, 0, heavy[:1])))
+    assert not table.admits(call_to(tenant="f"))
+    assert table.admits(call_to(tenant="g"))
+    assert table.admits(call_to(tenant="quiet"))
+    assert not table.admits(call_to(tenant="quiet", priority=49))
+    assert table.refusing_ids(call_to(tenant="g")) == {"s-0"}
+    (passed_on,) = table.levels_to_pass_on("s", "k")
+    assert passed_on.heavy_tenants == heavy[:1]
+    # Priority 0 has the level 0; its heavy tenants are shed all the same.
+    lowest = (wire.TenantLevel("f", 128),)
+    table.learn("t-0", "t", "k", load_with(("t", 0, 0, lowest)))
+    assert not table.admits(call_to("t", tenant="f", priority=0))
+    assert table.is_overloaded("t", "k")
+
+
 def test_levels_of_deeper_services_age_across_hops():
     """Guards against levels that outlast their cause by a TTL per hop."""
     clock = ManualClock()
     tables = [LevelTable(settings_with(), clock) for _ in range(3)]
     chains = [ChainTable(clock, table) for table in tables]
-    tables[2].learn("d", "s3", "k", load_with(("s3", 9_000)))
+    heavy = (wire.TenantLevel("f", 9_100),)
+    tables[2].learn("d", "s3", "k", load_with(("s3", 9_000, 0, heavy)))
     for hop in (1, 0):
         clock.advance(400)
         service = f"s{hop + 1}"
@@ -267,6 +291,7 @@
         report = wire.LoadReport("ready", 1, 0, 16, levels)
         tables[hop].learn(f"n{hop + 1}", service, "k", report)
     assert tables[0].level_for("s1", "k") == 9_000
+    assert tables[0].level_for("s1", "k", "f") == 9_100
     assert tables[0].level_for("s1", "other") == 0
     clock.advance(250)
     assert tables[0].level_for("s1", "k") == 0
