Finish a join when exchanges bring nothing more

Cause: one exchange without news ended the repeats of a joining node, although a summary covers only one or two of 64 buckets. Change: a node has joined after an exchange that found all buckets equal or after 3 in a row without news; until then it compares at once again.

--- a/bench/members.py
+++ b/bench/members.py
@@ -124,6 +124,10 @@
             await asyncio.sleep(0)
         self.seed_ports = ports
 
+    async def use_seeds(self, ports: list[int]) -> None:
+        """Sets the seeds of members that start later."""
+        self.seed_ports = ports
+
     async def read(self) -> dict[str, float]:
         """Returns the totals of this process, and the largest sender."""
         acks_ms, self.ack_ms = self.ack_ms, []
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -45,14 +45,16 @@
             self.workers.append(worker)
         self.next_number = count
         self.index_by_id: dict[str, int] = {}
+        self.port_by_id: dict[str, int] = {}
         size = len(self.pipes)
         added = self.each(
             "add", [(list(range(index, count, size)),) for index in range(size)]
         )
         members = [entry for part in added for entry in part]
         for index, part in enumerate(added):
-            for member_id, _, _ in part:
+            for member_id, port, _ in part:
                 self.index_by_id[member_id] = index
+                self.port_by_id[member_id] = port
         ports = [port for _, port, _ in members[:3]]
         self.all("introduce", [blob for _, _, blob in members], ports)
 
@@ -117,7 +119,10 @@
         self.each("crash", [(ids_by_index[i],) for i in range(len(self.pipes))])
 
     def start(self, count: int) -> None:
-        """Starts new members at once."""
+        """Starts new members at once, with seeds that still run."""
+        running = [key for key in self.port_by_id if key in self.index_by_id]
+        seeds = [self.port_by_id[member_id] for member_id in running[:3]]
+        self.all("use_seeds", seeds)
         size = len(self.pipes)
         numbers = range(self.next_number, self.next_number + count)
         self.next_number += count
--- a/src/celeryfield/internal/membership/joining.py
+++ b/src/celeryfield/internal/membership/joining.py
@@ -22,6 +22,8 @@
 # Probe intervals between contacts with seeds of a node that knows nobody.
 ALONE_TICKS = 2
 MAX_SEEDS = 3
+# A node has joined after this many exchanges in a row without news.
+FRUITLESS_EXCHANGES = 3
 # An exchange that brought news is repeated after this share of an interval.
 REPEAT_SHARE = 0.05
 
@@ -41,7 +43,7 @@
         spawn: Starts a task that ends with the service.
 
     Attributes:
-        is_synced: Whether an exchange brought nothing new.
+        is_synced: Whether exchanges brought nothing new.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         self._spawn = spawn
         self._tick = rng.randrange(SEED_TICKS)
         self._is_repeating = False
+        self._fruitless = 0
         self.is_synced = False
 
     def run_tick(self) -> None:
@@ -102,17 +105,27 @@
         if not self._table.active_ids:
             self._introduce([endpoint])
 
-    def on_summary(self, brought_news: bool) -> None:
-        """Notes whether the other member had newer records."""
-        if not brought_news:
+    def on_summary(self, brought_news: bool, is_equal: bool) -> None:
+        """Notes whether the other member had newer records.
+
+        A summary covers only some of the buckets that differ, so one without
+        news does not show that nothing is missing.
+        """
+        if brought_news:
+            self._fruitless = 0
+            return
+        self._fruitless += 1
+        if is_equal or self._fruitless >= FRUITLESS_EXCHANGES:
             self.is_synced = True
+        self._repeat()
 
     def on_new_records(self) -> None:
-        """Compares again soon; one summary covers only a few buckets.
+        """Compares again soon; one summary covers only a few buckets."""
+        self._repeat()
 
-        A node that has joined leaves the rest to the next exchange, or it
-        would compare without end while many members change.
-        """
+    def _repeat(self) -> None:
+        # A node that has joined leaves the rest to the next exchange, or it
+        # would compare without end while many members change.
         if not self._is_repeating and not self.is_synced:
             self._is_repeating = True
             self._spawn(self._compare_again())
--- a/src/celeryfield/internal/membership/repair.py
+++ b/src/celeryfield/internal/membership/repair.py
@@ -38,7 +38,7 @@
         refused: The refused requests.
         courier: Sends messages.
         on_compared: Called after an exchange with whether the other member
-            had newer records.
+            had newer records, and whether all buckets were equal.
     """
 
     def __init__(
@@ -47,7 +47,7 @@
         table: MemberTable,
         refused: RefusedRequests,
         courier: Courier,
-        on_compared: Callable[[bool], None],
+        on_compared: Callable[[bool, bool], None],
     ) -> None:
         self._rng = rng
         self._table = table
@@ -145,7 +145,7 @@
                 kind=Kind.WANT, wanted_hashes=tuple(wanted)
             )
             self._courier.send(request, [endpoint], with_changes=False)
-        self._on_compared(bool(wanted))
+        self._on_compared(bool(wanted), not message.buckets)
 
     def _is_newer_there(self, entry: gossip.RecordVersion) -> bool:
         member = self._table.member_by_hash(entry.id_hash)
--- a/src/celeryfield/internal/membership/service.py
+++ b/src/celeryfield/internal/membership/service.py
@@ -137,7 +137,7 @@
             self._table,
             self._refused,
             courier,
-            lambda news: self._joining.on_summary(news),
+            lambda *ends: self._joining.on_summary(*ends),
         )
         self._joining = Joining(
             settings,
