Keep benchmark fleets apart by a secret each

Cause: fleets that ran at the same time took over each other's freed ports and merged; runs of 30 and 300 members were spoilt by it. Change: each fleet of the membership benchmark has its own gossip secret. Conclusion: several runs can share the loopback interface.

--- a/bench/members.py
+++ b/bench/members.py
@@ -15,6 +15,7 @@
 from celeryfield.internal.schema.settings import (
     IdentitySettings,
     ListenSettings,
+    MembershipSettings,
     NodeSettings,
 )
 
@@ -34,6 +35,7 @@
         self.clock = Clock()
         self.members_by_id: dict[str, Membership] = {}
         self.seed_ports: list[int] = []
+        self.secret_file = ""
         self.counts: collections.Counter[str] = collections.Counter()
         self.ack_ms: list[float] = []
         self.lag_ms: list[float] = []
@@ -61,6 +63,7 @@
                 region=f"region-{zone % REGIONS}",
             ),
             listen=ListenSettings(peer_port=0),
+            membership=MembershipSettings(secret_file=self.secret_file),
         )
         rng = random.Random(number)
         member = Membership(settings, self.clock, rng, self._seeds)
@@ -124,6 +127,10 @@
             await asyncio.sleep(0)
         self.seed_ports = ports
 
+    async def use_secret(self, path: str) -> None:
+        """Sets the file of the secret of all members."""
+        self.secret_file = path
+
     async def use_seeds(self, ports: list[int]) -> None:
         """Sets the seeds of members that start later."""
         self.seed_ports = ports
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -19,8 +19,10 @@
 import multiprocessing
 import os
 import random
+import secrets
 import signal
 import statistics
+import tempfile
 import time
 
 from bench.members import ZONES, run_worker
@@ -43,6 +45,11 @@
             worker.start()
             self.pipes.append(pipe)
             self.workers.append(worker)
+        # Keeps fleets apart that run at the same time: ports are used again.
+        handle, self.secret_file = tempfile.mkstemp()
+        os.write(handle, secrets.token_hex(32).encode())
+        os.close(handle)
+        self.all("use_secret", self.secret_file)
         self.next_number = count
         self.index_by_id: dict[str, int] = {}
         self.port_by_id: dict[str, int] = {}
@@ -171,6 +178,7 @@
 
     def stop(self) -> None:
         """Ends all workers."""
+        os.unlink(self.secret_file)
         for pipe in self.pipes:
             pipe.send(None)
         for worker in self.workers:
