--- a/src/celeryfield/internal/schema/wire.py
+++ b/src/celeryfield/internal/schema/wire.py
@@ -260,7 +260,9 @@
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.TenantLevel.from_bytes(data) as reader:
+            with _schema.TenantLevel.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
             message = "malformed TenantLevel message"
