Say in the status that nothing is shed

Cause: an idle service was shown as shedding priorities below 0.00. Change: wording for level 0. Conclusion: none.

--- a/src/celeryfield/cli/status.py
+++ b/src/celeryfield/cli/status.py
@@ -67,7 +67,8 @@
         f"{local.connections} connections"
     )
     for service, level in sorted(local.levels.items()):
-        yield f"{service} sheds priorities below {level / 128:.2f}"
+        limit = f"priorities below {level / 128:.2f}" if level else "nothing"
+        yield f"{service} sheds {limit}"
     yield from _table(_CLASS_TITLES, _class_rows(answer))
     yield f"members: {_counts(member.state for member in answer.members)}"
     by_service = collections.defaultdict(list)
