--- a/src/celeryfield/internal/admin/inforce.py
+++ b/src/celeryfield/internal/admin/inforce.py
@@ -40,8 +40,9 @@
 class InForceCounter:
     """Combines what gossip tells with direct questions.
 
-    Versions of a member never go back, so a member that gossip shows to have
-    a version is not asked again.
+    A member that gossip shows to have a version is not asked again: versions
+    never go back, and a member that restarts is not ready before it has
+    fetched the newest sets.
 
     Args:
         membership: Knows the members and asks them.
@@ -82,14 +83,20 @@
         try:
             async with asyncio.timeout(MAX_INQUIRY_S):
                 await self._ask(sample, inquiry)
-                having = sum(self._has(inquiry, member) for member in sample)
-                if 2 * having >= len(sample):
+                if self._is_spread(inquiry):
                     await self._ask(rest, inquiry)
         except TimeoutError:
             # Members without an answer so far are counted as unknown.
             pass
         return self._summarise(inquiry)
 
+    @staticmethod
+    def _is_spread(inquiry: _Inquiry) -> bool:
+        """Tells whether at least half of those that answered have it."""
+        answers = inquiry.answers_by_id.values()
+        having = sum(version >= inquiry.version for version in answers)
+        return 2 * having >= len(answers)
+
     def _members(self) -> list[Member]:
         return [
             member
--- a/src/celeryfield/internal/dispatch/dispatcher.py
+++ b/src/celeryfield/internal/dispatch/dispatcher.py
@@ -15,6 +15,8 @@
 
 # Less time than this cannot cover one round trip to the upstream.
 MINIMUM_TIMEOUT_MS = 1.0
+# A crash ends answers that have begun as well as those that have not.
+CUT_REASONS = frozenset((Reason.CONNECTION_LOST, Reason.TRUNCATED))
 
 
 class Dispatcher:
@@ -72,11 +74,11 @@
     async def _run_permitted(
         self, call: wire.Call, body: bytes, state: RunState, timeout_ms: float
     ) -> tuple[CallResult, RunEnd]:
-        span_id = self._chains.open(
-            dataclasses.replace(call, deadline_left_ms=timeout_ms)
-        )
+        # The call was decoded or copied for this attempt alone.
+        call.deadline_left_ms = timeout_ms
+        span_id = self._chains.open(call)
         traceparent = self._chains.traceparent(span_id)
-        chain = self._chains.find(traceparent)
+        chain = self._chains.chain_of(span_id)
         started_ms = self._clock.now_ms()
         state.started = True
         unused = 0
@@ -103,6 +105,7 @@
             # Waiting calls must not start on the dead upstream when the
             # permits of the crashed ones are released.
             self._on_crash()
+            result.reason = Reason.UPSTREAM_CRASHED
         return result, RunEnd(service_ms, kind)
 
     async def _end_kind(self, result: CallResult) -> EndKind:
@@ -112,9 +115,7 @@
             return EndKind.SHED
         if result.reason is Reason.DEADLINE:
             return EndKind.CANCELLED
-        if result.reason is Reason.CONNECTION_LOST and (
-            not await self._is_accepting()
-        ):
+        if result.reason in CUT_REASONS and not await self._is_accepting():
             return EndKind.CRASHED
         return EndKind.ERROR
 
--- a/src/celeryfield/internal/gateway.py
+++ b/src/celeryfield/internal/gateway.py
@@ -12,7 +12,7 @@
 )
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
-from celeryfield.internal.idempotency.keys import KeyOwner
+from celeryfield.internal.idempotency.keys import KeyOwner, LedgerError
 from celeryfield.internal.idempotency.ledger import KeyLedger
 from celeryfield.internal.routing.executor import CallExecutor
 from celeryfield.internal.schema import wire
@@ -130,19 +130,37 @@
                 break
             if candidate is None:
                 continue
+            # The owner may still hold the previous request; its transport
+            # would refuse another one with the same call id.
             request = dataclasses.replace(
-                call, to_key_owner=True, deadline_left_ms=left_ms
+                call,
+                call_id=f"{call.call_id}.{attempt}",
+                to_key_owner=True,
+                deadline_left_ms=left_ms,
             )
             result = await self._pool.send(candidate, request, body)
-            if result.reason not in _ASK_AGAIN:
+            if result.reason in _ASK_AGAIN:
+                continue
+            is_of_owner = result.load is not None
+            if is_of_owner or result.outcome is not Outcome.NOT_RUN:
                 return result
         # Not even "unreachable" means "not run" here: an earlier request with
         # this key may have run at the owner.
         return _key_unknown()
 
+    def issue_keys(self, count: int) -> list[str]:
+        """Returns fresh keys, or none if this node is stopping."""
+        try:
+            return self._ledger.issue_many(count)
+        except LedgerError:
+            return []
+
     def _with_fresh_key(self) -> CallResult:
+        keys = self.issue_keys(1)
+        if not keys:
+            return not_run(Reason.DRAINING)
         result = not_run(Reason.KEY_REQUIRED, KEY_REQUIRED_STATUS)
-        key = wire.Header(headers.IDEMPOTENCY_KEY, self._ledger.issue())
+        key = wire.Header(headers.IDEMPOTENCY_KEY, keys[0])
         return dataclasses.replace(result, headers=(key,))
 
 
--- a/src/celeryfield/internal/membership/joining.py
+++ b/src/celeryfield/internal/membership/joining.py
@@ -22,6 +22,8 @@
 # Probe intervals between contacts with seeds of a node that knows nobody.
 ALONE_TICKS = 2
 MAX_SEEDS = 3
+# A node has joined after this many exchanges in a row without news.
+FRUITLESS_EXCHANGES = 3
 # An exchange that brought news is repeated after this share of an interval.
 REPEAT_SHARE = 0.05
 
@@ -41,7 +43,7 @@
         spawn: Starts a task that ends with the service.
 
     Attributes:
-        is_synced: Whether an exchange brought nothing new.
+        is_synced: Whether exchanges brought nothing new.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         self._spawn = spawn
         self._tick = rng.randrange(SEED_TICKS)
         self._is_repeating = False
+        self._fruitless = 0
         self.is_synced = False
 
     def run_tick(self) -> None:
@@ -73,7 +76,7 @@
         is_alone = not self._table.active_ids
         if self._tick % (ALONE_TICKS if is_alone else SEED_TICKS) == 0:
             self._spawn(self.contact_seeds())
-        if self._tick % COMPARE_TICKS == 0:
+        if self._tick % COMPARE_TICKS == 0 or not self.is_synced:
             chosen = self._table.sample_active(self._rng, 1)
             self._repair.send_digest([member.endpoint for member in chosen])
 
@@ -88,20 +91,48 @@
         endpoints = [(seed.address, seed.port) for seed in seeds]
         others = [entry for entry in endpoints if entry != local.endpoint]
         chosen = self._rng.sample(others, min(MAX_SEEDS, len(others)))
-        self._repair.send_digest(chosen, self._table.delta_of(local))
+        self._introduce(chosen)
 
-    def on_summary(self, brought_news: bool) -> None:
-        """Notes whether the other member had newer records."""
-        if not brought_news:
+    def _introduce(self, endpoints: list[Endpoint]) -> None:
+        local = self._table.members_by_id[self._node.id]
+        self._repair.send_digest(endpoints, self._table.delta_of(local))
+
+    def on_ping(self, endpoint: Endpoint) -> None:
+        """Joins through any member that pings while no other is known.
+
+        The ping may be meant for an earlier node at this address.
+        """
+        if not self._table.active_ids:
+            self._introduce([endpoint])
+
+    def on_summary(self, brought_news: bool, is_equal: bool) -> None:
+        """Notes whether the other member had newer records.
+
+        A summary covers only some of the buckets that differ, so one without
+        news does not show that nothing is missing.
+        """
+        if brought_news:
+            self._fruitless = 0
+            return
+        self._fruitless += 1
+        if is_equal or self._fruitless >= FRUITLESS_EXCHANGES:
             self.is_synced = True
+        self._repeat()
 
-    def on_new_records(self, endpoint: Endpoint) -> None:
+    def on_new_records(self) -> None:
         """Compares again soon; one summary covers only a few buckets."""
-        if not self._is_repeating:
+        self._repeat()
+
+    def _repeat(self) -> None:
+        # A node that has joined leaves the rest to the next exchange, or it
+        # would compare without end while many members change.
+        if not self._is_repeating and not self.is_synced:
             self._is_repeating = True
-            self._spawn(self._compare_again(endpoint))
+            self._spawn(self._compare_again())
 
-    async def _compare_again(self, endpoint: Endpoint) -> None:
+    async def _compare_again(self) -> None:
         await self._clock.sleep_ms(REPEAT_SHARE * self._interval_ms)
         self._is_repeating = False
-        self._repair.send_digest([endpoint])
+        # Each time another member, since each answers a bounded number.
+        chosen = self._table.sample_active(self._rng, 1)
+        self._repair.send_digest([member.endpoint for member in chosen])
--- a/src/celeryfield/internal/membership/repair.py
+++ b/src/celeryfield/internal/membership/repair.py
@@ -22,8 +22,11 @@
 MAX_SUMMARY_ENTRIES = 45
 MAX_SUSPECTS = 20
 MAX_RECORD_MESSAGES = 8
-# Bounds what joining nodes can ask of one member in one probe interval.
-MESSAGES_PER_INTERVAL = 64
+# Answers per probe interval (4.2 KB), so that repairs and pushes together stay
+# below 15 KB/s while many members change.
+MESSAGES_PER_INTERVAL = 3
+# Answers that are saved up for a joining node, which asks several members.
+MAX_MESSAGES_SAVED = 48
 
 
 class Repair:
@@ -35,7 +38,7 @@
         refused: The refused requests.
         courier: Sends messages.
         on_compared: Called after an exchange with whether the other member
-            had newer records.
+            had newer records, and whether all buckets were equal.
     """
 
     def __init__(
@@ -44,22 +47,26 @@
         table: MemberTable,
         refused: RefusedRequests,
         courier: Courier,
-        on_compared: Callable[[bool], None],
+        on_compared: Callable[[bool, bool], None],
     ) -> None:
         self._rng = rng
         self._table = table
         self._refused = refused
         self._courier = courier
         self._on_compared = on_compared
-        self._messages_left = MESSAGES_PER_INTERVAL
+        self._messages_left = MAX_MESSAGES_SAVED
 
     def refill(self) -> None:
         """Starts a new interval of the message budget."""
-        self._messages_left = MESSAGES_PER_INTERVAL
+        self._messages_left = min(
+            self._messages_left + MESSAGES_PER_INTERVAL, MAX_MESSAGES_SAVED
+        )
 
     def _spend(self) -> bool:
+        if self._messages_left == 0:
+            return False
         self._messages_left -= 1
-        return self._messages_left >= 0
+        return True
 
     def send_digest(
         self, endpoints: list[Endpoint], own_record: gossip.Delta | None = None
@@ -138,7 +145,7 @@
                 kind=Kind.WANT, wanted_hashes=tuple(wanted)
             )
             self._courier.send(request, [endpoint], with_changes=False)
-        self._on_compared(bool(wanted))
+        self._on_compared(bool(wanted), not message.buckets)
 
     def _is_newer_there(self, entry: gossip.RecordVersion) -> bool:
         member = self._table.member_by_hash(entry.id_hash)
--- a/src/celeryfield/internal/membership/service.py
+++ b/src/celeryfield/internal/membership/service.py
@@ -1,9 +1,7 @@
 """The membership service of one node."""
 
-import logging
-import math
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 
 import mode
 from expression import Result
@@ -43,12 +41,11 @@
 from celeryfield.internal.schema import gossip
 from celeryfield.internal.schema.settings import NodeSettings
 
+DEPARTING_STATES = (MemberState.LEAVING, MemberState.LEFT)
 EXPIRE_TICKS = 10
 LEAVE_PUSHES = 3
 LEAVE_GAP_SHARE = 0.1
 
-logger = logging.getLogger(__name__)
-
 
 class Membership(mode.Service):
     """Knows all nodes of the fleet by gossip.
@@ -81,17 +78,16 @@
         self._interval_ms = settings.membership.probe_interval_ms
         self.port = 0
         self._tick = 0
-        self._raised_ms = -math.inf
         self._build()
 
     def _build(self) -> None:
         settings, clock = self._settings, self._clock
         self._table = MemberTable(settings, clock, self._on_own_record)
-        self._local = LocalRecord(settings.node, self._table)
+        self._local = LocalRecord(settings, clock, self._table)
         self._refused = RefusedRequests(settings.dispatch, clock)
         self._tracker = VersionTracker()
         self._deltas: Outbox[str, gossip.Delta] = Outbox(
-            self._delta_of, delta_bytes
+            self._delta_of, delta_bytes, self._is_departing
         )
         self._courier = Courier(
             settings.node.id,
@@ -126,7 +122,7 @@
             self._table,
             courier,
             lambda member_id: self._inbox.mark_changed(member_id),
-            self.add_future,
+            self._spawn,
         )
         self._exchange = ConfigExchange(
             settings.membership,
@@ -134,14 +130,14 @@
             self._tracker,
             courier,
             self._detector.next_sequence,
-            self.add_future,
+            self._spawn,
         )
         self._repair = Repair(
             rng,
             self._table,
             self._refused,
             courier,
-            lambda news: self._joining.on_summary(news),
+            lambda *ends: self._joining.on_summary(*ends),
         )
         self._joining = Joining(
             settings,
@@ -150,7 +146,7 @@
             self._seeds,
             self._table,
             self._repair,
-            self.add_future,
+            self._spawn,
         )
         self._spreader = Spreader(
             settings.membership,
@@ -159,7 +155,7 @@
             self._table,
             courier,
             (self._deltas, self._tracker.outbox, self._refused.outbox),
-            self.add_future,
+            self._spawn,
         )
         self._inbox = Inbox(
             self._table,
@@ -170,6 +166,12 @@
             self._spreader,
         )
 
+    def _spawn(self, work: Coroutine) -> None:
+        """Starts a task that ends with the service."""
+        task = self.add_future(work)
+        # A task that is cancelled before its first step never awaits its work.
+        task.add_done_callback(lambda _: work.close())
+
     @property
     def members_by_id(self) -> Mapping[str, Member]:
         """All known members, this node included."""
@@ -217,7 +219,8 @@
         if not self._local.incarnation:
             return
         self._inbox.mark_changed(self._settings.node.id)
-        self._spreader.push_now()
+        # A node that leaves has no later chance to send its record.
+        self._spreader.push_now(is_urgent=self._local.is_leaving)
 
     def set_config_versions(self, versions_by_team: Mapping[str, int]) -> None:
         """Publishes the versions of the file sets in force."""
@@ -306,12 +309,13 @@
         if handler is not None:
             handler(message, endpoint)
         if has_news and message.kind == Kind.RECORDS:
-            self._joining.on_new_records(endpoint)
+            self._joining.on_new_records()
 
     def _on_ping(
         self, message: gossip.GossipMessage, endpoint: Endpoint
     ) -> None:
         local_id = self._settings.node.id
+        self._joining.on_ping(endpoint)
         if message.target_id != local_id:
             return
         answer = gossip.GossipMessage(
@@ -326,23 +330,13 @@
     def _on_own_record(
         self, record: gossip.MemberRecord, health: Health
     ) -> None:
-        now_ms = self._clock.now_ms()
-        if record.incarnation > self._local.incarnation:
-            # Two nodes with one id would otherwise raise in turns at full
-            # speed.
-            if now_ms < self._raised_ms + self._interval_ms:
-                return
-            self._raised_ms = now_ms
-            logger.warning(
-                "member %s has incarnation %d elsewhere; raising the own one "
-                "from %d; make sure that node ids are unique",
-                record.id,
-                record.incarnation,
-                self._local.incarnation,
-            )
         if self._local.refute(record, health):
             self._inbox.mark_changed(record.id)
 
+    def _is_departing(self, member_id: str) -> bool:
+        member = self._table.members_by_id.get(member_id)
+        return member is not None and member.state in DEPARTING_STATES
+
     def _delta_of(self, member_id: str) -> gossip.Delta | None:
         member = self._table.members_by_id.get(member_id)
         return None if member is None else self._table.delta_of(member)
--- a/src/celeryfield/internal/routing/hedging.py
+++ b/src/celeryfield/internal/routing/hedging.py
@@ -96,7 +96,7 @@
             is_urgent: The candidate is a straggler or the attempt is stuck,
                 so the hedge may use the reserve.
         """
-        if self._levels.level_for(call.service, call.class_name) > 0:
+        if self._levels.is_overloaded(call.service, call.class_name):
             return False
         budget = self._budgets_by_key[call.service, call.class_name]
         return budget.try_take(0.0 if is_urgent else STRAGGLER_RESERVE)
--- a/src/celeryfield/internal/schema/wire.py
+++ b/src/celeryfield/internal/schema/wire.py
@@ -6,7 +6,7 @@
 
 import capnp
 
-from celeryfield.internal.schema.base import MessageError
+from celeryfield.internal.schema.base import MessageError, read_limit
 
 _DIRECTORY = pathlib.Path(__file__).parent
 _PATH = _DIRECTORY / "wire.capnp"
@@ -47,7 +47,9 @@
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.Header.from_bytes(data) as reader:
+            with _schema.Header.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
             message = "malformed Header message"
@@ -98,7 +100,9 @@
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.Hello.from_bytes(data) as reader:
+            with _schema.Hello.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
             message = "malformed Hello message"
@@ -209,13 +213,62 @@
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.Call.from_bytes(data) as reader:
+            with _schema.Call.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
             message = "malformed Call message"
             raise MessageError(message) from error
 
 
+@dataclasses.dataclass(slots=True)
+class TenantLevel:
+    """Admission level of one tenant.
+
+    Attributes:
+        level: Lowest admitted rank, a priority scaled by 128.
+    """
+
+    tenant: str = ""
+    level: int = 0
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.tenant = self.tenant
+        builder.level = self.level
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.TenantLevel.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "TenantLevel":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.tenant,
+            reader.level,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "TenantLevel":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.TenantLevel.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed TenantLevel message"
+            raise MessageError(message) from error
+
+
 @dataclasses.dataclass(slots=True)
 class ServiceLevel:
     """Admission level of one service.
@@ -223,17 +276,23 @@
     Attributes:
         level: Lowest admitted priority, scaled by 128.
         age_ms: Time since the service itself reported the level. Unit: ms.
+        heavy_tenants: Tenants above their share, with levels in place of the plain one.
     """
 
     service: str = ""
     level: int = 0
     age_ms: int = 0
+    heavy_tenants: tuple[TenantLevel, ...] = ()
 
     def fill(self, builder: Any) -> None:
         """Copies the fields into a message builder."""
         builder.service = self.service
         builder.level = self.level
         builder.ageMs = self.age_ms
+        if self.heavy_tenants:
+            items = builder.init("heavyTenants", len(self.heavy_tenants))
+            for index, item in enumerate(self.heavy_tenants):
+                item.fill(items[index])
 
     def encode(self) -> bytes:
         """Returns the message as bytes."""
@@ -248,6 +307,7 @@
             reader.service,
             reader.level,
             reader.ageMs,
+            tuple([TenantLevel.read(item) for item in reader.heavyTenants]),
         )
 
     @classmethod
@@ -258,7 +318,9 @@
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.ServiceLevel.from_bytes(data) as reader:
+            with _schema.ServiceLevel.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
             message = "malformed ServiceLevel message"
@@ -316,7 +378,9 @@
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.LoadReport.from_bytes(data) as reader:
+            with _schema.LoadReport.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
             message = "malformed LoadReport message"
@@ -387,7 +451,9 @@
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.Reply.from_bytes(data) as reader:
+            with _schema.Reply.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
             message = "malformed Reply message"
@@ -432,7 +498,9 @@
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.Cancel.from_bytes(data) as reader:
+            with _schema.Cancel.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
             message = "malformed Cancel message"
@@ -473,7 +541,9 @@
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.CancelResult.from_bytes(data) as reader:
+            with _schema.CancelResult.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
             message = "malformed CancelResult message"
@@ -511,7 +581,9 @@
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.FetchConfig.from_bytes(data) as reader:
+            with _schema.FetchConfig.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
             message = "malformed FetchConfig message"
@@ -557,7 +629,9 @@
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.Drain.from_bytes(data) as reader:
+            with _schema.Drain.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
             message = "malformed Drain message"
@@ -598,7 +672,9 @@
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.FileEntry.from_bytes(data) as reader:
+            with _schema.FileEntry.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
             message = "malformed FileEntry message"
@@ -647,7 +723,9 @@
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.NameClaim.from_bytes(data) as reader:
+            with _schema.NameClaim.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
             message = "malformed NameClaim message"
@@ -688,7 +766,9 @@
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.WriteRecord.from_bytes(data) as reader:
+            with _schema.WriteRecord.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
             message = "malformed WriteRecord message"
@@ -764,7 +844,9 @@
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.FileSet.from_bytes(data) as reader:
+            with _schema.FileSet.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
             message = "malformed FileSet message"
@@ -808,7 +890,9 @@
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.FileSetHistory.from_bytes(data) as reader:
+            with _schema.FileSetHistory.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
             message = "malformed FileSetHistory message"
@@ -867,7 +951,9 @@
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.LeaseRecord.from_bytes(data) as reader:
+            with _schema.LeaseRecord.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
             message = "malformed LeaseRecord message"
--- a/tests/cover/test_transport.py
+++ b/tests/cover/test_transport.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import socket
 
 import pytest
@@ -10,6 +11,7 @@
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.schema import settings as settings_schema
 from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.base import MessageError
 from celeryfield.internal.transport import frames, server
 from celeryfield.internal.transport.pool import PeerPool
 from celeryfield.internal.transport.server import PeerServer
@@ -27,17 +29,16 @@
     )
 
 
+def make_server(settings, handle_call):
+    hello = wire.Hello(1, "server", INCARNATION)
+    return PeerServer(settings, Clock(), hello, handle_call, {})
+
+
 @contextlib.asynccontextmanager
 async def serving(handle_call, **routing):
     settings = make_settings(**routing)
     clock = Clock()
-    server = PeerServer(
-        settings,
-        clock,
-        wire.Hello(1, "server", INCARNATION),
-        handle_call,
-        {},
-    )
+    server = make_server(settings, handle_call)
     port = await server.start()
     pool = PeerPool(settings, clock, wire.Hello(1, "client", 1))
     candidate = Candidate("server", INCARNATION, "127.0.0.1", port, "z1", "s")
@@ -216,3 +217,118 @@
         assert candidate.port != taken[0].getsockname()[1]
         assert is_free("127.0.0.1", candidate.port)
     taken[0].close()
+
+
+def test_message_that_unfolds_beyond_its_size_is_refused():
+    """Guards against a small frame that takes the node's memory."""
+    name = "x" * 40_000
+    call = wire.Call(headers=(wire.Header(name, "v"),) * 200)
+    builder = wire._schema.Call.new_message(num_first_segment_words=2_000_000)
+    call.fill(builder)
+    honest = builder.to_bytes()
+    assert wire.Call.decode(honest) == call
+    small = share_texts(honest, name)
+    assert len(small) < frames.MAX_HEADER_BYTES
+    with wire._schema.Call.from_bytes(small) as reader:
+        unfolded = wire.Call.read(reader)
+    assert sum(len(header.name) for header in unfolded.headers) == 8_000_000
+    with pytest.raises(MessageError):
+        wire.Call.decode(small)
+
+
+def share_texts(data, name):
+    """Points all header texts at the first name and cuts the rest off."""
+    words = bytearray(data)
+    count = len(name) + 1
+    first = words.index(name.encode())
+    end = first + (count + 7) // 8 * 8
+    for offset in range(8, first, 8):
+        pointer = int.from_bytes(words[offset : offset + 8], "little")
+        is_text = pointer & 3 == 1 and pointer >> 32 & 7 == 2
+        if not is_text:
+            continue
+        target = offset + 8 + (pointer >> 2 & 0x3FFFFFFF) * 8
+        pointer = 0
+        if target >= first:
+            distance = (first - offset - 8) // 8
+            pointer = distance << 2 | 1 | 2 << 32 | count << 35
+        words[offset : offset + 8] = pointer.to_bytes(8, "little")
+    words[4:8] = ((end - 8) // 8).to_bytes(4, "little")
+    return bytes(words[:end])
+
+
+async def exchange(port, *sent, answers):
+    """Sends frames in one segment; returns answers by stream id."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    hello = (frames.Kind.HELLO, 0, wire.Hello(1, "client", 1).encode())
+    writer.write(
+        b"".join(frames.encode_frame(*frame) for frame in (hello, *sent))
+    )
+    parser = frames.FrameParser()
+    found = {}
+    while len(found) <= answers:
+        for frame in parser.feed(await reader.read(65_536)):
+            found[frame.stream_id] = frame
+    writer.close()
+    return found
+
+
+async def test_call_cancelled_before_its_first_step_does_not_stay_running():
+    """Guards against a graceful stop that waits for such a call forever."""
+
+    async def handle(call, body, state):
+        return CallResult(Outcome.OK)
+
+    server = make_server(make_settings(), handle)
+    found = await exchange(
+        await server.start(),
+        (frames.Kind.CALL, 1, make_call().encode()),
+        (frames.Kind.CANCEL, 2, wire.Cancel("c1", abort=True).encode()),
+        answers=1,
+    )
+    await asyncio.sleep(0.01)
+    running_count = server.running_count
+    await server.stop()
+    assert not wire.CancelResult.decode(found[2].header).started
+    assert running_count == 0
+
+
+async def test_second_frame_of_a_running_call_is_not_told_not_run():
+    """Guards against "not run" for a call that starts afterwards."""
+    release = asyncio.Event()
+
+    async def handle(call, body, state):
+        await release.wait()
+        return CallResult(Outcome.OK)
+
+    server = make_server(make_settings(), handle)
+    call = make_call().encode()
+    found = await exchange(
+        await server.start(),
+        (frames.Kind.CALL, 1, call),
+        (frames.Kind.CALL, 2, call),
+        answers=1,
+    )
+    release.set()
+    await server.stop()
+    assert wire.Reply.decode(found[2].header).outcome == Outcome.UNKNOWN
+
+
+async def test_connection_that_fails_after_its_caller_gave_up_is_no_error():
+    """Guards against error logs for callers that are merely impatient."""
+    problems = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _, context: problems.append(context)
+    )
+    pool = PeerPool(make_settings(), Clock(), wire.Hello(1, "client", 1))
+    unreachable = Candidate("gone", INCARNATION, "127.0.0.1", 1, "z1", "s")
+    sending = asyncio.ensure_future(pool.send(unreachable, make_call(), b""))
+    await asyncio.sleep(0)
+    sending.cancel()
+    await asyncio.wait([sending])
+    await asyncio.sleep(0.05)
+    # The traceback of the cancelled task would keep the failed one alive.
+    del sending
+    gc.collect()
+    pool.close()
+    assert problems == []
--- a/tests/history/test_checker.py
+++ b/tests/history/test_checker.py
@@ -6,12 +6,15 @@
     AnswerReceived,
     AttemptsCounted,
     CallSent,
+    ConfigAccepted,
+    ConfigInForce,
     ConfigVersionSeen,
     ExecutionFinished,
     ExecutionStarted,
     FaultInjected,
     PlannedStop,
     ProcessExited,
+    UpstreamCrashed,
     UpstreamDrained,
     check_history,
 )
@@ -36,6 +39,15 @@
     ConfigVersionSeen(30, "n1", "team", 3),
     ConfigVersionSeen(31, "n2", "team", 2),
     ConfigVersionSeen(32, "n1", "team", 3),
+    ConfigAccepted(29, "team", 1, 3),
+    ConfigAccepted(33, "team", 4, 5),
+    ConfigInForce(9_000, "n1", "team", 6, 6),
+    # The second crash is followed by a run within the time of the gossip.
+    ExecutionStarted(34, "x1", "u4", "crash"),
+    UpstreamCrashed(35, "x1"),
+    ExecutionStarted(36, "x2", "u2", "crash"),
+    UpstreamCrashed(37, "x2"),
+    ExecutionStarted(5_037, "x3", "u3", "crash"),
     AttemptsCounted(40, "r1", 2, 2),
     AttemptsCounted(41, "r1", 1, 2),
     CallSent(100, "c4", "n1", "read"),
@@ -94,6 +106,21 @@
     ("answers", [*VALID, ok(2_250, "c4", "read")]),
     ("answers", [*VALID, ok(2_250, "c9", "read")]),
     ("config-versions", [*VALID, ConfigVersionSeen(33, "n1", "team", 2)]),
+    ("accepted-versions", [*VALID, ConfigAccepted(34, "team", 4, 6)]),
+    ("accepted-versions", [*VALID, ConfigInForce(9_001, "n2", "team", 5, 6)]),
+    ("accepted-versions", [*VALID, ConfigAccepted(34, "team", 6, 7)]),
+    (
+        "suspects",
+        [
+            *VALID,
+            *(
+                ExecutionStarted(38, f"y{i}", "u5", "b", "", "c9")
+                for i in "123"
+            ),
+            *(UpstreamCrashed(39, f"y{i}") for i in "123"),
+        ],
+    ),
+    ("suspects", [*VALID, ExecutionStarted(5_038, "x4", "u4", "crash")]),
     ("attempts", [*VALID, AttemptsCounted(42, "r1", 1, 2)]),
     (
         "drained",
