Charge all gossip of a member to the budget of its pushes

Cause: after a mass failure pings, indirect probes and answers are full of changes too, so that pushes of 6 KB per interval came on top of them. Change: a push waits until all that was sent since the last one is made up for at 9 KB per interval, with a burst and an overdraft for leaves of 18 KB each; indirect probes carry no changes.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -105,7 +105,7 @@
         first = self.all("read")
         started_s = time.monotonic()
         joins_s = []
-        for number in range(int(seconds * rate_per_s)):
+        for number in range(max(int(seconds * rate_per_s), 1)):
             joins_s.append(self.replace_one())
             due_s = started_s + (number + 1) / rate_per_s
             time.sleep(max(due_s - time.monotonic(), 0.0))
--- a/src/celeryfield/internal/membership/detector.py
+++ b/src/celeryfield/internal/membership/detector.py
@@ -161,13 +161,15 @@
         self._ping(target, probe.sequence)
         return probe
 
-    def _ping(self, target: Member, sequence: int) -> None:
+    def _ping(
+        self, target: Member, sequence: int, with_changes: bool = True
+    ) -> None:
         message = gossip.GossipMessage(
             kind=Kind.PING, sequence=sequence, target_id=target.id
         )
         if target.health is not Health.HEALTHY:
             message.deltas = (self._table.delta_of(target),)
-        self._courier.send(message, [target.endpoint])
+        self._courier.send(message, [target.endpoint], with_changes)
 
     def _probe_gone(self) -> None:
         gone_ids = list(self._table.gone_ids)
@@ -176,8 +178,9 @@
             self._ping(member, self.next_sequence())
 
     def _ask_helpers(self, probe: Probe) -> None:
-        # One lost datagram is likelier than a failure.
-        self._ping(probe.target, probe.sequence)
+        # One lost datagram is likelier than a failure. Indirect probes carry no
+        # changes: after a mass failure they would fill all of them at once.
+        self._ping(probe.target, probe.sequence, with_changes=False)
         helpers = self._order.helpers_for(probe.target)
         probe.helpers = len(helpers)
         message = gossip.GossipMessage(
@@ -185,7 +188,8 @@
             sequence=probe.sequence,
             target_id=probe.target.id,
         )
-        self._courier.send(message, [helper.endpoint for helper in helpers])
+        endpoints = [helper.endpoint for helper in helpers]
+        self._courier.send(message, endpoints, with_changes=False)
 
     def on_ping_request(
         self, message: gossip.GossipMessage, endpoint: Endpoint
@@ -198,7 +202,7 @@
         self._relays_by_sequence[sequence] = Relay(
             endpoint, message.sequence, target.id
         )
-        self._ping(target, sequence)
+        self._ping(target, sequence, with_changes=False)
         self._spawn(self._refuse_late(sequence))
 
     async def _refuse_late(self, sequence: int) -> None:
@@ -213,7 +217,7 @@
         message = gossip.GossipMessage(
             kind=kind, sequence=relay.sequence, target_id=relay.target_id
         )
-        self._courier.send(message, [relay.endpoint])
+        self._courier.send(message, [relay.endpoint], with_changes=False)
 
     def on_ack(self, message: gossip.GossipMessage) -> None:
         """Takes the answer of a probed member, direct or through a helper."""
--- a/src/celeryfield/internal/membership/spread.py
+++ b/src/celeryfield/internal/membership/spread.py
@@ -15,14 +15,19 @@
 # At most one push per this share of the probe interval bounds the traffic
 # when many members change at once; piggybacking and digests carry the rest.
 GAP_SHARE = 0.2
-# Bytes of pushes per probe interval. With up to 4 KB of pings and acks that
-# are filled with changes, a node stays below 15 KB/s at 1 s per interval.
-PUSH_BYTES = 6_000
+# A push waits until all that was sent since the last one is made up for at this
+# many bytes per probe interval, which leaves a margin below 15 KB/s for
+# answers that cannot wait.
+PUSH_BYTES = 9_000
 # Saved up for a short burst, so that single changes spread at full speed.
-BURST_BYTES = 3 * PUSH_BYTES
+BURST_BYTES = 18_000
 # Members that leave may overdraw by as much, so that a leave is known within
 # 2 s while many members change.
-OVERDRAFT_BYTES = BURST_BYTES
+OVERDRAFT_BYTES = 18_000
+# A full push beyond the overdraft; more would hold up later changes.
+MAX_DEBT_BYTES = 24_000
+# IP and UDP header of a datagram.
+HEADER_BYTES = 28
 
 
 class Spreader:
@@ -50,6 +55,7 @@
         self._outboxes = outboxes
         self._spawn = spawn
         self._bytes_left = float(BURST_BYTES)
+        self._charged_bytes = 0
         self._charged_ms = 0.0
         self._is_scheduled = False
 
@@ -87,9 +93,8 @@
             return
         receivers = self._table.sample_active(self._rng, PUSH_FANOUT)
         message = gossip.GossipMessage(kind=Kind.PUSH)
-        sent_before = self._courier.counters.sent_bytes
         self._courier.send(message, [member.endpoint for member in receivers])
-        self._charge(self._courier.counters.sent_bytes - sent_before)
+        self._charge()
         if receivers and self._needs_push():
             self.push_soon()
 
@@ -104,10 +109,13 @@
         )
         return refilled_ms - self._clock.now_ms()
 
-    def _charge(self, sent_bytes: int) -> None:
-        """Takes what was sent from the bytes that are left."""
+    def _charge(self) -> None:
+        """Takes what was sent since the last push from the bytes left."""
         now_ms = self._clock.now_ms()
         saved = (now_ms - self._charged_ms) * PUSH_BYTES / self._interval_ms
-        left = min(self._bytes_left + saved, BURST_BYTES)
-        self._bytes_left = left - sent_bytes
+        counters = self._courier.counters
+        total = counters.sent_bytes + HEADER_BYTES * counters.sent_datagrams
+        left = self._bytes_left + saved - (total - self._charged_bytes)
+        self._bytes_left = max(min(left, BURST_BYTES), -MAX_DEBT_BYTES)
+        self._charged_bytes = total
         self._charged_ms = now_ms
