Stay quiet when the reader of the logs has gone

Change: handlers no longer report their own errors. Measured: not measured. Conclusion: a lost log reader costs nothing but the log.

--- a/src/celeryfield/internal/logs.py
+++ b/src/celeryfield/internal/logs.py
@@ -23,6 +23,9 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(settings.log.level.upper())
+    # A reader of standard output that went away must not cost a traceback per
+    # line; the metrics stay available.
+    logging.raiseExceptions = False
     # One line per HTTP request would cost more than routing it.
     logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
     logging.getLogger("mode").setLevel(logging.WARNING)
