Keep the kinds of answers beside the frame kinds

Cause: read-through: whether a frame is an answer was defined at the end of the connection module, functions stood between constants in the queue. Change: order and place only. Measured: tests of transport, dispatch and node calls pass. Conclusion: none.

--- a/src/celeryfield/internal/dispatch/queue.py
+++ b/src/celeryfield/internal/dispatch/queue.py
@@ -13,10 +13,12 @@
 
 WeightOf = Callable[[str], float]
 
-
-def any_priority(_priority: int) -> bool:
-    """Lets long jobs of every priority start."""
-    return True
+# Lower bound of tenant weights; keeps shares finite.
+MIN_WEIGHT = 0.001
+# Removed waiters stay in the expiry heap until it is this many times longer
+# than the queue.
+HEAP_SLACK = 4
+HEAP_MIN_REBUILD = 64
 
 
 def equal_weight(_tenant: str) -> float:
@@ -24,12 +26,9 @@
     return 1.0
 
 
-# Lower bound of tenant weights; keeps shares finite.
-MIN_WEIGHT = 0.001
-# Removed waiters stay in the expiry heap until it is this many times longer
-# than the queue.
-HEAP_SLACK = 4
-HEAP_MIN_REBUILD = 64
+def any_priority(_priority: int) -> bool:
+    """Lets long jobs of every priority start."""
+    return True
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/src/celeryfield/internal/transport/connection.py
+++ b/src/celeryfield/internal/transport/connection.py
@@ -16,10 +16,7 @@
 from celeryfield.internal.schema import wire
 from celeryfield.internal.schema.base import MessageError
 from celeryfield.internal.transport import frames
-from celeryfield.internal.transport.errors import (
-    ConnectionLostError,
-    TransportError,
-)
+from celeryfield.internal.transport.errors import ConnectionLostError
 from celeryfield.internal.transport.frames import Frame, Kind
 
 logger = logging.getLogger(__name__)
@@ -195,7 +192,7 @@
         elif frame.kind is Kind.PONG:
             return
         elif len(frame.payload) == frames.MAX_PAYLOAD_BYTES:
-            key = (frame.stream_id, _is_answer(frame.kind))
+            key = (frame.stream_id, frame.kind in frames.ANSWERS)
             self._assemblies_by_key[key] = _Assembly(frame)
         else:
             self._deliver(frame)
@@ -216,7 +213,7 @@
         self._deliver(assembly.frame)
 
     def _deliver(self, frame: Frame) -> None:
-        if not _is_answer(frame.kind):
+        if frame.kind not in frames.ANSWERS:
             self._receive(self, frame)
             return
         answer = self._answers_by_stream.get(frame.stream_id)
@@ -237,23 +234,6 @@
         self._on_close(self)
 
 
-def _is_answer(kind: Kind) -> bool:
-    return kind in _ANSWERS
-
-
 def _side(kind: Kind) -> bytes:
     """Tells body frames of an answer from those of a request."""
-    return b"a" if kind in _ANSWERS else b"r"
-
-
-_ANSWERS = frozenset(
-    (
-        Kind.REPLY,
-        Kind.CANCEL_RESULT,
-        Kind.CONFIG,
-        Kind.HANDOVER_RESULT,
-        Kind.DRAIN_RESULT,
-    )
-)
-
-__all__ = ["PeerConnection", "TransportError"]
+    return b"a" if kind in frames.ANSWERS else b"r"
--- a/src/celeryfield/internal/transport/frames.py
+++ b/src/celeryfield/internal/transport/frames.py
@@ -38,6 +38,16 @@
     DRAIN_RESULT = 15
 
 
+# Kinds that answer a request of the other end; their stream ids are its own.
+ANSWERS = frozenset(
+    (
+        Kind.REPLY,
+        Kind.CANCEL_RESULT,
+        Kind.CONFIG,
+        Kind.HANDOVER_RESULT,
+        Kind.DRAIN_RESULT,
+    )
+)
 _KINDS_BY_VALUE = {int(kind): kind for kind in Kind}
 
 
