Hand the ledger only to a member that answers

A node without configuration answered 404 no-route. Conclusion: keys survive a planned stop beside a crash.

--- a/src/celeryfield/internal/calls.py
+++ b/src/celeryfield/internal/calls.py
@@ -27,6 +27,7 @@
     DRAINING = "draining"
     NO_UPSTREAM = "no-upstream"
     NO_ROUTE = "no-route"
+    NOT_READY = "not-ready"
     UNREACHABLE = "unreachable"
     CONNECTION_LOST = "connection-lost"
     UPSTREAM_ERROR = "upstream-error"
--- a/src/celeryfield/internal/frontend/ingress.py
+++ b/src/celeryfield/internal/frontend/ingress.py
@@ -68,6 +68,12 @@
         rule = self._config.rule_for(
             service, request.method, path.partition("?")[0]
         )
+        if rule is None and not self._config.current_by_team:
+            return _problem(
+                Reason.NOT_READY,
+                503,
+                "this node has no configuration yet; use another",
+            )
         if rule is None:
             return _problem(
                 Reason.NO_ROUTE,
--- a/src/celeryfield/internal/succession.py
+++ b/src/celeryfield/internal/succession.py
@@ -20,6 +20,7 @@
 # The same snapshot is sent to the same successor again; a second successor
 # must never get it, since the first may have adopted it.
 MAX_ATTEMPTS = 3
+MAX_CANDIDATES = 5
 
 _ADOPTED = b"adopted"
 _REFUSED = b"refused"
@@ -56,7 +57,7 @@
         Returns:
             The successor, or None if the keys of this node end with it.
         """
-        successor = self._choose_successor()
+        successor = await self._choose_successor()
         if successor is None:
             return None
         owner = KeyOwner(successor.id, successor.incarnation)
@@ -90,18 +91,23 @@
         logger.warning("ledger not adopted: %s", adopted.error)
         return Kind.HANDOVER_RESULT, _REFUSED
 
-    def _choose_successor(self) -> Member | None:
+    async def _choose_successor(self) -> Member | None:
+        """Returns a member that answers, if possible in the own zone.
+
+        The ledger closes for one successor, so a member that has just died
+        must not be chosen.
+        """
         members = self._membership.members_by_id.values()
-        own = next(
-            member
-            for member in members
-            if member.id == self._ledger.owner.node_id
-        )
+        own = self._membership.members_by_id[self._ledger.owner.node_id]
         alive = [
             member
             for member in members
             if member.state is MemberState.ALIVE and member.id != own.id
         ]
-        nearby = [member for member in alive if member.zone == own.zone]
-        choices = nearby or alive
-        return self._random.choice(choices) if choices else None
+        self._random.shuffle(alive)
+        alive.sort(key=lambda member: member.zone != own.zone)
+        for member in alive[:MAX_CANDIDATES]:
+            candidate = self._directory.find(member.id)
+            if candidate is not None and await self._pool.reach(candidate):
+                return member
+        return None
--- a/src/celeryfield/internal/transport/pool.py
+++ b/src/celeryfield/internal/transport/pool.py
@@ -91,6 +91,14 @@
             self._cancel_in_background(connection, call)
             raise
 
+    async def reach(self, candidate: Candidate) -> bool:
+        """Returns whether a node answers on a connection."""
+        try:
+            await self._connect(candidate)
+        except UnreachableError:
+            return False
+        return True
+
     async def request(
         self, candidate: Candidate, kind: Kind, header: bytes, body: bytes = b""
     ) -> Frame:
--- a/tests/cover/test_node_calls.py
+++ b/tests/cover/test_node_calls.py
@@ -200,6 +200,38 @@
         assert len(fleet.upstreams["b"].executions) == 1
 
 
+async def test_hands_the_ledger_to_a_member_that_still_answers():
+    """Guards against keys lost with a successor that has just died."""
+    async with running_fleet() as fleet:
+        await fleet.start("a")
+        for name in ("dead-1", "dead-2", "b"):
+            await fleet.start(name, "front" if name == "b" else "")
+        await fleet.settle()
+        key = (await fleet.request("a", "POST", "/front/orders"))[3]
+        for name in ("dead-1", "dead-2"):
+            await fleet.nodes[name].peer_server.stop()
+        leaving = fleet.nodes.pop("a")
+        await leaving.drain()
+        await leaving.stop()
+        placed = await fleet.request(
+            "b",
+            "POST",
+            "/front/orders",
+            headers={"idempotency-key": key["idempotency-key"]},
+        )
+        assert placed[:2] == (200, "ok")
+
+
+async def test_node_without_configuration_is_not_ready():
+    """Guards against "no such route" from a node that knows no routes yet."""
+    async with running_fleet() as fleet:
+        node = await fleet.start("a")
+        node.config._sets_by_team.clear()
+        node.config._rebuild()
+        answer = await fleet.request("a", "GET", "/back/x")
+        assert answer[:3] == (503, "not-run", "not-ready")
+
+
 async def test_unknown_tenants_share_one_time_series():
     """Guards against callers that grow the number of time series."""
     async with running_fleet() as fleet:
