--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -116,7 +116,9 @@
     """Runs all or the named scenarios."""
     parser = argparse.ArgumentParser(description=__doc__)
     names = [scenario.name for scenario in SCENARIOS]
-    parser.add_argument("scenarios", nargs="*", metavar="scenario", help=names)
+    parser.add_argument(
+        "scenarios", nargs="*", metavar="scenario", help=", ".join(names)
+    )
     parser.add_argument("--runs", type=int, default=3)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--product-only", action="store_true")
