--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -27,3 +27,12 @@
         action="store_true",
         help="run the fault histories with new seeds for longer",
     )
+
+
+def pytest_collection_modifyitems(config, items):
+    """Leaves out the long runs, whose seeds are new each time."""
+    if config.getoption("--soak"):
+        return
+    long_runs = [item for item in items if item.get_closest_marker("soak")]
+    config.hook.pytest_deselected(items=long_runs)
+    items[:] = [item for item in items if item not in long_runs]
--- a/tests/nocover/test_history.py
+++ b/tests/nocover/test_history.py
@@ -77,11 +77,9 @@
         assert broken_rules(record)[rule], rule
 
 
-@pytest.mark.slow
-async def test_holds_the_invariants_for_new_seeds(request, tmp_path):
+@pytest.mark.soak
+async def test_holds_the_invariants_for_new_seeds(tmp_path):
     """Guards against faults that the fixed seeds do not meet."""
-    if not request.config.getoption("--soak"):
-        pytest.skip("runs with --soak")
     for number in range(SOAK_SEEDS):
         seed = random.SystemRandom().randrange(1_000_000)
         # Shown with a failure of any kind, also of the run itself.
