--- a/src/celeryfield/internal/frontend/ingress.py
+++ b/src/celeryfield/internal/frontend/ingress.py
@@ -102,11 +102,10 @@
 
     async def run(self, incoming: IncomingCall, body: bytes) -> CallResult:
         """Runs a call; settles the allowance of its chain at the end."""
-        if incoming.chain is None:
-            return await self._gateway.call(incoming.call, body)
-        # A cancelled call takes its allowance with it.
         result = await self._gateway.call(incoming.call, body)
-        self._chains.end_sub_call(incoming.chain, incoming.call, result)
+        # A cancelled call does not get here and takes its allowance with it.
+        if incoming.chain is not None:
+            self._chains.end_sub_call(incoming.chain, incoming.call, result)
         return result
 
     def _make_call(
