--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -114,6 +114,15 @@
         ]
 
 
+def _run_once(
+    name: str, path: str, rate: float, tenant: str, timeout_ms: int
+) -> Flow:
+    """Returns important requests that must not run twice."""
+    return Flow(
+        name, path, rate, tenant, timeout_ms, "POST", True, True, 0.2, False
+    )
+
+
 HU_ZONES = ("hu-west-a", "hu-west-b", "hu-west-c")
 BATINAH_ZONES = ("batinah-a", "batinah-b", "batinah-c", "batinah-d")
 
@@ -146,30 +155,8 @@
     HU_ZONES,
     _HU_ORDERS,
     (
-        Flow(
-            "order-placement",
-            "order/orders",
-            25,
-            "fitters",
-            3000,
-            "POST",
-            True,
-            True,
-            0.2,
-            False,
-        ),
-        Flow(
-            "line-booking",
-            "scheduling/line",
-            40,
-            "fitters",
-            2000,
-            "POST",
-            True,
-            True,
-            0.2,
-            False,
-        ),
+        _run_once("order-placement", "order/orders", 25, "fitters", 3000),
+        _run_once("line-booking", "scheduling/line", 40, "fitters", 2000),
         Flow("schedule-read", "scheduling/slots", 145, "shop", whole=0.2),
         Flow("stock-check", "stock/items", 40, "shop", grows=False),
     ),
@@ -201,18 +188,7 @@
         ),
     ),
     (
-        Flow(
-            "bell-command",
-            "bell/command",
-            20,
-            "berth-masters",
-            2000,
-            "POST",
-            True,
-            True,
-            0.2,
-            False,
-        ),
+        _run_once("bell-command", "bell/command", 20, "berth-masters", 2000),
         Flow(
             "bell-state-read",
             "bell/state",
