Use the shared bound on messages and one name for a peer

Cause: last read of the change: gossip had a reader with a limit of its own beside the one that all generated decoders have now; the pair of node id and incarnation was built in six places; the dispatcher set a value that was always overwritten and copied a fresh load report. Conclusion: one place decides what a message may unfold to.

--- a/src/celeryfield/internal/dispatch/dispatcher.py
+++ b/src/celeryfield/internal/dispatch/dispatcher.py
@@ -1,7 +1,6 @@
 """Runs calls on the upstream beside this node."""
 
 import asyncio
-import dataclasses
 from collections.abc import Callable
 
 from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
@@ -81,7 +80,6 @@
         chain = self._chains.chain_of(span_id)
         started_ms = self._clock.now_ms()
         state.started = True
-        unused = 0
         try:
             result = await self._upstream.request(
                 call, body, traceparent, timeout_ms
@@ -93,13 +91,11 @@
         result.failed_deeper = (
             chain.failed_deeper and result.outcome is not Outcome.OK
         )
-        if result.reason is Reason.NO_UPSTREAM:
-            # The connection was refused, so nothing ran and no suspect is
-            # cleared by it.
-            state.started = False
-            return result, RunEnd(0.0, EndKind.CANCELLED)
         if result.outcome is Outcome.NOT_RUN:
             state.started = False
+        if result.reason is Reason.NO_UPSTREAM:
+            # The connection was refused, so no suspect is cleared by it.
+            return result, RunEnd(0.0, EndKind.CANCELLED)
         kind = await self._end_kind(result)
         if kind is EndKind.CRASHED:
             # Waiting calls must not start on the dead upstream when the
@@ -131,8 +127,6 @@
         report = self._admission.load_report()
         deeper = self._chains.deeper_levels(call.service, call.class_name)
         if deeper:
-            report = dataclasses.replace(
-                report, levels=(*report.levels, *deeper)
-            )
+            report.levels = (*report.levels, *deeper)
         result.load = report
         return result
--- a/src/celeryfield/internal/membership/courier.py
+++ b/src/celeryfield/internal/membership/courier.py
@@ -168,7 +168,7 @@
         self.counters.received_bytes += len(datagram)
         try:
             data = datagrams.unseal(self._secret, datagram)
-            message = records.read_bounded(gossip.GossipMessage, data)
+            message = records.read_message(gossip.GossipMessage, data)
         except DatagramError:
             self.counters.dropped_datagrams += 1
             return None
--- a/src/celeryfield/internal/membership/records.py
+++ b/src/celeryfield/internal/membership/records.py
@@ -5,11 +5,11 @@
 import ipaddress
 import re
 
-import capnp
 import xxhash
 
 from celeryfield.internal.membership.errors import DatagramError
 from celeryfield.internal.schema import gossip
+from celeryfield.internal.schema.base import MessageError
 
 MAX_NAME_LENGTH = 64
 MAX_SERVICES = 8
@@ -18,9 +18,6 @@
 # Larger numbers cannot be raised further without overflowing their field.
 MAX_INCARNATION = 2**53
 MAX_REVISION = 2**31
-# A list of empty structs can claim millions of elements in a few bytes; the
-# limit stops the reader before it copies them.
-MAX_READ_WORDS = 4096
 
 SERVICE_STATES = frozenset({"starting", "ready", "draining"})
 _NAME = re.compile(r"[A-Za-z0-9._-]+\Z")
@@ -175,7 +172,7 @@
     Raises:
         DatagramError: The bytes are no acceptable record.
     """
-    record = read_bounded(gossip.MemberRecord, blob)
+    record = read_message(gossip.MemberRecord, blob)
     check_record(record, blob)
     return record
 
@@ -219,18 +216,14 @@
     return True
 
 
-def read_bounded(message_type, data: bytes):
-    """Reads a message, but no more than a datagram can hold.
+def read_message(message_type, data: bytes):
+    """Reads a message; the generated decoder bounds what it unfolds to.
 
     Raises:
         DatagramError: The bytes are not such a message.
     """
-    struct = getattr(gossip._schema, message_type.__name__)
     try:
-        with struct.from_bytes(
-            data, traversal_limit_in_words=MAX_READ_WORDS
-        ) as reader:
-            return message_type.read(reader)
-    except (capnp.KjException, ValueError) as error:
-        message = f"malformed {message_type.__name__} of {len(data)} bytes"
+        return message_type.decode(data)
+    except MessageError as error:
+        message = f"{error} of {len(data)} bytes"
         raise DatagramError(message) from error
--- a/src/celeryfield/internal/transport/connection.py
+++ b/src/celeryfield/internal/transport/connection.py
@@ -108,6 +108,15 @@
         """Node id of the other end, once it has said hello."""
         return self.hello.node_id if self.hello else ""
 
+    @property
+    def peer(self) -> tuple[str, int]:
+        """Node id and incarnation of the other end, once it said hello."""
+        return (
+            (self.hello.node_id, self.hello.incarnation)
+            if self.hello
+            else ("", 0)
+        )
+
     @property
     def has_outstanding(self) -> bool:
         """Whether a request waits for its answer."""
--- a/src/celeryfield/internal/transport/pool.py
+++ b/src/celeryfield/internal/transport/pool.py
@@ -165,7 +165,7 @@
         task.add_done_callback(self._background.discard)
 
     async def _connect(self, candidate: Candidate) -> PeerConnection:
-        peer = (candidate.node_id, candidate.incarnation)
+        peer = candidate.peer
         connection = self._connections_by_peer.get(peer)
         if connection is not None and not connection.is_closed:
             return connection
@@ -187,7 +187,7 @@
             task.exception()
 
     async def _open(self, candidate: Candidate) -> PeerConnection:
-        peer = (candidate.node_id, candidate.incarnation)
+        peer = candidate.peer
         self._connection_number += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -226,7 +226,7 @@
                 greeting.set_result(wire.Hello.decode(frame.header))
 
         def forget(connection: PeerConnection) -> None:
-            peer = (candidate.node_id, candidate.incarnation)
+            peer = candidate.peer
             if self._connections_by_peer.get(peer) is connection:
                 del self._connections_by_peer[peer]
             if not greeting.done():
@@ -248,10 +248,7 @@
         )
         connection.send_frame(Kind.HELLO, 0, hello.encode())
         connection.hello = await greeting
-        if (connection.hello.node_id, connection.hello.incarnation) != (
-            candidate.node_id,
-            candidate.incarnation,
-        ):
+        if connection.peer != candidate.peer:
             connection.close()
             raise UnreachableError("another incarnation answered")
         return connection
--- a/src/celeryfield/internal/transport/server.py
+++ b/src/celeryfield/internal/transport/server.py
@@ -128,7 +128,7 @@
 
     def _forget(self, connection: PeerConnection) -> None:
         self._connections.discard(connection)
-        peer = _peer_of(connection)
+        peer = connection.peer
         if self._connections_by_peer.get(peer) is connection:
             del self._connections_by_peer[peer]
 
@@ -152,7 +152,7 @@
                 f"protocol version {hello.protocol_version} is not supported"
             )
         connection.hello = hello
-        peer = _peer_of(connection)
+        peer = connection.peer
         older = self._connections_by_peer.get(peer)
         if older is not None and older.hello is not None:
             if older.hello.connection_number > hello.connection_number:
@@ -289,12 +289,6 @@
             logger.error("serving a peer failed", exc_info=task.exception())
 
 
-def _peer_of(connection: PeerConnection) -> tuple[str, int]:
-    if connection.hello is None:
-        return ("", 0)
-    return (connection.hello.node_id, connection.hello.incarnation)
-
-
 def is_udp_port_free(address: str, port: int) -> bool:
     """Returns whether a UDP socket can be bound."""
     family = socket.AF_INET6 if ":" in address else socket.AF_INET
--- a/tests/cover/test_membership_datagrams.py
+++ b/tests/cover/test_membership_datagrams.py
@@ -15,6 +15,7 @@
 )
 from celeryfield.internal.membership.service import Membership
 from celeryfield.internal.schema import gossip
+from celeryfield.internal.schema.base import read_limit
 from celeryfield.internal.schema.settings import (
     IdentitySettings,
     ListenSettings,
@@ -75,10 +76,10 @@
         position = data.draw(st.integers(0, 200))
         damaged[position] = data.draw(st.integers(0, 255))
     try:
-        message = records.read_bounded(gossip.GossipMessage, bytes(damaged))
+        message = records.read_message(gossip.GossipMessage, bytes(damaged))
     except DatagramError:
         return
-    assert len(message.deltas) <= records.MAX_READ_WORDS
+    assert len(message.deltas) <= read_limit(bytes(damaged))
 
 
 def test_a_list_that_claims_millions_of_elements_is_refused():
@@ -93,7 +94,7 @@
     tag = words.index(1 << 2 | 1 << 32 | 1 << 48)
     data[tag * 8 : tag * 8 + 8] = ((1 << 28) << 2).to_bytes(8, "little")
     with pytest.raises(DatagramError):
-        records.read_bounded(gossip.GossipMessage, bytes(data))
+        records.read_message(gossip.GossipMessage, bytes(data))
 
 
 def test_reads_all_waiting_datagrams_in_one_turn_of_the_loop():
