Read bounded HTTP bodies in one place

Change: internal/bodies.read_bounded; each caller keeps its own limit and error. Measured: tests of commands, TLS, upstream client, store client and node calls pass. Conclusion: no behaviour changed.

--- a/src/celeryfield/cli/client.py
+++ b/src/celeryfield/cli/client.py
@@ -11,6 +11,7 @@
 
 from celeryfield.cli.exits import ExitCode, fail
 from celeryfield.internal.admin.models import ErrorAnswer
+from celeryfield.internal.bodies import read_bounded
 
 # A node answers an apply after at most a few deadlines of the store.
 REQUEST_TIMEOUT_S = 30.0
@@ -175,14 +176,10 @@
     Raises:
         ClientPayloadError: It is too large.
     """
-    content = bytearray()
-    async for chunk in answer.content.iter_any():
-        content += chunk
-        if len(content) > MAX_ANSWER_BYTES:
-            raise aiohttp.ClientPayloadError(
-                f"more than {MAX_ANSWER_BYTES} bytes"
-            )
-    return bytes(content)
+    body = await read_bounded(answer.content, MAX_ANSWER_BYTES)
+    if body is None:
+        raise aiohttp.ClientPayloadError(f"more than {MAX_ANSWER_BYTES} bytes")
+    return body
 
 
 def _ssl_context(ca_file: pathlib.Path | None) -> ssl.SSLContext | bool:
--- a/src/celeryfield/internal/frontend/server.py
+++ b/src/celeryfield/internal/frontend/server.py
@@ -13,6 +13,7 @@
 from mode import Service
 from multidict import CIMultiDict
 
+from celeryfield.internal.bodies import read_bounded
 from celeryfield.internal.calls import CallResult, Outcome, Reason
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.frontend.errors import RequestProblem
@@ -159,20 +160,13 @@
         if not request.body_exists:
             return Ok(b"")
         limit = self._settings.listen.max_body_bytes
-        parts: list[bytes] = []
-        size = 0
-        async for part in request.content.iter_any():
-            size += len(part)
-            if size > limit:
-                return Error(
-                    RequestProblem(
-                        Reason.TOO_LARGE,
-                        413,
-                        f"the body exceeds {limit} bytes",
-                    )
-                )
-            parts.append(part)
-        return Ok(b"".join(parts))
+        body = await read_bounded(request.content, limit)
+        if body is not None:
+            return Ok(body)
+        problem = RequestProblem(
+            Reason.TOO_LARGE, 413, f"the body exceeds {limit} bytes"
+        )
+        return Error(problem)
 
 
 def _response(call: wire.Call, result: CallResult) -> web.Response:
--- a/src/celeryfield/internal/store/answers.py
+++ b/src/celeryfield/internal/store/answers.py
@@ -8,6 +8,7 @@
 import pydantic
 from expression import Error, Ok, Result
 
+from celeryfield.internal.bodies import read_bounded
 from celeryfield.internal.store.errors import (
     StoreError,
     StoreRejectedError,
@@ -60,7 +61,7 @@
 
 async def read_answer(response: aiohttp.ClientResponse) -> StoreAnswer:
     """Reads status, version and body of a response."""
-    content = await _read_bounded(response)
+    content = await _read_body(response)
     version = _read_version(response.headers.get("x-version", ""))
     return StoreAnswer(response.status, version, content)
 
@@ -85,21 +86,17 @@
     return StoreUnavailableError(f"store answered {answer.status}")
 
 
-async def _read_bounded(response: aiohttp.ClientResponse) -> bytes:
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
     """Reads a body up to the largest accepted size.
 
     Raises:
         aiohttp.ClientPayloadError: The body is larger.
     """
-    chunks = []
-    size = 0
-    async for chunk in response.content.iter_any():
-        size += len(chunk)
-        if size > MAX_LISTED_BYTES:
-            message = f"answer exceeds {MAX_LISTED_BYTES} bytes"
-            raise aiohttp.ClientPayloadError(message)
-        chunks.append(chunk)
-    return b"".join(chunks)
+    body = await read_bounded(response.content, MAX_LISTED_BYTES)
+    if body is None:
+        message = f"answer exceeds {MAX_LISTED_BYTES} bytes"
+        raise aiohttp.ClientPayloadError(message)
+    return body
 
 
 def _read_version(text: str) -> int:
--- a/src/celeryfield/internal/upstream/client.py
+++ b/src/celeryfield/internal/upstream/client.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from celeryfield.internal.bodies import read_bounded
 from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.schema import settings as settings_schema
@@ -108,7 +109,7 @@
             if _ends_with_connection(call.method, response):
                 response.close()
                 return _started(Reason.TRUNCATED, 502)
-            body = await _read_bounded(response, limit)
+            body = await _read_body(response, limit)
             if body is None:
                 response.close()
                 return _started(Reason.TOO_LARGE, 502)
@@ -130,21 +131,14 @@
     )
 
 
-async def _read_bounded(
+async def _read_body(
     response: aiohttp.ClientResponse, limit: int
 ) -> bytes | None:
     """Returns the whole body, or None if it exceeds the limit."""
     length = response.content_length
-    if length is not None:
-        return await response.read() if length <= limit else None
-    parts: list[bytes] = []
-    size = 0
-    async for part in response.content.iter_any():
-        size += len(part)
-        if size > limit:
-            return None
-        parts.append(part)
-    return b"".join(parts)
+    if length is None:
+        return await read_bounded(response.content, limit)
+    return await response.read() if length <= limit else None
 
 
 def _started(reason: Reason, status: int) -> CallResult:
