--- a/src/celeryfield/internal/calls.py
+++ b/src/celeryfield/internal/calls.py
@@ -34,6 +34,7 @@
     UPSTREAM_SHED = "upstream-shed"
     UPSTREAM_CRASHED = "upstream-crashed"
     TRUNCATED = "truncated"
+    MISMATCH = "mismatch"
     SUSPECT = "suspect"
     CANCELLED = "cancelled"
     BAD_REQUEST = "bad-request"
--- a/src/celeryfield/internal/gateway.py
+++ b/src/celeryfield/internal/gateway.py
@@ -39,7 +39,8 @@
     Args:
         clock: Time source.
         node_id: Id of this node.
-        ledger: Runs of the keys that this node owns.
+        ledger: Runs of the keys that this node owns; none if no call needs
+            a key.
         dispatcher: Runs calls on the local upstream.
         pool: Connections to other nodes.
         find_owner: Returns where the owner of a key listens, if it is known;
@@ -50,7 +51,7 @@
         self,
         clock: Clock,
         node_id: str,
-        ledger: KeyLedger,
+        ledger: KeyLedger | None,
         dispatcher: Dispatcher,
         pool: PeerPool,
         find_owner: FindOwner,
--- /dev/null
+++ b/src/celeryfield/internal/registry/__init__.py
@@ -0,0 +1,1 @@
+"""Records of nodes and their upstreams in the store."""
--- /dev/null
+++ b/src/celeryfield/internal/registry/publisher.py
@@ -0,0 +1,79 @@
+"""Keeps the own record of a node in the store up to date."""
+
+import asyncio
+import logging
+
+import mode
+
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.registry.records import NodeRecord
+from celeryfield.internal.store.client import StoreClient
+
+logger = logging.getLogger(__name__)
+
+
+class RecordPublisher(mode.Service):
+    """Writes the newest own record until the store has it.
+
+    Args:
+        client: Client of the store.
+        clock: Time source.
+    """
+
+    def __init__(self, client: StoreClient, clock: Clock) -> None:
+        super().__init__()
+        self._client = client
+        self._clock = clock
+        self._wanted: NodeRecord | None = None
+        self._stored: NodeRecord | None = None
+        self._changed = asyncio.Event()
+        self._written = asyncio.Condition()
+        self._backoff = client.new_backoff()
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the store holds the newest record."""
+        return self._wanted is not None and self._wanted == self._stored
+
+    def publish(self, record: NodeRecord) -> None:
+        """Sets the record that the store should hold."""
+        self._wanted = record
+        if record != self._stored:
+            self._changed.set()
+
+    def republish(self) -> None:
+        """Writes the record again after somebody else removed it."""
+        self._stored = None
+        self._changed.set()
+
+    async def wait_stored(self, record: NodeRecord) -> None:
+        """Waits until the store holds a record or a newer one."""
+        async with self._written:
+            await self._written.wait_for(
+                lambda: self._stored == record or self.is_current
+            )
+
+    @mode.Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            await self._changed.wait()
+            self._changed.clear()
+            if self._wanted != self._stored:
+                await self._store(self._wanted)
+
+    async def _store(self, record: NodeRecord) -> None:
+        result = await self._client.replace(record.key, record.encode())
+        if result.is_error():
+            logger.warning(
+                "own record cannot be stored",
+                extra={"key": record.key, "problem": str(result.error)},
+            )
+            # The outcome may be unknown, so the store may hold either record.
+            self._stored = None
+            self._changed.set()
+            await self._clock.sleep_ms(self._backoff.next_delay_ms())
+            return
+        self._backoff.reset()
+        async with self._written:
+            self._stored = record
+            self._written.notify_all()
--- /dev/null
+++ b/src/celeryfield/internal/registry/records.py
@@ -0,0 +1,137 @@
+"""The record that each node keeps about itself in the store."""
+
+import dataclasses
+
+import pydantic
+from expression import Error, Ok, Result
+
+from celeryfield.internal.calls import Candidate
+
+PREFIX = "nodes/"
+
+READY = "ready"
+DRAINING = "draining"
+
+
+class _UpstreamContent(pydantic.BaseModel):
+    """The upstream in the stored form of a record."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+    id: str = pydantic.Field(min_length=1, max_length=256)
+    born_ms: int = 0
+    service: str = pydantic.Field(min_length=1, max_length=256)
+    slots: int = pydantic.Field(ge=0, le=1_000_000)
+    state: str = DRAINING
+
+
+class _NodeContent(pydantic.BaseModel):
+    """The stored form of a record."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+    incarnation: int = pydantic.Field(ge=0)
+    address: str = pydantic.Field(min_length=1, max_length=256)
+    port: int = pydantic.Field(ge=1, le=65_535)
+    zone: str
+    upstream: _UpstreamContent | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class UpstreamRecord:
+    """What other nodes and a restarted node need to know of an upstream.
+
+    Attributes:
+        id: Id of the upstream; mostly new with each boot.
+        born_ms: Start of the upstream, in ms since the epoch; 0 if unknown.
+        service: Service that it runs.
+        slots: Calls it runs at once.
+        state: ready or draining.
+    """
+
+    id: str
+    born_ms: int
+    service: str
+    slots: int
+    state: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NodeRecord:
+    """A node and the upstream beside it.
+
+    Attributes:
+        node_id: Name of the node; unique in the fleet.
+        incarnation: Increases with each start of the process.
+        address: IP address for other nodes.
+        port: TCP port for other nodes.
+        zone: Availability zone.
+        upstream: The upstream, if one was heard of.
+    """
+
+    node_id: str
+    incarnation: int
+    address: str
+    port: int
+    zone: str
+    upstream: UpstreamRecord | None = None
+
+    @property
+    def key(self) -> str:
+        """Key of the record in the store."""
+        return f"{PREFIX}{self.node_id}"
+
+    def encode(self) -> bytes:
+        """Returns the stored form, a JSON text."""
+        content = _NodeContent(
+            incarnation=self.incarnation,
+            address=self.address,
+            port=self.port,
+            zone=self.zone,
+            upstream=_upstream_content(self.upstream),
+        )
+        return content.model_dump_json(exclude_none=True).encode()
+
+    def candidate(self) -> Candidate | None:
+        """Returns where calls to the upstream are sent, if there is one."""
+        upstream = self.upstream
+        if upstream is None:
+            return None
+        return Candidate(
+            node_id=self.node_id,
+            incarnation=self.incarnation,
+            address=self.address,
+            port=self.port,
+            zone=self.zone,
+            service=upstream.service,
+            state=upstream.state,
+            slots=upstream.slots,
+        )
+
+
+def decode(key: str, value: bytes) -> Result[NodeRecord, str]:
+    """Decodes the stored form; another writer may have put anything there."""
+    try:
+        content = _NodeContent.model_validate_json(value)
+    except pydantic.ValidationError as error:
+        detail = error.errors(include_url=False, include_input=False)[0]
+        return Error(f"{detail['loc']}: {detail['msg']}")
+    upstream = content.upstream
+    return Ok(
+        NodeRecord(
+            node_id=key.removeprefix(PREFIX),
+            incarnation=content.incarnation,
+            address=content.address,
+            port=content.port,
+            zone=content.zone,
+            upstream=upstream and UpstreamRecord(**upstream.model_dump()),
+        )
+    )
+
+
+def _upstream_content(
+    upstream: UpstreamRecord | None,
+) -> _UpstreamContent | None:
+    if upstream is None:
+        return None
+    return _UpstreamContent(**dataclasses.asdict(upstream))
--- a/src/celeryfield/internal/routing/chains.py
+++ b/src/celeryfield/internal/routing/chains.py
@@ -82,11 +82,14 @@
         """Notes that a call starts at the upstream.
 
         Returns:
-            The span id for the traceparent that the upstream receives.
+            The span id for the traceparent that the upstream receives; the
+            id that the caller gave the request, if it gave one.
         """
         now = self._clock.now_ms()
         self._expire(now)
-        span_id = secrets.token_hex(8)
+        span_id = call.request_id
+        if not span_id or span_id in self._chains_by_span:
+            span_id = secrets.token_hex(8)
         deadline_ms = now + call.deadline_left_ms
         self._chains_by_span[span_id] = Chain(
             span_id, call, deadline_ms, call.retry_allowance
@@ -116,6 +119,10 @@
             return None
         return chain
 
+    def find_request(self, request_id: str) -> Chain | None:
+        """Returns the running call with an id that its caller gave it."""
+        return self._chains_by_span.get(request_id) if request_id else None
+
     def close(self, span_id: str) -> int:
         """Ends a call.
 
--- a/src/celeryfield/internal/schema/wire.capnp
+++ b/src/celeryfield/internal/schema/wire.capnp
@@ -37,6 +37,7 @@
   depth @17 :UInt16 $doc("Number of hops before this one.");
   routeName @18 :Text;
   fingerprint @19 :Data $doc("Hash of tenant, route and body.");
+  requestId @20 :Text $doc("Id that the caller gave the request; empty if it gave none.");
 }
 
 struct TenantLevel $doc("Admission level of one tenant.") {
--- a/src/celeryfield/internal/schema/wire.py
+++ b/src/celeryfield/internal/schema/wire.py
@@ -124,6 +124,7 @@
         to_key_owner: The receiver is the owner of the idempotency key and dispatches the call.
         depth: Number of hops before this one.
         fingerprint: Hash of tenant, route and body.
+        request_id: Id that the caller gave the request; empty if it gave none.
     """
 
     call_id: str = ""
@@ -146,6 +147,7 @@
     depth: int = 0
     route_name: str = ""
     fingerprint: bytes = b""
+    request_id: str = ""
 
     def fill(self, builder: Any) -> None:
         """Copies the fields into a message builder."""
@@ -172,6 +174,7 @@
         builder.depth = self.depth
         builder.routeName = self.route_name
         builder.fingerprint = self.fingerprint
+        builder.requestId = self.request_id
 
     def encode(self) -> bytes:
         """Returns the message as bytes."""
@@ -203,6 +206,7 @@
             reader.depth,
             reader.routeName,
             bytes(reader.fingerprint),
+            reader.requestId,
         )
 
     @classmethod
--- a/src/celeryfield/internal/store/answers.py
+++ b/src/celeryfield/internal/store/answers.py
@@ -36,6 +36,23 @@
     value: bytes
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoreListing:
+    """Objects under a prefix, or the changes of them.
+
+    Attributes:
+        objects: Objects found or changed.
+        revision: Revision of the store; a watch continues from here.
+        deleted_keys: Objects that are gone, in answers to watches.
+        next_name: Name after which the next page begins; empty on the last.
+    """
+
+    objects: tuple[StoreObject, ...]
+    revision: int
+    deleted_keys: tuple[str, ...] = ()
+    next_name: str = ""
+
+
 class _ListedObject(pydantic.BaseModel):
     """One object in an answer of the store."""
 
@@ -48,6 +65,7 @@
     """Answer to a list or watch."""
 
     objects: list[_ListedObject]
+    revision: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,19 +80,20 @@
 async def read_answer(response: aiohttp.ClientResponse) -> StoreAnswer:
     """Reads status, version and body of a response."""
     content = await _read_body(response)
-    version = _read_version(response.headers.get("x-version", ""))
+    version = read_version(response.headers.get("x-version", ""))
     return StoreAnswer(response.status, version, content)
 
 
 def decode_listing(
     answer: StoreAnswer,
-) -> Result[list[StoreObject], StoreError]:
+) -> Result[StoreListing, StoreError]:
     """Decodes an answer that holds several objects."""
     if answer.status != 200:
         return Error(unexpected_answer(answer))
     try:
         listing = _Listing.model_validate_json(answer.body)
-        return Ok([_decode(listed) for listed in listing.objects])
+        objects = tuple(_decode(listed) for listed in listing.objects)
+        return Ok(StoreListing(objects, listing.revision))
     except (pydantic.ValidationError, binascii.Error) as error:
         return Error(StoreUnavailableError(f"malformed answer: {error}"))
 
@@ -99,7 +118,7 @@
     return body
 
 
-def _read_version(text: str) -> int:
+def read_version(text: str) -> int:
     """Returns the version in a header, or 0 if it holds none."""
     is_version = text.isdecimal() and len(text) <= MAX_VERSION_DIGITS
     return int(text) if is_version else 0
--- a/src/celeryfield/internal/store/client.py
+++ b/src/celeryfield/internal/store/client.py
@@ -11,24 +11,27 @@
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.schema import wire
 from celeryfield.internal.schema.settings import StoreSettings
+from celeryfield.internal.store import dialect as own_dialect
 from celeryfield.internal.store.answers import (
     StoreAnswer,
+    StoreListing,
     StoreObject,
-    decode_listing,
     read_answer,
-    unexpected_answer,
 )
 from celeryfield.internal.store.budget import Backoff, CallBudget
+from celeryfield.internal.store.dialect import StoreDialect, StoreRequest
 from celeryfield.internal.store.errors import (
     StoreConflictError,
     StoreError,
+    StoreMissingError,
     StoreOutcomeUnknownError,
-    StoreRejectedError,
     StoreUnavailableError,
 )
 
 # Attempts to learn the outcome of a write before it is reported as unknown.
 MAX_RECOGNITION_ROUNDS = 3
+# Expected version of a write that replaces an object whatever it holds.
+ANY_VERSION = -1
 
 # Returns the writes recorded in a value, newest first. The first entry is the
 # write of the value itself, whose version is that of the object. A last entry
@@ -40,14 +43,23 @@
 
 
 class StoreClient:
-    """Calls the store with a deadline and within the node's budget."""
+    """Calls the store with a deadline and within the node's budget.
+
+    Args:
+        settings: Address of the store, timeouts and budget.
+        clock: Time source.
+        random_source: Source of jitter.
+        dialect: Protocol that the store speaks.
+    """
 
     def __init__(
         self,
         settings: StoreSettings,
         clock: Clock,
         random_source: random.Random | None = None,
+        dialect: StoreDialect = own_dialect.DIALECT,
     ) -> None:
+        self._dialect = dialect
         self._settings = settings
         self._clock = clock
         self._random = random_source or random.Random()
@@ -69,20 +81,38 @@
 
     async def get(self, key: str) -> Result[StoreObject | None, StoreError]:
         """Reads one object; none if it does not exist."""
-        match await self._read(_object_path(key), {}, 0.0):
+        match await self._read(self._dialect.read(key), 0.0):
             case Result(tag="ok", ok=answer):
-                pass
+                return self._dialect.decode_object(key, answer)
             case Result(error=error):
                 return Error(error)
-        if answer.status == 404:
-            return Ok(None)
-        if answer.status == 200 and answer.version > 0:
-            return Ok(StoreObject(key, answer.version, answer.body))
-        return Error(unexpected_answer(answer))
 
     async def list(self, prefix: str) -> Result[StoreObjects, StoreError]:
         """Reads all objects whose keys start with a prefix."""
-        return await self._listing("/objects", {"prefix": prefix}, 0.0)
+        return (await self.list_all(prefix)).map(_objects_of)
+
+    async def list_all(self, prefix: str) -> Result[StoreListing, StoreError]:
+        """Reads all objects under a prefix and the store's revision."""
+        objects: StoreObjects = []
+        revision = 0
+        after = ""
+        while True:
+            match await self._read(self._dialect.listing(prefix, after), 0.0):
+                case Result(tag="ok", ok=answer):
+                    pass
+                case Result(error=error):
+                    return Error(error)
+            match self._dialect.decode_listing(prefix, answer):
+                case Result(tag="ok", ok=page):
+                    pass
+                case Result(error=error):
+                    return Error(error)
+            objects += page.objects
+            # Changes between two pages are seen by a watch from the first.
+            revision = revision or page.revision
+            if not page.next_name:
+                return Ok(StoreListing(tuple(objects), revision))
+            after = page.next_name
 
     async def watch(
         self, prefix: str, after_version: int
@@ -92,13 +122,26 @@
         Returns:
             The changed objects; none if the wait ended without a change.
         """
+        changes = await self.watch_changes(prefix, after_version)
+        return changes.map(_objects_of)
+
+    async def watch_changes(
+        self, prefix: str, after_revision: int
+    ) -> Result[StoreListing, StoreError]:
+        """Waits for changes under a prefix.
+
+        Returns:
+            The changed objects, the keys of deleted ones and the revision to
+            watch from next, or ``StoreHistoryLostError`` if the store no
+            longer has the changes.
+        """
         wait_ms = self._settings.watch_seconds * 1000.0
-        query = {
-            "prefix": prefix,
-            "after": str(after_version),
-            "wait_ms": str(int(wait_ms)),
-        }
-        return await self._listing("/watch", query, wait_ms)
+        request = self._dialect.watching(prefix, after_revision, int(wait_ms))
+        match await self._read(request, wait_ms):
+            case Result(tag="ok", ok=answer):
+                return self._dialect.decode_changes(prefix, answer)
+            case Result(error=error):
+                return Error(error)
 
     async def put(
         self, key: str, value: bytes, expected_version: int
@@ -108,32 +151,43 @@
         The write is sent once. An unknown outcome stays unknown; use
         ``put_recognised`` to find it out.
         """
-        timeout_ms = self._settings.timeout_ms
-        if not await self._budget.acquire(timeout_ms):
-            return Error(StoreUnavailableError(_BUDGET_SPENT))
-        query = {"expected_version": str(expected_version)}
-        try:
-            answer = await self._request(
-                "PUT", _object_path(key), query, timeout_ms, value
-            )
-        except aiohttp.ClientConnectorError as error:
-            return Error(StoreUnavailableError(f"no connection: {error}"))
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return Error(StoreOutcomeUnknownError(f"no answer: {error!r}"))
-        if answer.status == 200 and answer.version > 0:
-            return Ok(StoreObject(key, answer.version, value))
-        if answer.status == 409:
-            return Error(
-                StoreConflictError(key, expected_version, answer.version)
-            )
-        if 400 <= answer.status < 500:
-            return Error(
-                StoreRejectedError(f"write of {key!r}: {answer.status}")
-            )
-        # A gateway may have passed the write on before it failed.
-        return Error(
-            StoreOutcomeUnknownError(f"store answered {answer.status}")
-        )
+        request = self._dialect.write(key, value, expected_version)
+        match await self._write(request):
+            case Result(tag="ok", ok=answer):
+                return self._dialect.decode_written(
+                    key, value, expected_version, answer
+                )
+            case Result(error=error):
+                return Error(error)
+
+    async def replace(
+        self, key: str, value: bytes
+    ) -> Result[StoreObject, StoreError]:
+        """Writes an object whatever its version is, or creates it.
+
+        Only for objects with a single writer: an earlier write of the same
+        node that is still on its way may take effect afterwards.
+        """
+        result = await self.put(key, value, ANY_VERSION)
+        if result.is_ok() or not isinstance(result.error, StoreMissingError):
+            return result
+        return await self.put(key, value, 0)
+
+    async def delete(
+        self, key: str, expected_version: int
+    ) -> Result[None, StoreError]:
+        """Deletes an object whose version is the expected one.
+
+        An object that does not exist counts as deleted.
+        """
+        request = self._dialect.remove(key, expected_version)
+        match await self._write(request):
+            case Result(tag="ok", ok=answer):
+                return self._dialect.decode_removed(
+                    key, expected_version, answer
+                )
+            case Result(error=error):
+                return Error(error)
 
     async def put_recognised(
         self,
@@ -182,38 +236,34 @@
                 result = again
         return Error(_undecided(key, write_id))
 
-    async def _listing(
-        self, path: str, query: dict[str, str], wait_ms: float
-    ) -> Result[StoreObjects, StoreError]:
-        """Reads and decodes an answer that holds several objects."""
-        match await self._read(path, query, wait_ms):
-            case Result(tag="ok", ok=answer):
-                pass
-            case Result(error=error):
-                return Error(error)
-        return decode_listing(answer)
+    async def _write(
+        self, request: StoreRequest
+    ) -> Result[StoreAnswer, StoreError]:
+        """Makes a call that changes an object, once."""
+        timeout_ms = self._settings.timeout_ms
+        if not await self._budget.acquire(timeout_ms):
+            return Error(StoreUnavailableError(_BUDGET_SPENT))
+        try:
+            return Ok(await self._request(request, timeout_ms))
+        except aiohttp.ClientConnectorError as error:
+            return Error(StoreUnavailableError(f"no connection: {error}"))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Error(StoreOutcomeUnknownError(f"no answer: {error!r}"))
 
     async def _read(
-        self, path: str, query: dict[str, str], wait_ms: float
+        self, request: StoreRequest, wait_ms: float
     ) -> Result[StoreAnswer, StoreError]:
         """Makes a call that changes nothing."""
         timeout_ms = self._settings.timeout_ms
         if not await self._budget.acquire(timeout_ms):
             return Error(StoreUnavailableError(_BUDGET_SPENT))
         try:
-            return Ok(
-                await self._request("GET", path, query, wait_ms + timeout_ms)
-            )
+            return Ok(await self._request(request, wait_ms + timeout_ms))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Error(StoreUnavailableError(f"no answer: {error!r}"))
 
     async def _request(
-        self,
-        method: str,
-        path: str,
-        query: dict[str, str],
-        timeout_ms: float,
-        body: bytes | None = None,
+        self, request: StoreRequest, timeout_ms: float
     ) -> StoreAnswer:
         """Makes one HTTP request.
 
@@ -225,15 +275,16 @@
             raise aiohttp.ClientConnectionError("the client is closed")
         if self._session is None:
             self._session = aiohttp.ClientSession(raise_for_status=False)
-        url = f"{self._settings.url.rstrip('/')}{path}"
-        if query:
-            url = f"{url}?{urllib.parse.urlencode(query)}"
+        url = f"{self._settings.url.rstrip('/')}{request.path}"
+        if request.query:
+            url = f"{url}?{urllib.parse.urlencode(request.query)}"
         async with (
             asyncio.timeout(timeout_ms / 1000.0),
             self._session.request(
-                method,
+                request.method,
                 url,
-                data=body,
+                data=request.body,
+                headers=request.headers,
                 allow_redirects=False,
                 middlewares=(_send_once,),
             ) as response,
@@ -269,9 +320,9 @@
 _BUDGET_SPENT = "the call budget of this node is spent; try again later"
 
 
-def _object_path(key: str) -> str:
-    """Returns the URL path of an object."""
-    return f"/objects/{urllib.parse.quote(key)}"
+def _objects_of(listing: StoreListing) -> StoreObjects:
+    """Returns the objects without what watches need besides."""
+    return list(listing.objects)
 
 
 def _undecided(key: str, write_id: str) -> StoreOutcomeUnknownError:
--- /dev/null
+++ b/src/celeryfield/internal/store/dialect.py
@@ -0,0 +1,171 @@
+"""The protocol between the client and a store.
+
+The client decides on budgets, deadlines and repeats; a dialect says how a call
+is put into HTTP and what an answer means. This module holds the dialect of the
+product's own object API.
+"""
+
+import dataclasses
+import urllib.parse
+from collections.abc import Callable
+
+from expression import Error, Ok, Result
+
+from celeryfield.internal.store.answers import (
+    StoreAnswer,
+    StoreListing,
+    StoreObject,
+    decode_listing,
+    unexpected_answer,
+)
+from celeryfield.internal.store.errors import (
+    StoreConflictError,
+    StoreError,
+    StoreOutcomeUnknownError,
+    StoreRejectedError,
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoreRequest:
+    """One HTTP request to a store.
+
+    Attributes:
+        method: HTTP method.
+        path: Path below the base URL.
+        query: Query parameters.
+        body: Body of a write.
+        headers: Headers of the request.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes | None = None
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoreDialect:
+    """How calls are put into HTTP, and answers decoded.
+
+    Attributes:
+        read: Reads the object of a key.
+        listing: Lists a prefix after a name; an empty name begins.
+        watching: Waits for changes under a prefix after a revision, in ms.
+        write: Writes a value over an expected version.
+        remove: Deletes an object with an expected version.
+        decode_object: Returns the object of a key, or none.
+        decode_listing: Returns one page of a listing.
+        decode_changes: Returns the changes that a watch saw.
+        decode_written: Returns the object that a write produced.
+        decode_removed: Tells whether an object is gone.
+    """
+
+    read: Callable[[str], StoreRequest]
+    listing: Callable[[str, str], StoreRequest]
+    watching: Callable[[str, int, int], StoreRequest]
+    write: Callable[[str, bytes, int], StoreRequest]
+    remove: Callable[[str, int], StoreRequest]
+    decode_object: Callable[
+        [str, StoreAnswer], Result[StoreObject | None, StoreError]
+    ]
+    decode_listing: Callable[
+        [str, StoreAnswer], Result[StoreListing, StoreError]
+    ]
+    decode_changes: Callable[
+        [str, StoreAnswer], Result[StoreListing, StoreError]
+    ]
+    decode_written: Callable[
+        [str, bytes, int, StoreAnswer], Result[StoreObject, StoreError]
+    ]
+    decode_removed: Callable[[str, int, StoreAnswer], Result[None, StoreError]]
+
+
+def write_error(
+    key: str, expected_version: int, answer: StoreAnswer
+) -> StoreError:
+    """Returns the error of an answer to a write without success."""
+    if answer.status == 409:
+        return StoreConflictError(key, expected_version, answer.version)
+    if 400 <= answer.status < 500:
+        return StoreRejectedError(f"write of {key!r}: {answer.status}")
+    # A gateway may have passed the write on before it failed.
+    return StoreOutcomeUnknownError(f"store answered {answer.status}")
+
+
+def _object_path(key: str) -> str:
+    return f"/objects/{urllib.parse.quote(key)}"
+
+
+def _read(key: str) -> StoreRequest:
+    return StoreRequest("GET", _object_path(key))
+
+
+def _listing(prefix: str, _after: str) -> StoreRequest:
+    return StoreRequest("GET", "/objects", {"prefix": prefix})
+
+
+def _watching(prefix: str, after_version: int, wait_ms: int) -> StoreRequest:
+    query = {
+        "prefix": prefix,
+        "after": str(after_version),
+        "wait_ms": str(wait_ms),
+    }
+    return StoreRequest("GET", "/watch", query)
+
+
+def _write(key: str, value: bytes, expected_version: int) -> StoreRequest:
+    query = {"expected_version": str(expected_version)}
+    return StoreRequest("PUT", _object_path(key), query, value)
+
+
+def _remove(key: str, expected_version: int) -> StoreRequest:
+    query = {"expected_version": str(expected_version)}
+    return StoreRequest("DELETE", _object_path(key), query)
+
+
+def _decode_object(
+    key: str, answer: StoreAnswer
+) -> Result[StoreObject | None, StoreError]:
+    if answer.status == 404:
+        return Ok(None)
+    if answer.status == 200 and answer.version > 0:
+        return Ok(StoreObject(key, answer.version, answer.body))
+    return Error(unexpected_answer(answer))
+
+
+def _decode_listing(
+    _prefix: str, answer: StoreAnswer
+) -> Result[StoreListing, StoreError]:
+    return decode_listing(answer)
+
+
+def _decode_written(
+    key: str, value: bytes, expected_version: int, answer: StoreAnswer
+) -> Result[StoreObject, StoreError]:
+    if answer.status == 200 and answer.version > 0:
+        return Ok(StoreObject(key, answer.version, value))
+    return Error(write_error(key, expected_version, answer))
+
+
+def _decode_removed(
+    key: str, expected_version: int, answer: StoreAnswer
+) -> Result[None, StoreError]:
+    if answer.status in (200, 204, 404):
+        return Ok(None)
+    return Error(write_error(key, expected_version, answer))
+
+
+DIALECT = StoreDialect(
+    read=_read,
+    listing=_listing,
+    watching=_watching,
+    write=_write,
+    remove=_remove,
+    decode_object=_decode_object,
+    decode_listing=_decode_listing,
+    decode_changes=_decode_listing,
+    decode_written=_decode_written,
+    decode_removed=_decode_removed,
+)
--- a/src/celeryfield/internal/store/errors.py
+++ b/src/celeryfield/internal/store/errors.py
@@ -34,3 +34,11 @@
 
 class StoreRejectedError(StoreError):
     """The store refused the call as invalid; nothing was written."""
+
+
+class StoreMissingError(StoreError):
+    """The object to be replaced does not exist; nothing was written."""
+
+
+class StoreHistoryLostError(StoreError):
+    """The store no longer has the changes since a revision; list again."""
--- /dev/null
+++ b/src/celeryfield/internal/store/prefix_watcher.py
@@ -0,0 +1,97 @@
+"""Follows all objects under one prefix."""
+
+import logging
+from collections.abc import Callable
+
+import mode
+
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.store.answers import StoreListing
+from celeryfield.internal.store.client import StoreClient
+from celeryfield.internal.store.errors import (
+    StoreError,
+    StoreHistoryLostError,
+)
+
+logger = logging.getLogger(__name__)
+
+# Changes come in groups, and each answer of a watch is a call to the store.
+COALESCE_MS = 50.0
+
+
+class PrefixWatcher(mode.Service):
+    """Lists a prefix once and then waits for changes.
+
+    Args:
+        client: Client of the store.
+        clock: Time source.
+        prefix: Prefix of the keys.
+        on_listing: Called with each full listing.
+        on_changes: Called with each group of changes.
+    """
+
+    def __init__(
+        self,
+        client: StoreClient,
+        clock: Clock,
+        prefix: str,
+        on_listing: Callable[[StoreListing], None],
+        on_changes: Callable[[StoreListing], None],
+    ) -> None:
+        super().__init__()
+        self._client = client
+        self._clock = clock
+        self._prefix = prefix
+        self._on_listing = on_listing
+        self._on_changes = on_changes
+        self._backoff = client.new_backoff()
+        self._revision: int | None = None
+        self._is_connected = True
+        self.heard_ms: float | None = None
+
+    @mode.Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            asked_ms = self._clock.now_ms()
+            if self._revision is None:
+                result = await self._client.list_all(self._prefix)
+            else:
+                result = await self._client.watch_changes(
+                    self._prefix, self._revision
+                )
+            if result.is_error():
+                await self._recover(result.error)
+                continue
+            self._note_answer(asked_ms)
+            self._take(result.ok)
+            await self._clock.sleep_ms(COALESCE_MS)
+
+    def _take(self, listing: StoreListing) -> None:
+        if self._revision is None:
+            self._on_listing(listing)
+        elif listing.objects or listing.deleted_keys:
+            self._on_changes(listing)
+        self._revision = listing.revision
+
+    def _note_answer(self, asked_ms: float) -> None:
+        self.heard_ms = asked_ms
+        self._backoff.reset()
+        if not self._is_connected:
+            self._is_connected = True
+            logger.info("store is back", extra={"prefix": self._prefix})
+
+    async def _recover(self, error: StoreError) -> None:
+        if isinstance(error, StoreHistoryLostError):
+            logger.info(
+                "store dropped its history; listing again",
+                extra={"prefix": self._prefix, "revision": self._revision},
+            )
+            self._revision = None
+            return
+        if self._is_connected:
+            self._is_connected = False
+            logger.warning(
+                "store cannot be reached",
+                extra={"prefix": self._prefix, "problem": str(error)},
+            )
+        await self._clock.sleep_ms(self._backoff.next_delay_ms())
--- a/src/celeryfield/internal/transport/pool.py
+++ b/src/celeryfield/internal/transport/pool.py
@@ -80,10 +80,12 @@
             return _read_reply(frame)
         except ConnectionLostError:
             return await self._resolve(
-                candidate, call, Reason.CONNECTION_LOST, 502
+                candidate, connection.peer, call, Reason.CONNECTION_LOST, 502
             )
         except TimeoutError:
-            return await self._resolve(candidate, call, Reason.DEADLINE, 504)
+            return await self._resolve(
+                candidate, connection.peer, call, Reason.DEADLINE, 504
+            )
         except MessageError:
             connection.close()
             return CallResult(Outcome.UNKNOWN, Reason.INTERNAL, 502)
@@ -130,20 +132,29 @@
         self.retain(set())
 
     async def _resolve(
-        self, candidate: Candidate, call: wire.Call, reason: Reason, status: int
+        self,
+        candidate: Candidate,
+        sent_to: tuple[str, int],
+        call: wire.Call,
+        reason: Reason,
+        status: int,
     ) -> CallResult:
         """Learns whether a call without an answer has started.
 
         The new connection makes the other node drop the older one, so a call
-        that is still on its way there can never start afterwards.
+        that is still on its way there can never start afterwards. Only the
+        incarnation that the call was sent to can tell: a restarted node has
+        forgotten what its predecessor started.
         """
         cancel = wire.Cancel(call.call_id, abort=not call.run_once)
         try:
+            connection = await self._connect(candidate)
+            is_same = connection.peer == sent_to
             frame = await self.request(candidate, Kind.CANCEL, cancel.encode())
             result = wire.CancelResult.decode(frame.header)
         except (TransportError, MessageError):
             return CallResult(Outcome.UNKNOWN, reason, status, started=True)
-        if result.started:
+        if result.started or not is_same:
             return CallResult(Outcome.UNKNOWN, reason, status, started=True)
         return not_run(reason, status, unused=call.retry_allowance)
 
@@ -248,9 +259,10 @@
         )
         connection.send_frame(Kind.HELLO, 0, hello.encode())
         connection.hello = await greeting
-        if connection.peer != candidate.peer:
+        # A restarted node answers here before its new record is known.
+        if connection.peer_id != candidate.node_id:
             connection.close()
-            raise UnreachableError("another incarnation answered")
+            raise UnreachableError("another node answered")
         return connection
 
 
--- /dev/null
+++ b/src/celeryfield/internal/upstream/tracker.py
@@ -0,0 +1,116 @@
+"""What the upstream beside a node said about itself, in order."""
+
+import dataclasses
+import enum
+import logging
+
+from celeryfield.internal.clock import Clock
+
+logger = logging.getLogger(__name__)
+
+READY = "ready"
+DRAINING = "draining"
+GONE = "gone"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class UpstreamReport:
+    """One status report.
+
+    Attributes:
+        upstream_id: Id of the upstream; may stay the same over a restart.
+        born_ms: Start of the upstream in ms since the epoch; 0 if not said.
+        sequence: Increases with each report of one boot.
+        service: Service that it runs.
+        address: ``host:port`` of its HTTP listener.
+        slots: Calls it runs at once.
+        state: ready or draining.
+        cold_ms: How much longer it is slow after its start.
+    """
+
+    upstream_id: str
+    born_ms: int
+    sequence: int
+    service: str
+    address: str
+    slots: int
+    state: str
+    cold_ms: float = 0.0
+
+    @property
+    def boot(self) -> tuple[str, int]:
+        """What tells one start of the upstream from another."""
+        return (self.upstream_id, self.born_ms)
+
+
+class Verdict(enum.Enum):
+    """What became of a report."""
+
+    ACCEPTED = "accepted"
+    LATE = "late"
+    STALE = "stale"
+
+
+class UpstreamTracker:
+    """The newest report of the newest boot.
+
+    Reports may arrive late, out of order, or from a boot that has ended.
+
+    Args:
+        clock: Time source.
+        alive_ms: A boot that was heard within this time counts as alive, so
+            that a report with an older start cannot replace it.
+    """
+
+    def __init__(self, clock: Clock, alive_ms: float) -> None:
+        self._clock = clock
+        self._alive_ms = alive_ms
+        self._heard_ms = float("-inf")
+        self.report: UpstreamReport | None = None
+        self.state = GONE
+
+    def accept(self, report: UpstreamReport) -> Verdict:
+        """Takes a status report."""
+        now_ms = self._clock.now_ms()
+        current = self.report
+        if current is not None and report.boot != current.boot:
+            is_alive = now_ms - self._heard_ms < self._alive_ms
+            if is_alive and report.born_ms < current.born_ms:
+                return Verdict.STALE
+        elif current is not None:
+            if report.sequence <= current.sequence:
+                return Verdict.LATE
+            if self.state == DRAINING:
+                # A leave is final for one boot.
+                report = dataclasses.replace(report, state=DRAINING)
+        self._heard_ms = now_ms
+        self.report = report
+        self.state = report.state
+        return Verdict.ACCEPTED
+
+    def leave(self, upstream_id: str) -> bool:
+        """Takes the word that an upstream leaves; false for another one."""
+        if self.report is None or self.report.upstream_id != upstream_id:
+            return False
+        self.report = dataclasses.replace(self.report, state=DRAINING)
+        self.state = DRAINING
+        return True
+
+    def restore(self, report: UpstreamReport) -> None:
+        """Takes over what an earlier process of this node had recorded."""
+        if self.report is None:
+            self.report = report
+            self.state = report.state
+
+    def mark_gone(self) -> None:
+        """Notes that nothing answers at the address until the next report."""
+        if self.state == READY:
+            self.state = GONE
+
+    def expire(self) -> bool:
+        """Notes that reports have stopped; returns whether that is new."""
+        silent_ms = self._clock.now_ms() - self._heard_ms
+        if self.state != READY or silent_ms < self._alive_ms:
+            return False
+        self.state = GONE
+        return True
--- /dev/null
+++ b/src/celeryfield/platform/config.py
@@ -0,0 +1,145 @@
+"""Decodes the operator's configuration into a route table."""
+
+import pydantic
+from expression import Error, Ok, Result
+
+from celeryfield.errors import CeleryfieldError
+from celeryfield.internal.routes.table import (
+    CallerLimits,
+    Route,
+    RouteTable,
+    Service,
+    WeightedService,
+)
+from celeryfield.platform.fields import PlatformModel, first_problem
+
+KIND = "config"
+KEY = "config/main"
+
+# The platform ranks 0 highest; here a higher priority is shed later.
+HIGHEST_PRIORITY = 100
+
+_REPEATABLE_KIND = "safe"
+
+
+class ConfigError(CeleryfieldError):
+    """A configuration that cannot be read; the one in force stays."""
+
+
+class _Part(PlatformModel):
+    """One part of ``trafficSplit``."""
+
+    service: str
+    weight: float = pydantic.Field(ge=0)
+
+
+class _RouteSpec(PlatformModel):
+    """Fields of a route.
+
+    ``routeType`` says whether requests are idempotent, and ``targetLatencyMs``
+    is the latency objective.
+    """
+
+    host: str
+    path_prefix: str = pydantic.Field(alias="pathPrefix", pattern=r"^/(.*/)?$")
+    kind: str = pydantic.Field(alias="routeType")
+    timeout_ms: float = pydantic.Field(alias="timeoutMs", default=0, ge=0)
+    target_latency_ms: float = pydantic.Field(
+        alias="targetLatencyMs", default=0, ge=0
+    )
+    rank: int = pydantic.Field(alias="priority", default=0, ge=0)
+    max_attempts: int = pydantic.Field(alias="maxAttempts", default=1, ge=1)
+    service: str | None = None
+    split: tuple[_Part, ...] = pydantic.Field(alias="trafficSplit", default=())
+
+
+class _ServiceSpec(PlatformModel):
+    """Fields of a service."""
+
+    health_path: str = pydantic.Field(alias="healthPath", default="/health")
+    max_connections: int = pydantic.Field(
+        alias="maxConnections", default=100, ge=1
+    )
+
+
+class _LimitsSpec(PlatformModel):
+    """Bounds on what callers may send."""
+
+    max_header_bytes: int = pydantic.Field(alias="maxHeaderBytes", ge=1)
+    max_body_bytes: int = pydantic.Field(alias="maxBodyBytes", ge=0)
+    header_timeout_ms: float = pydantic.Field(alias="headerTimeoutMs", gt=0)
+    idle_timeout_ms: float = pydantic.Field(alias="idleTimeoutMs", gt=0)
+
+
+class _Metadata(PlatformModel):
+    name: str = ""
+
+
+class _Resource(PlatformModel):
+    """One entry; ``resourceType`` says what ``spec`` holds."""
+
+    resource_type: str = pydantic.Field(alias="resourceType")
+    metadata: _Metadata = _Metadata()
+    spec: dict[str, object]
+
+
+class _Config(PlatformModel):
+    """The whole configuration; the version is hexadecimal."""
+
+    version: str = pydantic.Field(pattern=r"^[0-9a-fA-F]{1,16}$")
+    resources: tuple[_Resource, ...]
+
+
+def decode(value: bytes) -> Result[RouteTable, ConfigError]:
+    """Decodes the stored value.
+
+    A configuration with one entry that cannot be read is refused whole:
+    dropping the entry would answer 404 for what the operator allows.
+    """
+    try:
+        config = _Config.model_validate_json(value)
+        return Ok(_table(config))
+    except pydantic.ValidationError as error:
+        return Error(ConfigError(first_problem(error)))
+
+
+def _table(config: _Config) -> RouteTable:
+    routes = []
+    services = []
+    limits = None
+    for resource in config.resources:
+        name = resource.metadata.name
+        if resource.resource_type == "routes":
+            routes.append(_route(name, resource.spec))
+        elif resource.resource_type == "services":
+            services.append(_service(name, resource.spec))
+        elif resource.resource_type == "limits":
+            limits = CallerLimits(
+                **_LimitsSpec.model_validate(resource.spec).model_dump()
+            )
+    return RouteTable(int(config.version, 16), routes, services, limits)
+
+
+def _route(name: str, content: dict[str, object]) -> Route:
+    spec = _RouteSpec.model_validate(content)
+    parts = tuple(
+        WeightedService(part.service, part.weight) for part in spec.split
+    )
+    if not parts and spec.service:
+        parts = (WeightedService(spec.service, 1.0),)
+    return Route(
+        name=name,
+        host=spec.host,
+        path_prefix=spec.path_prefix,
+        parts=parts,
+        repeatable=spec.kind == _REPEATABLE_KIND,
+        timeout_ms=spec.timeout_ms,
+        target_latency_ms=spec.target_latency_ms,
+        priority=HIGHEST_PRIORITY - min(spec.rank, HIGHEST_PRIORITY),
+        max_attempts=spec.max_attempts,
+    )
+
+
+def _service(name: str, content: dict[str, object]) -> Service:
+    spec = _ServiceSpec.model_validate(content)
+    return Service(name, spec.health_path, spec.max_connections)
--- /dev/null
+++ b/src/celeryfield/platform/fields.py
@@ -0,0 +1,28 @@
+"""Base of the models that decode bodies of the platform."""
+
+from collections.abc import Mapping
+
+import pydantic
+
+
+class PlatformModel(pydantic.BaseModel):
+    """A body of the platform.
+
+    Fields that this version does not know are ignored; new ones may come.
+    """
+
+    model_config = pydantic.ConfigDict(
+        extra="ignore", frozen=True, validate_by_name=True
+    )
+
+
+def first_problem(error: pydantic.ValidationError) -> str:
+    """Returns where the first fault of a body stands and what it is."""
+    detail = error.errors(include_url=False, include_input=False)[0]
+    place = ".".join(str(part) for part in detail["loc"])
+    return f"{place or 'body'}: {detail['msg']}"
+
+
+def is_mapping(value: object) -> bool:
+    """Returns whether a decoded value is a table."""
+    return isinstance(value, Mapping)
--- /dev/null
+++ b/src/celeryfield/platform/ingress.py
@@ -0,0 +1,128 @@
+"""HTTP listener for callers and for calls of the local upstream."""
+
+import logging
+import random
+
+from aiohttp import web
+from mode import Service
+from multidict import CIMultiDict
+
+from celeryfield.internal.bodies import read_bounded
+from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.routes.entry import RoutedRequest, RouteEntry
+from celeryfield.internal.routes.table import CallerLimits
+from celeryfield.platform import headers
+from celeryfield.platform.settings import PlatformSettings
+
+logger = logging.getLogger(__name__)
+
+# Refused callers come back within this range, spread so that they do not
+# return together.
+RETRY_AFTER_MIN_S = 0.3
+RETRY_AFTER_MAX_S = 1.2
+
+
+class CallerListener(Service):
+    """Serves callers.
+
+    Args:
+        settings: Settings of the platform.
+        clock: Time source.
+        entry: Runs requests by route.
+    """
+
+    def __init__(
+        self, settings: PlatformSettings, clock: Clock, entry: RouteEntry
+    ) -> None:
+        super().__init__()
+        self.in_flight = 0
+        self._settings = settings
+        self._clock = clock
+        self._entry = entry
+        self._limits = CallerLimits()
+        self._is_closing = False
+        self._runner: web.ServerRunner | None = None
+        self._random = random.Random()
+
+    async def on_start(self) -> None:
+        """Opens the listener."""
+        limits = self._limits
+        server = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=limits.idle_timeout_ms / 1000.0,
+            max_line_size=limits.max_header_bytes,
+            max_field_size=limits.max_header_bytes,
+            auto_decompress=False,
+        )
+        self._runner = web.ServerRunner(server)
+        await self._runner.setup()
+        listener = self._settings.callers
+        site = web.TCPSite(
+            self._runner, listener.host, listener.port, backlog=1024
+        )
+        await site.start()
+
+    async def on_stop(self) -> None:
+        """Closes the listener."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = b""
+        if request.body_exists:
+            content = await read_bounded(
+                request.content, self._limits.max_body_bytes
+            )
+            if content is None:
+                return self._answer(not_run(Reason.TOO_LARGE, 413))
+            body = content
+        host = request.host.partition(":")[0]
+        route = self._entry.match(host, request.raw_path.partition("?")[0])
+        if route is None:
+            status = 404 if self._entry.is_configured else 503
+            return self._answer(not_run(Reason.NO_ROUTE, status))
+        routed = self._translate(request)
+        entered = self._entry.accept(route, routed, body)
+        self.in_flight += 1
+        try:
+            result = await self._entry.run(entered, body)
+        except Exception:
+            logger.exception("call failed", extra={"id": routed.request_id})
+            result = CallResult(Outcome.UNKNOWN, Reason.INTERNAL, 502)
+        finally:
+            self.in_flight -= 1
+        return self._answer(result)
+
+    def _translate(self, request: web.BaseRequest) -> RoutedRequest:
+        request_id = request.headers.get(headers.REQUEST_ID, "")
+        deadline = request.headers.get(headers.DEADLINE, "")
+        is_number = deadline.isascii() and deadline.isdecimal()
+        caller = self._settings.service
+        return RoutedRequest(
+            request_id=request_id,
+            # A call of an upstream names its parent before the last dot.
+            parent_id=request_id.rpartition(".")[0],
+            caller=caller,
+            method=request.method,
+            path=request.raw_path,
+            headers=tuple(headers.forwarded(request.headers, caller)),
+            deadline_ms=float(deadline) if is_number else None,
+        )
+
+    def _answer(self, result: CallResult) -> web.Response:
+        answer_headers = CIMultiDict(headers.as_pairs(result.headers))
+        status = result.status
+        if result.outcome is Outcome.NOT_RUN and status not in (404, 413):
+            status = 503
+            answer_headers = CIMultiDict()
+            pause_s = self._random.uniform(RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S)
+            answer_headers[headers.RETRY_AFTER] = f"{pause_s:.2f}"
+        response = web.Response(
+            status=status, body=result.body, headers=answer_headers
+        )
+        if self._is_closing:
+            response.force_close()
+        return response
--- /dev/null
+++ b/src/celeryfield/platform/node.py
@@ -0,0 +1,361 @@
+"""One node on the platform: builds its services and starts and stops them."""
+
+import logging
+import random
+
+from mode import Service
+
+from celeryfield.internal.calls import Candidate
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.dispatch.admission import AdmissionController
+from celeryfield.internal.dispatch.dispatcher import Dispatcher
+from celeryfield.internal.gateway import Gateway
+from celeryfield.internal.registry import records
+from celeryfield.internal.registry.catalog import Catalog
+from celeryfield.internal.registry.publisher import RecordPublisher
+from celeryfield.internal.registry.records import NodeRecord, UpstreamRecord
+from celeryfield.internal.routes.entry import RouteEntry
+from celeryfield.internal.routes.manager import RouteManager
+from celeryfield.internal.routing.balancer import Balancer
+from celeryfield.internal.routing.chains import ChainTable
+from celeryfield.internal.routing.executor import CallExecutor
+from celeryfield.internal.routing.levels import LevelTable
+from celeryfield.internal.schema import wire
+from celeryfield.internal.store.answers import StoreListing
+from celeryfield.internal.store.client import StoreClient
+from celeryfield.internal.store.prefix_watcher import PrefixWatcher
+from celeryfield.internal.transport import frames
+from celeryfield.internal.transport.pool import PeerPool
+from celeryfield.internal.transport.server import PeerServer
+from celeryfield.internal.upstream import tracker as tracking
+from celeryfield.internal.upstream.tracker import (
+    UpstreamReport,
+    UpstreamTracker,
+    Verdict,
+)
+from celeryfield.platform import config, objects
+from celeryfield.platform.ingress import CallerListener
+from celeryfield.platform.reports import ReadyListener, ReportListener
+from celeryfield.platform.settings import PlatformSettings
+from celeryfield.platform.upstream import PlatformUpstream
+
+logger = logging.getLogger(__name__)
+
+DEFAULT_CONNECTIONS = 100
+EXPIRY_CHECK_MS = 500.0
+IDLE_CHECK_MS = 20.0
+# Two readiness checks a second apart have to fail before callers stop coming.
+LEAVE_NOTICE_MS = 2_300.0
+# Left for closing connections before the platform kills the process.
+EXIT_MARGIN_MS = 400.0
+
+
+class PlatformNode(Service):
+    """The process beside one upstream of the platform.
+
+    Args:
+        settings: What the platform told this process.
+        clock: Time source.
+    """
+
+    def __init__(self, settings: PlatformSettings, clock: Clock) -> None:
+        super().__init__()
+        self.settings = settings
+        self.clock = clock
+        self.is_leaving = False
+        self._identity = settings.node.node
+        self._incarnation = clock.wall_ms()
+        self._build_calls()
+        self._build_store()
+
+    def _build_calls(self) -> None:
+        settings, clock = self.settings.node, self.clock
+        hello = wire.Hello(
+            frames.PROTOCOL_VERSION, settings.node.id, self._incarnation
+        )
+        self.routes = RouteManager()
+        self.levels = LevelTable(settings, clock)
+        self.chains = ChainTable(clock, self.levels)
+        self.balancer = Balancer(settings, clock)
+        self.admission = AdmissionController(settings, clock)
+        self.upstream = PlatformUpstream()
+        self.tracker = UpstreamTracker(clock, settings.dispatch.announce_ttl_ms)
+        self.pool = PeerPool(settings, clock, hello)
+        self.dispatcher = Dispatcher(
+            clock,
+            self.admission,
+            self.chains,
+            self.upstream,
+            self._on_crash,
+        )
+        self.gateway = Gateway(
+            clock,
+            settings.node.id,
+            None,
+            self.dispatcher,
+            self.pool,
+            lambda _owner: None,
+        )
+        self.executor = CallExecutor(
+            settings,
+            clock,
+            self.balancer,
+            self.gateway.send,
+            self.routes.class_section,
+            self.levels,
+        )
+        self.gateway.set_executor(self.executor)
+        self.peer_server = PeerServer(
+            settings, clock, hello, self.gateway.serve, {}
+        )
+        self.entry = RouteEntry(
+            settings.node.id,
+            self._incarnation,
+            clock,
+            self.routes,
+            self.chains,
+            self.executor,
+        )
+        self.callers = CallerListener(self.settings, clock, self.entry)
+
+    def _build_store(self) -> None:
+        node_id = self._identity.id
+        self.store = StoreClient(
+            self.settings.node.store,
+            self.clock,
+            random.Random(),
+            objects.DIALECT,
+        )
+        self.catalog = Catalog(node_id, self.balancer)
+        self.publisher = RecordPublisher(self.store, self.clock)
+        self.config_watcher = PrefixWatcher(
+            self.store,
+            self.clock,
+            f"{config.KIND}/",
+            self._on_config,
+            self._on_config,
+        )
+        self.record_watcher = PrefixWatcher(
+            self.store,
+            self.clock,
+            records.PREFIX,
+            self._on_records,
+            self._on_record_changes,
+        )
+        self.routes.subscribe(lambda _table: self._apply_upstream())
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this node has routes and is not leaving."""
+        return self.routes.current is not None and not self.is_leaving
+
+    async def on_start(self) -> None:
+        """Opens the listeners and starts to follow the store."""
+        await self.peer_server.start()
+        for service in (
+            self.config_watcher,
+            self.record_watcher,
+            self.publisher,
+            self.callers,
+            ReportListener(
+                self.settings.reports, self._on_report, self._on_leave
+            ),
+            ReadyListener(self.settings.ready, lambda: self.is_ready),
+        ):
+            await self.add_runtime_dependency(service)
+        self._publish()
+        logger.info("node started", extra={"incarnation": self._incarnation})
+
+    async def on_shutdown(self) -> None:
+        """Closes what the services use, after they have stopped."""
+        self.executor.close()
+        self.pool.close()
+        await self.peer_server.stop()
+        await self.upstream.close()
+        await self.store.close()
+
+    async def drain(self) -> None:
+        """Stops taking work and waits until everything in flight has ended."""
+        logger.info("node is leaving")
+        started_ms = self.clock.now_ms()
+        self.is_leaving = True
+        latest_ms = started_ms + self.settings.grace_ms - EXIT_MARGIN_MS
+        await self.clock.sleep_ms(LEAVE_NOTICE_MS)
+        self.admission.drain()
+        while self._is_busy and self.clock.now_ms() < latest_ms:
+            await self.clock.sleep_ms(IDLE_CHECK_MS)
+        logger.info("node has left", extra={"is_idle": not self._is_busy})
+
+    @property
+    def _is_busy(self) -> bool:
+        return bool(self.callers.in_flight or self.peer_server.running_count)
+
+    def _on_config(self, listing: StoreListing) -> None:
+        for found in listing.objects:
+            if found.key != config.KEY:
+                continue
+            decoded = config.decode(found.value)
+            if decoded.is_error():
+                logger.error(
+                    "configuration cannot be used",
+                    extra={"problem": str(decoded.error)},
+                )
+                continue
+            self.routes.offer(decoded.ok)
+
+    def _on_records(self, listing: StoreListing) -> None:
+        own = next(
+            (item for item in listing.objects if item.key == self._own_key),
+            None,
+        )
+        if own is not None:
+            self._restore(own.key, own.value)
+        self.catalog.replace_all(listing.objects)
+
+    def _on_record_changes(self, listing: StoreListing) -> None:
+        if self._own_key in listing.deleted_keys:
+            self.publisher.republish()
+        self.catalog.apply(listing.objects, listing.deleted_keys)
+
+    @property
+    def _own_key(self) -> str:
+        return f"{records.PREFIX}{self._identity.id}"
+
+    def _restore(self, key: str, value: bytes) -> None:
+        """Learns of the upstream from the record of an earlier process."""
+        decoded = records.decode(key, value)
+        if decoded.is_error() or decoded.ok.upstream is None:
+            return
+        known = decoded.ok.upstream
+        self.tracker.restore(
+            UpstreamReport(
+                upstream_id=known.id,
+                born_ms=known.born_ms,
+                sequence=-1,
+                service=known.service,
+                address=self.settings.upstream_address,
+                slots=known.slots,
+                state=known.state,
+            )
+        )
+        self._apply_upstream()
+        self._publish()
+
+    async def _on_report(self, report: UpstreamReport) -> bool:
+        before = (self.tracker.report, self.tracker.state)
+        verdict = self.tracker.accept(report)
+        if verdict is not Verdict.ACCEPTED:
+            logger.info(
+                "status report ignored",
+                extra={"upstream": report.upstream_id, "verdict": verdict},
+            )
+            return verdict is Verdict.LATE
+        if _has_changed(before, self.tracker):
+            self._note_upstream()
+        if self.tracker.state == tracking.DRAINING:
+            await self._wait_recorded()
+        return True
+
+    async def _on_leave(self, upstream_id: str) -> bool:
+        if self.tracker.leave(upstream_id):
+            self._note_upstream()
+            await self._wait_recorded()
+        return True
+
+    async def _wait_recorded(self) -> None:
+        await self.publisher.wait_stored(self._record())
+
+    def _note_upstream(self) -> None:
+        report = self.tracker.report
+        logger.info(
+            "upstream changed",
+            extra={
+                "upstream": report.upstream_id,
+                "state": self.tracker.state,
+                "slots": report.slots,
+                "born_ms": report.born_ms,
+            },
+        )
+        self._apply_upstream()
+        self._publish()
+
+    def _apply_upstream(self) -> None:
+        """Tells admission and the HTTP client about the upstream."""
+        report = self.tracker.report
+        if report is None:
+            return
+        connections = DEFAULT_CONNECTIONS
+        table = self.routes.current
+        if table is not None and report.service in table.services_by_name:
+            service = table.services_by_name[report.service]
+            connections = service.max_connections
+        self.upstream.set_upstream(
+            report.address, report.upstream_id, connections
+        )
+        self.admission.set_capacity(
+            report.slots, connections, self.tracker.state, report.service
+        )
+
+    def _on_crash(self) -> None:
+        self.tracker.mark_gone()
+        logger.warning("upstream does not answer")
+        self._apply_upstream()
+
+    def _record(self) -> NodeRecord:
+        report = self.tracker.report
+        upstream = None
+        if report is not None:
+            is_leaving = self.tracker.state == tracking.DRAINING
+            upstream = UpstreamRecord(
+                id=report.upstream_id,
+                born_ms=report.born_ms,
+                service=report.service,
+                slots=report.slots,
+                state=records.DRAINING if is_leaving else records.READY,
+            )
+        return NodeRecord(
+            node_id=self._identity.id,
+            incarnation=self._incarnation,
+            address=self._identity.address,
+            port=self.settings.node.listen.peer_port,
+            zone=self._identity.zone,
+            upstream=upstream,
+        )
+
+    def _publish(self) -> None:
+        record = self._record()
+        self.catalog.set_own(record)
+        self.publisher.publish(record)
+
+    @Service.task
+    async def _run_housekeeping(self) -> None:
+        while not self.should_stop:
+            await self.clock.sleep_ms(EXPIRY_CHECK_MS)
+            if self.tracker.expire():
+                logger.warning("upstream stopped reporting")
+                self._apply_upstream()
+
+
+def _has_changed(
+    before: tuple[UpstreamReport | None, str], tracker: UpstreamTracker
+) -> bool:
+    """Returns whether a report says anything new."""
+    report, state = before
+    current = tracker.report
+    return (
+        report is None
+        or state != tracker.state
+        or report.boot != current.boot
+        or report.slots != current.slots
+        or report.service != current.service
+        or report.address != current.address
+    )
+
+
+def candidates(node: PlatformNode) -> list[Candidate]:
+    """Returns all candidates that a node knows."""
+    return [
+        candidate
+        for group in node.catalog.candidates_by_service.values()
+        for candidate in group
+    ]
--- /dev/null
+++ b/src/celeryfield/platform/objects.py
@@ -0,0 +1,275 @@
+"""The platform's store as a dialect of the store client.
+
+A key ``kind/name`` names the object ``name`` of a kind. Values are the JSON
+text of ``spec``; the other parts of an object are not used. The revision of an
+object's last change is its version.
+"""
+
+import json
+import logging
+import urllib.parse
+
+import pydantic
+from expression import Error, Ok, Result
+
+from celeryfield.internal.store.answers import (
+    StoreAnswer,
+    StoreListing,
+    StoreObject,
+    unexpected_answer,
+)
+from celeryfield.internal.store.client import ANY_VERSION
+from celeryfield.internal.store.dialect import (
+    StoreDialect,
+    StoreRequest,
+    write_error,
+)
+from celeryfield.internal.store.errors import (
+    StoreConflictError,
+    StoreError,
+    StoreHistoryLostError,
+    StoreMissingError,
+    StoreUnavailableError,
+)
+from celeryfield.platform.fields import PlatformModel, first_problem
+
+logger = logging.getLogger(__name__)
+
+_JSON = {"content-type": "application/json"}
+
+
+class _Metadata(PlatformModel):
+    """What the store says of an object.
+
+    ``deleting`` marks an object whose removal waits for its finalizers.
+    """
+
+    name: str
+    version: int = pydantic.Field(alias="revision", ge=0)
+    deleting: bool = False
+
+
+class _Object(PlatformModel):
+    """One object; ``spec`` is whatever its writer stored."""
+
+    metadata: _Metadata
+    spec: object = None
+
+
+class _Page(PlatformModel):
+    """One page of a listing."""
+
+    items: list[object]
+    has_more: bool = pydantic.Field(alias="hasMore", default=False)
+    revision: int = pydantic.Field(alias="currentRev", ge=0)
+
+
+class _Event(PlatformModel):
+    """One change that a watch saw."""
+
+    object: object
+    deleted: bool = False
+
+
+class _Changes(PlatformModel):
+    """Answer to a watch."""
+
+    events: list[_Event]
+    revision: int = pydantic.Field(alias="currentRev", ge=0)
+
+
+def _path(kind: str, name: str = "") -> str:
+    path = f"/objects/{urllib.parse.quote(kind, safe='')}"
+    return f"{path}/{urllib.parse.quote(name, safe='')}" if name else path
+
+
+def _split(key: str) -> tuple[str, str]:
+    kind, _, name = key.partition("/")
+    return kind, name
+
+
+def _read(key: str) -> StoreRequest:
+    return StoreRequest("GET", _path(*_split(key)))
+
+
+def _listing(prefix: str, after: str) -> StoreRequest:
+    query = {"after": after} if after else {}
+    return StoreRequest("GET", _path(_split(prefix)[0]), query)
+
+
+def _watching(prefix: str, after_revision: int, wait_ms: int) -> StoreRequest:
+    query = {"watch": str(after_revision), "waitMs": str(wait_ms)}
+    return StoreRequest("GET", _path(_split(prefix)[0]), query)
+
+
+def _write(key: str, value: bytes, expected_version: int) -> StoreRequest:
+    kind, name = _split(key)
+    metadata: dict[str, object] = {"name": name, "finalizers": []}
+    if expected_version > 0:
+        metadata["revision"] = expected_version
+    content = {"metadata": metadata, "spec": json.loads(value)}
+    body = json.dumps(content, separators=(",", ":")).encode()
+    if expected_version == 0:
+        return StoreRequest("POST", _path(kind), {}, body, _JSON)
+    return StoreRequest("PUT", _path(kind, name), {}, body, _JSON)
+
+
+def _remove(key: str, expected_version: int) -> StoreRequest:
+    query = {}
+    if expected_version != ANY_VERSION:
+        query["revision"] = str(expected_version)
+    return StoreRequest("DELETE", _path(*_split(key)), query)
+
+
+def _decode_object(
+    key: str, answer: StoreAnswer
+) -> Result[StoreObject | None, StoreError]:
+    if answer.status == 404:
+        return Ok(None)
+    if answer.status != 200:
+        return Error(unexpected_answer(answer))
+    try:
+        found = _Object.model_validate_json(answer.body)
+    except pydantic.ValidationError as error:
+        return Error(StoreUnavailableError(first_problem(error)))
+    return Ok(_convert(_split(key)[0], found))
+
+
+def _decode_listing(
+    prefix: str, answer: StoreAnswer
+) -> Result[StoreListing, StoreError]:
+    if answer.status != 200:
+        return Error(unexpected_answer(answer))
+    try:
+        page = _Page.model_validate_json(answer.body)
+    except pydantic.ValidationError as error:
+        return Error(StoreUnavailableError(first_problem(error)))
+    kind = _split(prefix)[0]
+    found = [_parse(kind, item) for item in page.items]
+    objects = tuple(item for item in found if item is not None)
+    next_name = ""
+    if page.has_more and page.items:
+        next_name = _name_of(page.items[-1])
+    return Ok(StoreListing(objects, page.revision, (), next_name))
+
+
+def _decode_changes(
+    prefix: str, answer: StoreAnswer
+) -> Result[StoreListing, StoreError]:
+    if answer.status == 410:
+        return Error(StoreHistoryLostError("the store dropped its history"))
+    if answer.status != 200:
+        return Error(unexpected_answer(answer))
+    try:
+        changes = _Changes.model_validate_json(answer.body)
+    except pydantic.ValidationError as error:
+        return Error(StoreUnavailableError(first_problem(error)))
+    kind = _split(prefix)[0]
+    objects_by_key: dict[str, StoreObject] = {}
+    deleted_keys: dict[str, None] = {}
+    for event in changes.events:
+        found = _parse(kind, event.object)
+        if found is None:
+            continue
+        objects_by_key.pop(found.key, None)
+        deleted_keys.pop(found.key, None)
+        if event.deleted:
+            deleted_keys[found.key] = None
+        else:
+            objects_by_key[found.key] = found
+    return Ok(
+        StoreListing(
+            tuple(objects_by_key.values()),
+            changes.revision,
+            tuple(deleted_keys),
+        )
+    )
+
+
+def _decode_written(
+    key: str, value: bytes, expected_version: int, answer: StoreAnswer
+) -> Result[StoreObject, StoreError]:
+    if answer.status == 404 and expected_version != 0:
+        return Error(StoreMissingError(f"object {key!r} does not exist"))
+    if answer.status == 409:
+        return Error(_conflict(key, expected_version, answer))
+    if answer.status not in (200, 201):
+        return Error(_write_error(key, expected_version, answer))
+    try:
+        found = _Object.model_validate_json(answer.body)
+    except pydantic.ValidationError as error:
+        return Error(StoreUnavailableError(first_problem(error)))
+    return Ok(StoreObject(key, found.metadata.version, value))
+
+
+def _decode_removed(
+    key: str, expected_version: int, answer: StoreAnswer
+) -> Result[None, StoreError]:
+    if answer.status in (200, 204, 404):
+        return Ok(None)
+    if answer.status == 409:
+        return Error(_conflict(key, expected_version, answer))
+    return Error(_write_error(key, expected_version, answer))
+
+
+def _conflict(
+    key: str, expected_version: int, answer: StoreAnswer
+) -> StoreConflictError:
+    """Returns the error of a write that met another version."""
+    try:
+        version = _Object.model_validate_json(answer.body).metadata.version
+    except pydantic.ValidationError:
+        version = 0
+    return StoreConflictError(key, expected_version, version)
+
+
+def _write_error(
+    key: str, expected_version: int, answer: StoreAnswer
+) -> StoreError:
+    # 429 and 503 say that nothing was done.
+    if answer.status in (429, 503):
+        return StoreUnavailableError(f"store answered {answer.status}")
+    return write_error(key, expected_version, answer)
+
+
+def _parse(kind: str, item: object) -> StoreObject | None:
+    """Returns a listed object, or none if it cannot be read.
+
+    Any writer may store anything; one unreadable object must not hide the
+    others.
+    """
+    try:
+        return _convert(kind, _Object.model_validate(item))
+    except pydantic.ValidationError as error:
+        logger.warning(
+            "object of the store cannot be read",
+            extra={"kind": kind, "problem": first_problem(error)},
+        )
+        return None
+
+
+def _convert(kind: str, found: _Object) -> StoreObject:
+    value = json.dumps(found.spec, separators=(",", ":")).encode()
+    key = f"{kind}/{found.metadata.name}"
+    return StoreObject(key, found.metadata.version, value)
+
+
+def _name_of(item: object) -> str:
+    """Returns the name of the last object of a page."""
+    metadata = item.get("metadata") if isinstance(item, dict) else None
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    return name if isinstance(name, str) else ""
+
+
+DIALECT = StoreDialect(
+    read=_read,
+    listing=_listing,
+    watching=_watching,
+    write=_write,
+    remove=_remove,
+    decode_object=_decode_object,
+    decode_listing=_decode_listing,
+    decode_changes=_decode_changes,
+    decode_written=_decode_written,
+    decode_removed=_decode_removed,
+)
--- /dev/null
+++ b/src/celeryfield/platform/reports.py
@@ -0,0 +1,160 @@
+"""HTTP listeners for status reports of the upstream and readiness checks."""
+
+import logging
+from collections.abc import Awaitable, Callable
+
+import pydantic
+from aiohttp import web
+from mode import Service
+
+from celeryfield.internal.bodies import read_bounded
+from celeryfield.internal.upstream.tracker import UpstreamReport
+from celeryfield.platform.fields import PlatformModel, first_problem
+from celeryfield.platform.settings import Listener
+
+logger = logging.getLogger(__name__)
+
+MAX_REPORT_BYTES = 64 * 1024
+_REPORT_PATH = "/instances/"
+_READY_PATH = "/ready"
+_STATES = ("ready", "draining")
+
+
+class _Report(PlatformModel):
+    """Body of a status report; the id of the upstream stands in the path.
+
+    ``born`` is the start of the upstream in Unix ms.
+    """
+
+    service: str = pydantic.Field(min_length=1)
+    address: str = pydantic.Field(pattern=r"^[^/\s:]+:\d{1,5}$")
+    slots: int = pydantic.Field(ge=1)
+    state: str
+    cold_ms: float = pydantic.Field(alias="coldRemainingMs", default=0, ge=0)
+    sequence: int = pydantic.Field(ge=0)
+    born_ms: int = pydantic.Field(alias="born", default=0, ge=0)
+
+
+class ReportListener(Service):
+    """Takes status reports.
+
+    Args:
+        listener: Where to listen.
+        on_report: Takes a report; returns whether it is acknowledged.
+        on_leave: Takes the word that an upstream leaves.
+    """
+
+    def __init__(
+        self,
+        listener: Listener,
+        on_report: Callable[[UpstreamReport], Awaitable[bool]],
+        on_leave: Callable[[str], Awaitable[bool]],
+    ) -> None:
+        super().__init__()
+        self._listener = listener
+        self._on_report = on_report
+        self._on_leave = on_leave
+        self._runner: web.ServerRunner | None = None
+
+    async def on_start(self) -> None:
+        """Opens the listener."""
+        self._runner = await open_server(self._handle, self._listener)
+
+    async def on_stop(self) -> None:
+        """Closes the listener."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        upstream_id = request.path.removeprefix(_REPORT_PATH)
+        is_named = request.path.startswith(_REPORT_PATH) and upstream_id
+        if not is_named or "/" in upstream_id:
+            return web.Response(status=404)
+        if request.method == "DELETE":
+            return _acknowledge(await self._on_leave(upstream_id))
+        if request.method != "PUT":
+            return web.Response(status=405)
+        report = await self._read(request, upstream_id)
+        if report is None:
+            return web.Response(status=400)
+        return _acknowledge(await self._on_report(report))
+
+    async def _read(
+        self, request: web.BaseRequest, upstream_id: str
+    ) -> UpstreamReport | None:
+        body = await read_bounded(request.content, MAX_REPORT_BYTES)
+        try:
+            content = _Report.model_validate_json(body or b"")
+        except pydantic.ValidationError as error:
+            logger.warning(
+                "status report cannot be read",
+                extra={
+                    "upstream": upstream_id,
+                    "problem": first_problem(error),
+                },
+            )
+            return None
+        if content.state not in _STATES:
+            logger.warning(
+                "status report names an unknown state",
+                extra={"upstream": upstream_id, "state": content.state},
+            )
+            return None
+        return UpstreamReport(
+            upstream_id=upstream_id,
+            born_ms=content.born_ms,
+            sequence=content.sequence,
+            service=content.service,
+            address=content.address,
+            slots=content.slots,
+            state=content.state,
+            cold_ms=content.cold_ms,
+        )
+
+
+class ReadyListener(Service):
+    """Answers readiness checks.
+
+    Args:
+        listener: Where to listen.
+        is_ready: Tells whether the node can serve callers.
+    """
+
+    def __init__(
+        self, listener: Listener, is_ready: Callable[[], bool]
+    ) -> None:
+        super().__init__()
+        self._listener = listener
+        self._is_ready = is_ready
+        self._runner: web.ServerRunner | None = None
+
+    async def on_start(self) -> None:
+        """Opens the listener."""
+        self._runner = await open_server(self._handle, self._listener)
+
+    async def on_stop(self) -> None:
+        """Closes the listener."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        if request.path != _READY_PATH:
+            return web.Response(status=404)
+        return web.Response(status=200 if self._is_ready() else 503)
+
+
+async def open_server(
+    handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    listener: Listener,
+) -> web.ServerRunner:
+    """Opens a small HTTP listener without routing or access log."""
+    runner = web.ServerRunner(web.Server(handle, access_log=None))
+    await runner.setup()
+    await web.TCPSite(runner, listener.host, listener.port).start()
+    return runner
+
+
+def _acknowledge(is_acknowledged: bool) -> web.Response:
+    if not is_acknowledged:
+        return web.Response(status=503)
+    return web.Response(body=b"{}", content_type="application/json")
--- /dev/null
+++ b/src/celeryfield/platform/settings.py
@@ -0,0 +1,236 @@
+"""Decodes the settings file that the platform writes for each process."""
+
+import dataclasses
+import os
+import pathlib
+import tomllib
+
+import pydantic
+from expression import Error, Ok, Result
+
+from celeryfield.errors import SettingsError
+from celeryfield.internal.schema.settings import (
+    DispatchSettings,
+    IdentitySettings,
+    ListenSettings,
+    NodeSettings,
+    RoutingSettings,
+    StoreSettings,
+)
+from celeryfield.platform.fields import PlatformModel, first_problem
+
+PATH_VARIABLE = "CELERYFIELD_BOOT"
+# Reports of the upstream may arrive seconds late; a crash shows earlier, when
+# connections to it are refused.
+MISSED_REPORTS = 6
+
+
+class _Self(PlatformModel):
+    """Table ``self``."""
+
+    node_name: str = pydantic.Field(alias="nodeName", min_length=1)
+    ip: str
+    zone: str
+    region: str = ""
+    # Address of the upstream beside the node.
+    upstream_address: str = pydantic.Field(alias="appAddr")
+    service: str
+
+
+class _Listen(PlatformModel):
+    """Table ``network.listen``; each value is ``host:port``.
+
+    ``outbound`` is where callers and the upstream of this VM send requests;
+    ``control`` is where the upstream sends its status reports. ``inbound`` is
+    not used: other nodes come to the first of the internal ports.
+    """
+
+    outbound: str
+    ready: str
+    control: str
+
+
+class _Network(PlatformModel):
+    """Table ``network``; the internal ports are a first and a last one."""
+
+    internal_ports: tuple[int, int] = pydantic.Field(alias="internalPorts")
+    # Status report addresses of other nodes, which may be gone.
+    seeds: tuple[str, ...] = ()
+    listen: _Listen
+
+
+class _Store(PlatformModel):
+    """Table ``platform.platform``: the store."""
+
+    address: str
+
+
+class _Platform(PlatformModel):
+    """Table ``platform``."""
+
+    heartbeat_ms: float = pydantic.Field(alias="heartbeatMs", gt=0)
+    store: _Store = pydantic.Field(alias="platform")
+
+
+class _Bounds(PlatformModel):
+    """Table ``terms.bounds``."""
+
+    drain_ms: float = pydantic.Field(alias="drainMs", gt=0)
+    grace_s: float = pydantic.Field(alias="graceS", gt=0)
+    config_ms: float = pydantic.Field(alias="configMs", gt=0)
+    retry_budget_ratio: float = pydantic.Field(
+        alias="retryBudgetRatio", default=0.2
+    )
+    budget_window_s: float = pydantic.Field(alias="budgetWindowS", default=10)
+    budget_slack: float = pydantic.Field(alias="budgetSlack", default=0)
+
+
+class _Terms(PlatformModel):
+    """Table ``terms``."""
+
+    bounds: _Bounds
+
+
+class _File(PlatformModel):
+    """The whole file."""
+
+    me: _Self = pydantic.Field(alias="self")
+    network: _Network
+    platform: _Platform
+    terms: _Terms
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Listener:
+    """Where a listener is opened."""
+
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Seed:
+    """A neighbour that may know the configuration and the records."""
+
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PlatformSettings:
+    """What a node is told by the platform.
+
+    Attributes:
+        node: Settings of the product's own modules.
+        service: Service of the upstream that this VM was made for.
+        upstream_address: ``host:port`` of the upstream.
+        callers: Listener for callers and for calls of the upstream.
+        reports: Listener for status reports of the upstream.
+        ready: Listener for readiness checks.
+        seeds: Neighbours to ask when the store is away.
+        drain_ms: Time in which a leaving upstream stops getting requests.
+        grace_ms: Time from SIGTERM to SIGKILL.
+        config_ms: Time in which a configuration has to be in force.
+    """
+
+    node: NodeSettings
+    service: str
+    upstream_address: str
+    callers: Listener
+    reports: Listener
+    ready: Listener
+    seeds: tuple[Seed, ...]
+    drain_ms: float
+    grace_ms: float
+    config_ms: float
+
+
+def load() -> Result[PlatformSettings, SettingsError]:
+    """Reads the file that the environment names."""
+    path = os.environ.get(PATH_VARIABLE)
+    if path is None:
+        return Error(SettingsError(f"variable {PATH_VARIABLE} is not set"))
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Error(SettingsError(f"{path}: {error}"))
+    return parse(text).map_error(
+        lambda error: SettingsError(f"{path}: {error}")
+    )
+
+
+def parse(text: str) -> Result[PlatformSettings, SettingsError]:
+    """Decodes the text of a settings file."""
+    try:
+        content = _File.model_validate(tomllib.loads(text))
+        return Ok(_translate(content))
+    except tomllib.TOMLDecodeError as error:
+        return Error(SettingsError(f"not TOML: {error}"))
+    except pydantic.ValidationError as error:
+        return Error(SettingsError(first_problem(error)))
+    except ValueError as error:
+        return Error(SettingsError(str(error)))
+
+
+def _translate(content: _File) -> PlatformSettings:
+    """Converts a decoded file.
+
+    Raises:
+        ValueError: An address is not ``host:port``.
+    """
+    peer_port = content.network.internal_ports[0]
+    callers = _listener(content.network.listen.outbound)
+    bounds = content.terms.bounds
+    return PlatformSettings(
+        node=_node_settings(content, callers, peer_port),
+        service=content.me.service,
+        upstream_address=content.me.upstream_address,
+        callers=callers,
+        reports=_listener(content.network.listen.control),
+        ready=_listener(content.network.listen.ready),
+        seeds=tuple(
+            Seed(_listener(seed).host, peer_port)
+            for seed in content.network.seeds
+        ),
+        drain_ms=bounds.drain_ms,
+        grace_ms=bounds.grace_s * 1000.0,
+        config_ms=bounds.config_ms,
+    )
+
+
+def _node_settings(
+    content: _File, callers: Listener, peer_port: int
+) -> NodeSettings:
+    me = content.me
+    return NodeSettings(
+        node=IdentitySettings(
+            id=me.node_name,
+            zone=me.zone,
+            region=me.region,
+            address=me.ip,
+        ),
+        listen=ListenSettings(caller_port=callers.port, peer_port=peer_port),
+        store=StoreSettings(
+            url=f"http://{content.platform.store.address}",
+            timeout_ms=1_500.0,
+            calls_per_second=10.0,
+            burst=40,
+            watch_seconds=20.0,
+        ),
+        dispatch=DispatchSettings(
+            announce_ttl_ms=content.platform.heartbeat_ms * MISSED_REPORTS
+        ),
+        routing=RoutingSettings(),
+    )
+
+
+def _listener(address: str) -> Listener:
+    """Splits ``host:port``.
+
+    Raises:
+        ValueError: The text is something else.
+    """
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal():
+        raise ValueError(f"{address!r} is not host:port")
+    return Listener(host, int(port))
