Own the HTTP exchange with the upstream and list again after a cut watch

Ruled out: an unframed answer cut in the frames between nodes (the short body came from the client of the upstream).

Change: exchanges are written on a parser library; a watch that ends for any reason is followed by a listing; pauses grow to 0.8 s at most.

--- a/src/celeryfield/internal/store/budget.py
+++ b/src/celeryfield/internal/store/budget.py
@@ -5,9 +5,9 @@
 from celeryfield.internal.clock import Clock
 
 FIRST_DELAY_MS = 200.0
-# A recovered store must be noticed well within the 17 s that a configuration
+# A recovered store must be noticed well within the 2 s that a configuration
 # change may take to be in force.
-LONGEST_DELAY_MS = 8_000.0
+LONGEST_DELAY_MS = 800.0
 
 
 class CallBudget:
--- a/src/celeryfield/internal/store/prefix_watcher.py
+++ b/src/celeryfield/internal/store/prefix_watcher.py
@@ -20,7 +20,11 @@
 
 
 class PrefixWatcher(mode.Service):
-    """Lists a prefix once and then waits for changes.
+    """Lists a prefix and then waits for changes.
+
+    A watch that was cut off does not go on from where it ended: a store that
+    drops its history may leave a watch waiting that has missed changes. The
+    prefix is listed again instead, also after each wait without a change.
 
     Args:
         client: Client of the store.
@@ -67,11 +71,15 @@
             await self._clock.sleep_ms(COALESCE_MS)
 
     def _take(self, listing: StoreListing) -> None:
+        has_changes = listing.objects or listing.deleted_keys
         if self._revision is None:
             self._on_listing(listing)
-        elif listing.objects or listing.deleted_keys:
+            self._revision = listing.revision
+        elif has_changes:
             self._on_changes(listing)
-        self._revision = listing.revision
+            self._revision = listing.revision
+        else:
+            self._revision = None
 
     def _note_answer(self, asked_ms: float) -> None:
         self.heard_ms = asked_ms
@@ -81,12 +89,12 @@
             logger.info("store is back", extra={"prefix": self._prefix})
 
     async def _recover(self, error: StoreError) -> None:
+        revision, self._revision = self._revision, None
         if isinstance(error, StoreHistoryLostError):
             logger.info(
                 "store dropped its history; listing again",
-                extra={"prefix": self._prefix, "revision": self._revision},
+                extra={"prefix": self._prefix, "revision": revision},
             )
-            self._revision = None
             return
         if self._is_connected:
             self._is_connected = False
--- /dev/null
+++ b/src/celeryfield/internal/upstream/connection.py
@@ -0,0 +1,263 @@
+"""One HTTP/1.1 connection to the upstream.
+
+Upstreams may send a second answer after a whole one, late or at once, may cut
+an answer off, and may end a body only with the connection. The library's own
+client takes a reset connection for the end of such a body and cannot read on
+past an answer to an earlier request, so the exchange is written here on top
+of a parser library.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+import httptools
+from multidict import CIMultiDict
+
+from celeryfield.internal.upstream.errors import (
+    AnswerBrokenError,
+    AnswerLostError,
+    AnswerTooLargeError,
+    UpstreamError,
+)
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Answers to earlier requests that are passed over on one connection.
+MAX_FOREIGN_ANSWERS = 4
+_BODILESS_STATUSES = frozenset((204, 304))
+_FIRST_FINAL_STATUS = 200
+
+
+@dataclasses.dataclass(slots=True)
+class HttpRequest:
+    """A request to the upstream.
+
+    Attributes:
+        method: HTTP method.
+        target: Path with its query, as sent.
+        headers: Headers in the order in which they are sent.
+        body: Whole body.
+    """
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes = b""
+
+    def encode(self) -> bytes:
+        """Returns the bytes of the request."""
+        lines = [f"{self.method} {self.target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in self.headers]
+        if self.body or self.method in ("POST", "PUT", "PATCH"):
+            lines.append(f"Content-Length: {len(self.body)}")
+        head = "\r\n".join(lines) + "\r\n\r\n"
+        return head.encode("utf-8", "surrogateescape") + self.body
+
+
+@dataclasses.dataclass(slots=True)
+class HttpAnswer:
+    """A whole answer of the upstream.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers.
+        body: Whole body.
+    """
+
+    status: int
+    headers: CIMultiDict[str]
+    body: bytes
+
+
+AnswerCheck = Callable[[HttpAnswer], bool]
+"""Tells whether an answer belongs to the request that waits."""
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """Carries one exchange at a time.
+
+    Args:
+        on_close: Called once when the connection has ended.
+
+    Attributes:
+        is_reusable: Another exchange may follow.
+        exchanges: Exchanges begun so far.
+        idle_since_ms: Set by the pool when the connection becomes idle.
+        keep_alive_s: Idle time that the upstream announced; none if unknown.
+    """
+
+    def __init__(
+        self, on_close: Callable[["UpstreamConnection"], None]
+    ) -> None:
+        self.is_reusable = True
+        self.exchanges = 0
+        self.idle_since_ms = 0.0
+        self.keep_alive_s: int | None = None
+        self._on_close = on_close
+        self._transport: asyncio.Transport | None = None
+        self._waiter: asyncio.Future[HttpAnswer] | None = None
+        self._belongs: AnswerCheck | None = None
+        self._is_head = False
+        self._foreign_count = 0
+        self._is_closed = False
+        self._start_parser()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport for writing."""
+        self._transport = transport  # type: ignore[assignment]
+
+    def data_received(self, data: bytes) -> None:
+        """Parses an answer; bytes that nobody waits for end the connection."""
+        if self._waiter is None:
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(AnswerBrokenError(f"not an answer: {error}"))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the exchange; only an orderly end completes an open body."""
+        self._is_closed = True
+        self.is_reusable = False
+        if self._ends_with_connection and exc is None:
+            self._complete()
+        elif self._has_begun:
+            self._fail(AnswerBrokenError("the connection ended in the answer"))
+        else:
+            self._fail(
+                AnswerLostError(
+                    "the connection ended before the answer",
+                    was_reused=self.exchanges > 1,
+                )
+            )
+        self._on_close(self)
+
+    # Callbacks of the parser
+
+    def on_message_begin(self) -> None:
+        """Notes the first byte of an answer."""
+        self._has_begun = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keeps a header."""
+        self._headers.add(name.decode("latin-1"), value.decode("latin-1"))
+
+    def on_headers_complete(self) -> None:
+        """Decides how the body ends."""
+        self._status = self._parser.get_status_code()
+        has_length = "Content-Length" in self._headers
+        is_chunked = "Transfer-Encoding" in self._headers
+        is_bodiless = self._is_head or self._status in _BODILESS_STATUSES
+        if self._status < _FIRST_FINAL_STATUS:
+            return
+        if not (has_length or is_chunked or is_bodiless):
+            self._ends_with_connection = True
+        if self._is_head:
+            # The parser cannot be told that the announced body never comes.
+            self.is_reusable = False
+            self._complete()
+
+    def on_body(self, part: bytes) -> None:
+        """Keeps a part of the body."""
+        self._size += len(part)
+        if self._size > MAX_ANSWER_BYTES:
+            self._fail(AnswerTooLargeError("the answer is too large"))
+            return
+        self._parts.append(part)
+
+    def on_message_complete(self) -> None:
+        """Ends an answer; what follows in the same bytes belongs to no one."""
+        if self._status < _FIRST_FINAL_STATUS:
+            self._begin_answer()
+            return
+        if not self._parser.should_keep_alive():
+            self.is_reusable = False
+        self._complete()
+
+    # Exchanges
+
+    async def exchange(
+        self, request: HttpRequest, belongs: AnswerCheck
+    ) -> HttpAnswer:
+        """Sends a request and waits for the whole answer to it.
+
+        Args:
+            request: The request.
+            belongs: Tells the answer from those to earlier requests, which
+                are passed over.
+
+        Raises:
+            UpstreamError: There is no whole answer.
+        """
+        self.exchanges += 1
+        if self._is_closed or self._transport is None:
+            raise AnswerLostError("the connection is closed", was_reused=True)
+        self._belongs = belongs
+        self._is_head = request.method == "HEAD"
+        self._foreign_count = 0
+        self._start_parser()
+        self._waiter = asyncio.get_running_loop().create_future()
+        self._transport.write(request.encode())
+        is_whole = False
+        try:
+            answer = await self._waiter
+            is_whole = True
+            return answer
+        finally:
+            self._waiter = None
+            # An unread rest of the request would be taken for another one.
+            is_sent = self._transport.get_write_buffer_size() == 0
+            if not (is_whole and is_sent):
+                self.abort()
+
+    def abort(self) -> None:
+        """Ends the connection at once."""
+        self.is_reusable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _start_parser(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._begin_answer()
+
+    def _begin_answer(self) -> None:
+        self._status = 0
+        self._headers: CIMultiDict[str] = CIMultiDict()
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._has_begun = False
+        self._ends_with_connection = False
+
+    def _complete(self) -> None:
+        waiter = self._waiter
+        if waiter is None or waiter.done():
+            # A second answer right behind the first one.
+            self.is_reusable = False
+            return
+        answer = HttpAnswer(self._status, self._headers, b"".join(self._parts))
+        self._begin_answer()
+        if self._belongs is not None and not self._belongs(answer):
+            self._pass_over()
+            return
+        self._note_keep_alive(answer.headers)
+        waiter.set_result(answer)
+
+    def _pass_over(self) -> None:
+        """Reads on after an answer to an earlier request."""
+        self._foreign_count += 1
+        if self._foreign_count > MAX_FOREIGN_ANSWERS or not self.is_reusable:
+            self._fail(AnswerBrokenError("answers to other requests only"))
+
+    def _note_keep_alive(self, headers: CIMultiDict[str]) -> None:
+        for part in headers.get("Keep-Alive", "").split(","):
+            name, _, value = part.strip().partition("=")
+            if name.lower() == "timeout" and value.isdecimal():
+                self.keep_alive_s = int(value)
+
+    def _fail(self, error: UpstreamError) -> None:
+        self.is_reusable = False
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(error)
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -78,7 +78,7 @@
         self.chains = ChainTable(clock, self.levels)
         self.balancer = Balancer(settings, clock)
         self.admission = AdmissionController(settings, clock)
-        self.upstream = PlatformUpstream()
+        self.upstream = PlatformUpstream(clock)
         self.tracker = UpstreamTracker(clock, settings.dispatch.announce_ttl_ms)
         self.pool = PeerPool(settings, clock, hello)
         self.dispatcher = Dispatcher(
@@ -171,7 +171,7 @@
         self.executor.close()
         self.pool.close()
         await self.peer_server.stop()
-        await self.upstream.close()
+        self.upstream.close()
         await self.store.close()
 
     async def drain(self) -> None:
@@ -289,9 +289,7 @@
         if table is not None and report.service in table.services_by_name:
             service = table.services_by_name[report.service]
             connections = service.max_connections
-        self.upstream.set_upstream(
-            report.address, report.upstream_id, connections
-        )
+        self.upstream.set_upstream(report.address, report.upstream_id)
         self.admission.set_capacity(
             report.slots, connections, self.tracker.state, report.service
         )
--- a/src/celeryfield/platform/upstream.py
+++ b/src/celeryfield/platform/upstream.py
@@ -1,21 +1,27 @@
-"""HTTP client of the upstream beside this node."""
+"""Requests to the upstream beside this node, in the platform's headers."""
 
 import asyncio
 import dataclasses
+import functools
+import logging
 
-import aiohttp
-import yarl
-from multidict import CIMultiDict
-
-from celeryfield.internal.bodies import read_bounded
 from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
+from celeryfield.internal.clock import Clock
 from celeryfield.internal.schema import wire
+from celeryfield.internal.upstream.connection import HttpAnswer, HttpRequest
+from celeryfield.internal.upstream.errors import (
+    AnswerBrokenError,
+    AnswerLostError,
+    AnswerTooLargeError,
+    UpstreamConnectError,
+)
+from celeryfield.internal.upstream.pool import UpstreamPool
 from celeryfield.platform import headers
 
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
-CONNECT_TIMEOUT_S = 0.5
-# Shorter than the time after which upstreams close idle connections.
-IDLE_KEEP_S = 8.0
+logger = logging.getLogger(__name__)
+
+MISDIRECTED_STATUS = 421
+FIRST_FAILURE_STATUS = 400
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -42,95 +48,59 @@
         load: Newest load that the upstream reported.
     """
 
-    def __init__(self) -> None:
-        self._session: aiohttp.ClientSession | None = None
-        self._address = ""
+    def __init__(self, clock: Clock) -> None:
+        self._pool = UpstreamPool(clock)
         self._upstream_id = ""
         self.load: UpstreamLoad | None = None
 
-    def set_upstream(
-        self, address: str, upstream_id: str, connections: int
-    ) -> None:
+    def set_upstream(self, address: str, upstream_id: str) -> None:
         """Points the client at an upstream."""
         self._upstream_id = upstream_id
-        if address == self._address and self._session is not None:
-            return
-        self._address = address
-        previous = self._session
-        self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=connections, keepalive_timeout=IDLE_KEEP_S
-            ),
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(
-                total=None, sock_connect=CONNECT_TIMEOUT_S
-            ),
-            skip_auto_headers=("user-agent", "accept-encoding", "accept"),
-        )
-        # The library would send a failed GET a second time on its own, which
-        # neither the retry allowance nor "not run" could account for.
-        self._session._retry_connection = False
-        if previous is not None:
-            asyncio.ensure_future(previous.close())  # noqa: RUF006
+        self._pool.set_address(address)
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Closes all connections to the upstream."""
-        if self._session is not None:
-            await self._session.close()
+        self._pool.close()
 
     async def is_accepting(self) -> bool:
         """Returns whether the upstream accepts a new connection."""
-        host, _, port = self._address.rpartition(":")
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError):
-            return False
-        writer.close()
-        return True
+        return await self._pool.is_accepting()
 
     async def request(
         self, call: wire.Call, body: bytes, _traceparent: str, timeout_ms: float
     ) -> CallResult:
         """Runs a call; the whole answer is read before it is returned."""
-        if self._session is None:
+        if not self._pool.address:
             return not_run(Reason.NO_UPSTREAM)
-        request_headers = CIMultiDict(headers.as_pairs(call.headers))
-        request_headers[headers.DEADLINE] = str(max(int(timeout_ms), 1))
-        request_headers[headers.TARGET] = self._upstream_id
+        request = HttpRequest(
+            call.method, call.path, self._headers(call, timeout_ms), body
+        )
+        belongs = functools.partial(_belongs, call.request_id)
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
-                return await self._exchange(call, body, request_headers)
+                answer = await self._pool.send(
+                    request, belongs, call.repeatable
+                )
         except TimeoutError:
             return _unknown(Reason.DEADLINE, 504)
-        except aiohttp.ClientConnectorError:
+        except UpstreamConnectError:
             return not_run(Reason.NO_UPSTREAM)
-        except (aiohttp.ClientPayloadError, aiohttp.ClientResponseError):
-            return _unknown(Reason.TRUNCATED, 502)
-        except (aiohttp.ClientError, OSError, ValueError):
+        except AnswerLostError:
             return _unknown(Reason.CONNECTION_LOST, 502)
-
-    async def _exchange(
-        self,
-        call: wire.Call,
-        request_body: bytes,
-        request_headers: CIMultiDict[str],
-    ) -> CallResult:
-        url = yarl.URL(f"http://{self._address}{call.path}", encoded=True)
-        async with self._session.request(
-            call.method,
-            url,
-            headers=request_headers,
-            data=request_body or None,
-            allow_redirects=False,
-        ) as response:
-            body = await read_bounded(response.content, MAX_ANSWER_BYTES)
-            if body is None:
-                response.close()
-                return _unknown(Reason.TOO_LARGE, 502)
-            self._note_load(response.headers.get(headers.LOAD, ""))
-            return _classify(call, response, body)
+        except AnswerBrokenError:
+            return _unknown(Reason.TRUNCATED, 502)
+        except AnswerTooLargeError:
+            return _unknown(Reason.TOO_LARGE, 502)
+        self._note_load(answer.headers.get(headers.LOAD, ""))
+        return _classify(answer)
+
+    def _headers(
+        self, call: wire.Call, timeout_ms: float
+    ) -> list[tuple[str, str]]:
+        pairs = headers.as_pairs(call.headers)
+        pairs.append((headers.DEADLINE, str(max(int(timeout_ms), 1))))
+        pairs.append((headers.TARGET, self._upstream_id))
+        return pairs
 
     def _note_load(self, text: str) -> None:
         parts = text.split(",")
@@ -140,26 +110,39 @@
             self.load = UpstreamLoad(*figures[:3], pace)
 
 
+def _belongs(request_id: str, answer: HttpAnswer) -> bool:
+    """Returns whether an answer names no other request."""
+    return answer.headers.get(headers.REQUEST_ID, request_id) == request_id
+
+
 def _unknown(reason: Reason, status: int) -> CallResult:
     return CallResult(Outcome.UNKNOWN, reason, status, started=True)
 
 
-def _classify(
-    call: wire.Call, response: aiohttp.ClientResponse, body: bytes
-) -> CallResult:
+def _classify(answer: HttpAnswer) -> CallResult:
     """Says what an answer means for the call."""
-    status = response.status
-    if headers.NOT_EXECUTED in response.headers or status == 421:
-        reason = Reason.NO_UPSTREAM if status == 421 else Reason.UPSTREAM_SHED
-        return not_run(reason)
-    if response.headers.get(headers.REQUEST_ID, "") != call.request_id:
-        response.close()
-        return _unknown(Reason.MISMATCH, 502)
-    if headers.SIGNATURE not in response.headers:
+    status = answer.status
+    if status == MISDIRECTED_STATUS:
+        return not_run(Reason.NO_UPSTREAM)
+    if headers.NOT_EXECUTED in answer.headers:
+        return not_run(Reason.UPSTREAM_SHED)
+    if headers.SIGNATURE not in answer.headers:
         return _unknown(Reason.UPSTREAM_ERROR, 502)
-    answer_headers = headers.returned(response.headers)
-    outcome = Outcome.OK if status < 400 else Outcome.FAILED
-    reason = Reason.NONE if status < 400 else Reason.UPSTREAM_ERROR
+    answer_headers = headers.returned(answer.headers)
+    if status < FIRST_FAILURE_STATUS:
+        return CallResult(
+            Outcome.OK,
+            Reason.NONE,
+            status,
+            answer_headers,
+            answer.body,
+            started=True,
+        )
     return CallResult(
-        outcome, reason, status, answer_headers, body, started=True
+        Outcome.FAILED,
+        Reason.UPSTREAM_ERROR,
+        status,
+        answer_headers,
+        answer.body,
+        started=True,
     )
--- /dev/null
+++ b/tests/cover/test_upstream_connection.py
@@ -0,0 +1,170 @@
+"""Exchanges with upstreams that answer too late, too much or too little."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import pytest
+
+from celeryfield.internal.clock import Clock, ManualClock
+from celeryfield.internal.upstream.connection import HttpRequest
+from celeryfield.internal.upstream.errors import (
+    AnswerBrokenError,
+    AnswerLostError,
+    UpstreamConnectError,
+)
+from celeryfield.internal.upstream.pool import FRESH_IDLE_MS, UpstreamPool
+
+WHOLE = b"HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 4\r\n\r\nbody"
+UNFRAMED = b"HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\npart"
+
+
+class ScriptedUpstream:
+    """Answers the requests of each connection with scripted bytes."""
+
+    def __init__(self, scripts):
+        self.scripts = list(scripts)
+        self.connections = 0
+        self.requests = []
+
+    async def __call__(self, reader, writer):
+        index = self.connections
+        self.connections += 1
+        for reply in self.scripts[index]:
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.requests.append(head)
+            if reply is not None:
+                writer.write(reply)
+                await writer.drain()
+        await self.end(writer)
+
+    async def end(self, writer):
+        writer.close()
+
+
+class ResettingUpstream(ScriptedUpstream):
+    """Ends its connections with a reset."""
+
+    async def end(self, writer):
+        await asyncio.sleep(0.02)
+        sock = writer.get_extra_info("socket")
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+
+@contextlib.asynccontextmanager
+async def pool_to(upstream, clock=None):
+    server = await asyncio.start_server(upstream, "127.0.0.1", 0)
+    pool = UpstreamPool(clock or Clock())
+    port = server.sockets[0].getsockname()[1]
+    pool.set_address(f"127.0.0.1:{port}")
+    try:
+        yield pool
+    finally:
+        pool.close()
+        server.close()
+
+
+def send(pool, name=b"a", is_repeatable=True):
+    request = HttpRequest("GET", "/", [("Host", "x")])
+
+    def belongs(answer):
+        return answer.headers.get("X-Id", "").encode() == name
+
+    return asyncio.wait_for(pool.send(request, belongs, is_repeatable), 5)
+
+
+async def test_a_body_without_length_ends_with_the_connection():
+    async with pool_to(ScriptedUpstream([[UNFRAMED]])) as pool:
+        answer = await send(pool)
+    assert answer.body == b"part"
+
+
+async def test_a_reset_does_not_complete_a_body_without_length():
+    # A half body was handed to a caller as a whole one.
+    async with pool_to(ResettingUpstream([[UNFRAMED]])) as pool:
+        with pytest.raises(AnswerBrokenError):
+            await send(pool)
+
+
+async def test_a_body_shorter_than_announced_is_broken():
+    cut = (WHOLE % b"a")[:-2]
+    async with pool_to(ScriptedUpstream([[cut]])) as pool:
+        with pytest.raises(AnswerBrokenError):
+            await send(pool)
+
+
+async def test_a_late_answer_to_an_earlier_request_is_passed_over():
+    late_then_own = (WHOLE % b"old") + (WHOLE % b"a")
+    async with pool_to(ScriptedUpstream([[late_then_own]])) as pool:
+        answer = await send(pool)
+    assert answer.headers["X-Id"] == "a"
+
+
+async def test_a_second_answer_is_not_taken_for_the_next_request():
+    # Extra bytes behind a whole answer would answer the next request.
+    extra = (WHOLE % b"a") + (WHOLE % b"a")
+    upstream = ScriptedUpstream([[extra], [WHOLE % b"b"]])
+    async with pool_to(upstream) as pool:
+        await send(pool)
+        answer = await send(pool, b"b")
+    assert answer.headers["X-Id"] == "b"
+    assert upstream.connections == 2
+
+
+async def test_bytes_that_are_no_answer_are_refused():
+    async with pool_to(ScriptedUpstream([[b"not http at all\r\n"]])) as pool:
+        with pytest.raises(AnswerBrokenError):
+            await send(pool)
+
+
+async def test_a_closed_connection_without_an_answer_is_a_lost_answer():
+    async with pool_to(ScriptedUpstream([[None]])) as pool:
+        with pytest.raises(AnswerLostError):
+            await send(pool)
+
+
+async def test_a_refused_connection_proves_that_nothing_was_sent():
+    pool = UpstreamPool(Clock())
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        pool.set_address(f"127.0.0.1:{unused.getsockname()[1]}")
+        with pytest.raises(UpstreamConnectError):
+            await send(pool)
+
+
+async def test_connections_are_used_again():
+    upstream = ScriptedUpstream([[WHOLE % b"a", WHOLE % b"a", None]])
+    async with pool_to(upstream) as pool:
+        await send(pool)
+        await send(pool)
+    assert upstream.connections == 1
+
+
+async def test_a_request_that_must_not_run_twice_avoids_older_connections():
+    # The upstream may have closed the idle connection; whether it read the
+    # request would stay unknown.
+    clock = ManualClock()
+    upstream = ScriptedUpstream([[WHOLE % b"a", None], [WHOLE % b"a", None]])
+    async with pool_to(upstream, clock) as pool:
+        await send(pool)
+        clock.advance(FRESH_IDLE_MS + 1)
+        await send(pool, is_repeatable=False)
+    assert upstream.connections == 2
+
+
+async def test_a_cancelled_exchange_closes_its_connection():
+    # Upstreams stop working on a request when its connection closes.
+    upstream = ScriptedUpstream([[None, None], [WHOLE % b"a"]])
+    async with pool_to(upstream) as pool:
+        task = asyncio.ensure_future(send(pool))
+        while not upstream.requests:
+            await asyncio.sleep(0.001)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        await send(pool)
+    assert upstream.connections == 2
