--- a/src/celeryfield/internal/calls.py
+++ b/src/celeryfield/internal/calls.py
@@ -22,6 +22,7 @@
 
     NONE = ""
     OVERLOAD = "overload"
+    BUSY = "busy"
     QUEUE_FULL = "queue-full"
     DEADLINE = "deadline"
     DRAINING = "draining"
@@ -36,6 +37,7 @@
     TRUNCATED = "truncated"
     MISMATCH = "mismatch"
     SUSPECT = "suspect"
+    REPEAT_BUDGET = "repeat-budget"
     CANCELLED = "cancelled"
     BAD_REQUEST = "bad-request"
     TOO_LARGE = "too-large"
@@ -46,6 +48,12 @@
     INTERNAL = "internal"
 
 
+# Refusals for lack of room or time.
+OVERLOAD_REASONS = frozenset(
+    (Reason.OVERLOAD, Reason.BUSY, Reason.QUEUE_FULL, Reason.DEADLINE)
+)
+
+
 @dataclasses.dataclass(slots=True)
 class CallResult:
     """The whole answer to one call.
@@ -60,6 +68,8 @@
         failed_deeper: The failure was already retried at a deeper hop.
         started: The upstream may have started the call.
         load: Load report of the answering node, if one answered.
+        queued_ms: Time that the call and its sub-calls waited for slots.
+        refused_deeper: A sub-call was refused for lack of room or time.
     """
 
     outcome: Outcome
@@ -71,6 +81,8 @@
     failed_deeper: bool = False
     started: bool = False
     load: wire.LoadReport | None = None
+    queued_ms: float = 0.0
+    refused_deeper: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/celeryfield/internal/dispatch/admission.py
+++ b/src/celeryfield/internal/dispatch/admission.py
@@ -31,6 +31,10 @@
 # While calls wait, expired ones are rejected and a rising limit takes effect
 # within this time.
 SWEEP_MS = 5.0
+# A call that another upstream may take does not wait longer than this share of
+# its service time; a second hop costs about two milliseconds.
+BUSY_SHARE = 0.3
+MIN_BUSY_WAIT_MS = 8.0
 
 
 class AdmissionController:
@@ -187,7 +191,8 @@
         """Returns why a call is refused before it is queued."""
         if verdict is Verdict.REFUSE:
             return Reason.SUSPECT
-        is_admitted = self._control.offer(call)
+        # The chain of a sub-call was admitted where it began.
+        is_admitted = self._control.offer(call) or call.depth > 0
         if not is_admitted and not can_start:
             return Reason.OVERLOAD
         needed_ms = self._times.expected_ms(call.class_name, now_ms)
@@ -195,7 +200,11 @@
             ahead_ms = self._queue.cost_ahead_ms(
                 call, self._control.is_overloaded
             )
-            needed_ms += ahead_ms / self._slots.slots_for(call, limit)
+            wait_ms = ahead_ms / self._slots.slots_for(call, limit)
+            patience_ms = max(BUSY_SHARE * needed_ms, MIN_BUSY_WAIT_MS)
+            if call.may_redirect and wait_ms > patience_ms:
+                return Reason.BUSY
+            needed_ms += wait_ms
         return Reason.DEADLINE if call.deadline_left_ms <= needed_ms else None
 
     def _can_start(self, call: wire.Call, limit: int) -> bool:
--- a/src/celeryfield/internal/dispatch/control.py
+++ b/src/celeryfield/internal/dispatch/control.py
@@ -64,7 +64,7 @@
         waiting times of the calls that start would not do: they are short
         for the newest and most important calls while the others pile up.
         """
-        delay_ms = self._queue.short_cost_ms / max(limit, 1)
+        delay_ms = self._queue.root_cost_ms() / max(limit, 1)
         self._lowest_delay_ms = min(self._lowest_delay_ms, delay_ms)
 
     def record_end(self, call_class: str, end: RunEnd, now_ms: float) -> None:
--- a/src/celeryfield/internal/dispatch/dispatcher.py
+++ b/src/celeryfield/internal/dispatch/dispatcher.py
@@ -6,7 +6,9 @@
 from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.dispatch.admission import AdmissionController
+from celeryfield.internal.dispatch.chain_limits import ChainEnd, ChainLimits
 from celeryfield.internal.dispatch.permits import EndKind, RunEnd
+from celeryfield.internal.dispatch.repeats import RepeatBudget
 from celeryfield.internal.routing.chains import ChainTable
 from celeryfield.internal.schema import wire
 from celeryfield.internal.transport.server import RunState
@@ -14,6 +16,8 @@
 
 # Less time than this cannot cover one round trip to the upstream.
 MINIMUM_TIMEOUT_MS = 1.0
+# Times that a call is sent to an upstream that refuses it for no load.
+MAX_RESENDS = 5
 # A crash ends answers that have begun as well as those that have not.
 CUT_REASONS = frozenset((Reason.CONNECTION_LOST, Reason.TRUNCATED))
 
@@ -24,6 +28,7 @@
     Args:
         clock: Time source.
         admission: Grants the right to run a call.
+        chain_limits: Hold back classes whose sub-calls wait too long.
         chains: Chains of the calls that run here.
         upstream: HTTP client of the upstream.
         on_crash: Called when the upstream no longer accepts connections.
@@ -33,15 +38,18 @@
         self,
         clock: Clock,
         admission: AdmissionController,
+        chain_limits: ChainLimits,
         chains: ChainTable,
         upstream: UpstreamClient,
         on_crash: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._admission = admission
+        self._chain_limits = chain_limits
         self._chains = chains
         self._upstream = upstream
         self._on_crash = on_crash
+        self._repeats = RepeatBudget()
         self._crash_check: asyncio.Task[bool] | None = None
 
     async def run(
@@ -49,29 +57,54 @@
     ) -> CallResult:
         """Waits for a permit and runs the call once."""
         received_ms = self._clock.now_ms()
+        refusal = await self._chain_limits.enter(call)
+        if refusal is not None:
+            result = not_run(refusal, unused=call.retry_allowance)
+            return self._with_load(call, result)
+        end = ChainEnd()
+        try:
+            return await self._run_admitted(call, body, state, end, received_ms)
+        finally:
+            self._chain_limits.leave(call, end)
+
+    async def _run_admitted(
+        self,
+        call: wire.Call,
+        body: bytes,
+        state: RunState,
+        end: ChainEnd,
+        received_ms: float,
+    ) -> CallResult:
         granted = await self._admission.acquire(call)
         if granted.is_error():
             result = not_run(granted.error.reason, unused=call.retry_allowance)
             return self._with_load(call, result)
         permit = granted.ok
-        end = RunEnd(0.0, EndKind.CANCELLED)
+        run_end = RunEnd(0.0, EndKind.CANCELLED)
+        waited_ms = self._clock.now_ms() - received_ms
         try:
-            waited_ms = self._clock.now_ms() - received_ms
             timeout_ms = call.deadline_left_ms - waited_ms
             if timeout_ms < MINIMUM_TIMEOUT_MS:
                 result = not_run(
                     Reason.DEADLINE, 504, unused=call.retry_allowance
                 )
                 return self._with_load(call, result)
-            result, end = await self._run_permitted(
-                call, body, state, timeout_ms
+            result, run_end = await self._run_permitted(
+                call, body, state, timeout_ms, end
             )
         finally:
-            self._admission.release(permit, end)
+            self._admission.release(permit, run_end)
+        result.queued_ms = waited_ms + end.waited_ms
+        result.refused_deeper = end.refused_calls > 0
         return self._with_load(call, result)
 
     async def _run_permitted(
-        self, call: wire.Call, body: bytes, state: RunState, timeout_ms: float
+        self,
+        call: wire.Call,
+        body: bytes,
+        state: RunState,
+        timeout_ms: float,
+        end: ChainEnd,
     ) -> tuple[CallResult, RunEnd]:
         # The call was decoded or copied for this attempt alone.
         call.deadline_left_ms = timeout_ms
@@ -81,12 +114,15 @@
         started_ms = self._clock.now_ms()
         state.started = True
         try:
-            result = await self._upstream.request(
-                call, body, traceparent, timeout_ms
-            )
+            result = await self._send(call, body, traceparent, timeout_ms)
         finally:
             unused = self._chains.close(span_id)
-        service_ms = self._clock.now_ms() - started_ms
+            service_ms = self._clock.now_ms() - started_ms
+            end.time_limit_ms = timeout_ms
+            end.service_ms = service_ms
+            end.waited_ms = chain.queued_ms
+            end.sub_calls = chain.sub_calls
+            end.refused_calls = chain.refused_calls
         result.unused_allowance = unused
         result.failed_deeper = (
             chain.failed_deeper and result.outcome is not Outcome.OK
@@ -104,11 +140,45 @@
             result.reason = Reason.UPSTREAM_CRASHED
         return result, RunEnd(service_ms, kind)
 
+    async def _send(
+        self, call: wire.Call, body: bytes, traceparent: str, timeout_ms: float
+    ) -> CallResult:
+        """Sends a call, and again if an upstream with room refused it.
+
+        Such an upstream fails part of its requests whatever the load is, so
+        the next try has the same chance as the first.
+        """
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        if not self._may_send(call):
+            return not_run(Reason.REPEAT_BUDGET)
+        for _ in range(MAX_RESENDS):
+            left_ms = deadline_ms - self._clock.now_ms()
+            result = await self._upstream.request(
+                call, body, traceparent, max(left_ms, MINIMUM_TIMEOUT_MS)
+            )
+            is_refused = result.reason is Reason.UPSTREAM_SHED
+            if not (is_refused and self._upstream.has_room):
+                break
+            call.is_repeat = True
+            if left_ms < MINIMUM_TIMEOUT_MS or not self._may_send(call):
+                break
+        return result
+
+    def _may_send(self, call: wire.Call) -> bool:
+        """Counts what the upstream receives and bounds the repeats."""
+        now_ms = self._clock.now_ms()
+        if call.is_repeat:
+            return self._repeats.try_take(call.priority, now_ms)
+        self._repeats.note_first(call.priority, now_ms)
+        return True
+
     async def _end_kind(self, result: CallResult) -> EndKind:
         if result.outcome is Outcome.OK:
             return EndKind.OK
         if result.reason is Reason.UPSTREAM_SHED:
-            return EndKind.SHED
+            # One that refuses while it has room is faulty, not full.
+            has_room = self._upstream.has_room
+            return EndKind.ERROR if has_room else EndKind.SHED
         if result.reason is Reason.DEADLINE:
             return EndKind.CANCELLED
         if result.reason in CUT_REASONS and not await self._is_accepting():
@@ -125,6 +195,11 @@
 
     def _with_load(self, call: wire.Call, result: CallResult) -> CallResult:
         report = self._admission.load_report(call.class_name)
+        headroom = self._chain_limits.headroom(call.class_name)
+        if headroom is not None:
+            # Senders compare the load with the limit.
+            total = report.in_flight + report.queued
+            report.limit = max(min(report.limit, total + headroom), 1)
         deeper = self._chains.deeper_levels(call.service, call.class_name)
         if deeper:
             report.levels = (*report.levels, *deeper)
--- a/src/celeryfield/internal/dispatch/queue.py
+++ b/src/celeryfield/internal/dispatch/queue.py
@@ -26,6 +26,15 @@
     return 1.0
 
 
+def band_of(call: wire.Call) -> int:
+    """Returns the queue band of a call; higher ones are served first.
+
+    Among calls of one priority, sub-calls go before root calls: their chains
+    have already cost work, and all of it is lost if one of them fails.
+    """
+    return 2 * call.priority + (1 if call.depth else 0)
+
+
 def any_priority(_priority: int) -> bool:
     """Lets long jobs of every priority start."""
     return True
@@ -146,8 +155,8 @@
         self._max_waiters = max_waiters
         self._max_long = max_long
         self.count = 0
-        self._bands_by_priority: dict[int, _Band] = {}
-        self._priorities: list[int] = []
+        self._bands_by_number: dict[int, _Band] = {}
+        self._bands: list[int] = []
         self._expiries: list[tuple[float, int, Waiter]] = []
         self._sequence = itertools.count()
 
@@ -181,10 +190,13 @@
             may_run_long: Returns whether a long job of a priority may start.
             newest_first: Serve the newest of equals first.
         """
-        for priority in reversed(self._priorities):
-            band = self._bands_by_priority[priority]
-            long_allowed = self.long_count > 0 and may_run_long(priority)
-            waiter = band.pick(long_allowed, newest_first)
+        for number in reversed(self._bands):
+            band = self._bands_by_number[number]
+            long_allowed = self.long_count > 0 and may_run_long(number // 2)
+            is_deeper = number % 2 == 1
+            # A chain whose sub-calls wait longest is nearest to its deadline.
+            newest = newest_first and not is_deeper
+            waiter = band.pick(long_allowed, newest)
             if waiter is not None:
                 self._charge(band, waiter.call.tenant)
                 self.remove(waiter)
@@ -196,7 +208,7 @@
         if not self.holds(waiter):
             return
         call = waiter.call
-        band = self._bands_by_priority[call.priority]
+        band = self._bands_by_number[band_of(call)]
         tenant = band.tenants_by_name[call.tenant]
         tenant.lane(call.long_running).remove(waiter)
         self.count -= 1
@@ -207,15 +219,15 @@
         if len(tenant) == 0:
             del band.tenants_by_name[call.tenant]
         if not band.tenants_by_name:
-            del self._bands_by_priority[call.priority]
-            self._priorities.remove(call.priority)
+            del self._bands_by_number[band_of(call)]
+            self._bands.remove(band_of(call))
         if self.count == 0:
             self.short_cost_ms = 0.0
 
     def holds(self, waiter: Waiter) -> bool:
         """Returns whether a waiter is queued here."""
         call = waiter.call
-        band = self._bands_by_priority.get(call.priority)
+        band = self._bands_by_number.get(band_of(call))
         tenant = band.tenants_by_name.get(call.tenant) if band else None
         if tenant is None:
             return False
@@ -235,6 +247,21 @@
                 self.reject(waiter, reason)
         self._expiries.clear()
 
+    def root_cost_ms(self) -> float:
+        """Returns the slot time of the short waiters up to the last root call.
+
+        Sub-calls that wait behind all root calls delay none of them.
+        """
+        cost_ms = 0.0
+        found_ms = 0.0
+        for number in reversed(self._bands):
+            band = self._bands_by_number[number]
+            for tenant in band.tenants_by_name.values():
+                cost_ms += tenant.short.cost_ms
+            if number % 2 == 0:
+                found_ms = cost_ms
+        return found_ms
+
     def expire(self, now_ms: float) -> None:
         """Rejects waiters that can no longer finish in time."""
         while self._expiries and self._expiries[0][0] < now_ms:
@@ -245,22 +272,23 @@
     def cost_ahead_ms(self, call: wire.Call, newest_first: bool) -> float:
         """Returns the slot time of the waiters served before a new call."""
         cost_ms = 0.0
-        for priority in reversed(self._priorities):
-            if priority < call.priority:
+        own_band = band_of(call)
+        for number in reversed(self._bands):
+            if number < own_band:
                 break
-            if priority == call.priority and newest_first:
+            if number == own_band and newest_first and not call.depth:
                 break
-            band = self._bands_by_priority[priority]
+            band = self._bands_by_number[number]
             for tenant in band.tenants_by_name.values():
                 cost_ms += tenant.lane(call.long_running).cost_ms
         return cost_ms
 
     def _insert(self, waiter: Waiter) -> None:
         call = waiter.call
-        band = self._bands_by_priority.get(call.priority)
+        band = self._bands_by_number.get(band_of(call))
         if band is None:
-            band = self._bands_by_priority[call.priority] = _Band()
-            bisect.insort(self._priorities, call.priority)
+            band = self._bands_by_number[band_of(call)] = _Band()
+            bisect.insort(self._bands, band_of(call))
         tenant = band.tenants_by_name.get(call.tenant)
         if tenant is None:
             tenant = _TenantQueue(band.served)
@@ -292,10 +320,10 @@
         self, call: wire.Call, long_only: bool, newest_first: bool
     ) -> Waiter | None:
         """Returns the waiter that a new call displaces, if any."""
-        for priority in self._priorities:
-            if priority > call.priority:
+        for number in self._bands:
+            if number > band_of(call):
                 return None
-            band = self._bands_by_priority[priority]
+            band = self._bands_by_number[number]
             name = self._displaced_tenant(band, call, long_only, newest_first)
             if name is not None:
                 tenant = band.tenants_by_name[name]
@@ -321,7 +349,7 @@
         if not names:
             return None
         largest = max(names, key=lambda name: self._share(band, name, 0))
-        if band is not self._bands_by_priority.get(call.priority):
+        if band is not self._bands_by_number.get(band_of(call)):
             return largest
         own = self._share(band, call.tenant, 1)
         if largest != call.tenant and own <= self._share(band, largest, 0):
--- /dev/null
+++ b/src/celeryfield/internal/dispatch/repeats.py
@@ -0,0 +1,65 @@
+"""Bound on repeated requests that one upstream receives.
+
+The share of repeats is bounded for a whole service. Each node counts what its
+own upstream receives and permits repeats only in proportion to first requests
+there, so the sum over all nodes keeps the bound without any exchange.
+"""
+
+import collections
+import dataclasses
+
+# Permitted repeats per first request. The bound for a service is 0.2; the rest
+# is left for requests whose first attempt was counted by another node.
+REPEAT_SHARE = 0.16
+# Half of what is permitted is kept for calls of the highest priorities seen.
+RESERVED_SHARE = 0.5
+WINDOW_MS = 10_000.0
+BUCKET_MS = 500.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    """Requests received in one part of the window."""
+
+    start_ms: float
+    firsts: int = 0
+    repeats: int = 0
+
+
+class RepeatBudget:
+    """Counts first requests and repeats of one upstream."""
+
+    def __init__(self) -> None:
+        self._buckets: collections.deque[_Bucket] = collections.deque()
+        self._firsts = 0
+        self._repeats = 0
+        self._highest_priority = 0
+
+    def note_first(self, priority: int, now_ms: float) -> None:
+        """Counts a first request."""
+        self._highest_priority = max(self._highest_priority, priority)
+        self._bucket(now_ms).firsts += 1
+        self._firsts += 1
+
+    def try_take(self, priority: int, now_ms: float) -> bool:
+        """Counts a repeat if the budget permits it."""
+        bucket = self._bucket(now_ms)
+        permitted = REPEAT_SHARE * self._firsts
+        if priority < self._highest_priority:
+            permitted *= 1.0 - RESERVED_SHARE
+        if self._repeats + 1 > permitted:
+            return False
+        bucket.repeats += 1
+        self._repeats += 1
+        return True
+
+    def _bucket(self, now_ms: float) -> _Bucket:
+        """Returns the newest bucket and drops those outside the window."""
+        buckets = self._buckets
+        while buckets and buckets[0].start_ms <= now_ms - WINDOW_MS:
+            oldest = buckets.popleft()
+            self._firsts -= oldest.firsts
+            self._repeats -= oldest.repeats
+        if not buckets or now_ms - buckets[-1].start_ms >= BUCKET_MS:
+            buckets.append(_Bucket(now_ms))
+        return buckets[-1]
--- a/src/celeryfield/internal/node.py
+++ b/src/celeryfield/internal/node.py
@@ -15,6 +15,7 @@
 from celeryfield.internal.config.manager import ConfigManager
 from celeryfield.internal.directory import Directory
 from celeryfield.internal.dispatch.admission import AdmissionController
+from celeryfield.internal.dispatch.chain_limits import ChainLimits
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
 from celeryfield.internal.frontend.ingress import Ingress
 from celeryfield.internal.frontend.server import Frontend
@@ -95,6 +96,7 @@
         self.dispatcher = Dispatcher(
             clock,
             self.admission,
+            ChainLimits(clock),
             self.chains,
             self.upstream,
             self.registry.forget,
--- a/src/celeryfield/internal/routing/attempts.py
+++ b/src/celeryfield/internal/routing/attempts.py
@@ -26,6 +26,8 @@
 
 GATEWAY_TIMEOUT = 504
 BAD_GATEWAY = 502
+# Refusals as busy before a call waits where it is.
+MAX_BUSY_REDIRECTS = 2
 
 _fields_of_call = operator.attrgetter(
     *(field.name for field in dataclasses.fields(wire.Call))
@@ -49,6 +51,8 @@
         attempts: Attempts made.
         tried_ids: Nodes that were sent an attempt.
         redirected: The free redirect of this hop is used.
+        busy_left: How often the call may still be refused as busy.
+        is_repeat: An upstream has received the call before.
         maybe_run: The newest answer after which the request may have run.
     """
 
@@ -59,6 +63,8 @@
     attempts: int = 0
     tried_ids: frozenset[str] = NO_IDS
     redirected: bool = False
+    busy_left: int = MAX_BUSY_REDIRECTS
+    is_repeat: bool = False
     maybe_run: CallResult | None = None
 
     def finish(self, result: CallResult) -> CallResult:
@@ -118,6 +124,8 @@
             self._record_end(run, candidate, result, started_ms)
         if result.outcome is not Outcome.NOT_RUN:
             run.maybe_run = result
+        if result.started or result.reason is Reason.UPSTREAM_SHED:
+            run.is_repeat = True
         return result
 
     def _call_of_attempt(
@@ -127,6 +135,9 @@
         call.retry_allowance = handed_down
         call.deadline_left_ms = left_ms
         call.attempt = run.attempts
+        call.is_repeat = call.is_repeat or run.is_repeat
+        call.may_redirect = run.busy_left > 0
+        run.busy_left -= 1
         if run.attempts:
             # A cancel names one attempt, so each has its own call id.
             call.call_id = f"{call.call_id}.{run.attempts}"
--- a/src/celeryfield/internal/routing/balancer.py
+++ b/src/celeryfield/internal/routing/balancer.py
@@ -29,6 +29,11 @@
 SERVICE_TIME_TTL_MS = 3000.0
 # Assumed while no candidate has told a service time.
 UNKNOWN_SERVICE_MS = 50.0
+# Time that a failed attempt costs its chain.
+FAILURE_COST_MS = 500.0
+FAILURE_WEIGHT = 0.1
+# A candidate that is avoided gives no news, so its failures fade.
+FAILURE_HALF_LIFE_MS = 1500.0
 # Share of the service time by which a full upstream is slower than an idle one.
 BUSY_SLOWDOWN = 0.3
 # A cold candidate starts with this share of its limit.
@@ -55,6 +60,9 @@
         reported_state: State in the newest report.
         cold_since_ms: Start of the slow start; None once warm.
         service_ms_by_class: Typical service times in reports.
+        failure_share: Recent share of attempts that the upstream failed or
+            refused although it had room.
+        failure_ms: Time of the last attempt in that share.
     """
 
     candidate: Candidate
@@ -69,6 +77,15 @@
     service_ms_by_class: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
+    failure_share: float = 0.0
+    failure_ms: float = 0.0
+
+    def fresh_failure_share(self, now: float) -> float:
+        """Returns the share of failures, faded by its age."""
+        if self.failure_share == 0.0:
+            return 0.0
+        age_ms = now - self.failure_ms
+        return self.failure_share * 0.5 ** (age_ms / FAILURE_HALF_LIFE_MS)
 
     def fresh_service_ms(self, class_name: str, now: float) -> float | None:
         """Returns the service time of a class that was told recently."""
@@ -288,6 +305,7 @@
                 class_name, UNKNOWN_SERVICE_MS
             )
         expected_ms = service_ms * self._slowdown(entry, state, now)
+        expected_ms += FAILURE_COST_MS * state.fresh_failure_share(now)
         if state.candidate.zone != self._settings.node.zone:
             expected_ms += self._zone_penalty_ms(entry, class_name)
         return expected_ms
@@ -301,9 +319,13 @@
     def _slowdown(
         self, entry: _Service, state: _CandidateState, now: float
     ) -> float:
-        """Returns the factor by which load lengthens the service time."""
+        """Returns the factor by which load lengthens the service time.
+
+        A call that waits also delays those behind it, so a queue counts more
+        than the wait of the call itself.
+        """
         load = self._score(entry, state, now)
-        return max(load, 1.0) + BUSY_SLOWDOWN * load
+        return max(load, 1.0) ** 2 + BUSY_SLOWDOWN * load
 
     def _in_flight(
         self, entry: _Service, state: _CandidateState, now: float
@@ -381,6 +403,7 @@
         elif end.reason is Reason.DRAINING and end.outcome is Outcome.NOT_RUN:
             state.reported_state = DRAINING
             state.reported_ms = self._clock.now_ms()
+        self._learn_failure(state, end)
         if end.outcome is Outcome.OK:
             _learn_mean(
                 entry.mean_bytes_by_class, end.class_name, end.body_bytes
@@ -402,6 +425,17 @@
         change = total / state.limit - entry.mean_load
         entry.mean_load += MEAN_WEIGHT * change
 
+    def _learn_failure(self, state: _CandidateState, end: AttemptEnd) -> None:
+        is_failure = end.is_failure or end.reason is Reason.UPSTREAM_SHED
+        is_success = end.outcome is Outcome.OK
+        if not (is_failure or is_success):
+            return
+        now = self._clock.now_ms()
+        share = state.fresh_failure_share(now)
+        change = (1.0 if is_failure else 0.0) - share
+        state.failure_share = share + FAILURE_WEIGHT * change
+        state.failure_ms = now
+
     def _learn_service_time(
         self, entry: _Service, state: _CandidateState, end: AttemptEnd
     ) -> None:
--- a/src/celeryfield/internal/routing/chains.py
+++ b/src/celeryfield/internal/routing/chains.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from celeryfield.internal.calls import CallResult, Outcome
+from celeryfield.internal.calls import OVERLOAD_REASONS, CallResult, Outcome
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.routing.attempts import copy_of_call
 from celeryfield.internal.routing.levels import USE_TTL_MS, LevelTable
@@ -38,6 +38,10 @@
         deadline_ms: Monotonic time at which the call has to end.
         allowance: Extra attempts that sub-calls may still draw.
         failed_deeper: A sub-call failed, so hops above do not retry.
+        queued_ms: Time that the sub-calls waited for slots.
+        sub_calls: Number of sub-calls.
+        refused_calls: Sub-calls that were refused for lack of room, here or
+            deeper.
         is_open: Whether the call is still running.
     """
 
@@ -46,6 +50,9 @@
     deadline_ms: float
     allowance: int
     failed_deeper: bool = False
+    queued_ms: float = 0.0
+    sub_calls: int = 0
+    refused_calls: int = 0
     is_open: bool = True
 
     def draw(self) -> int:
@@ -143,9 +150,11 @@
         sub_call.tenant = parent.tenant
         sub_call.priority = parent.priority
         sub_call.depth = parent.depth + 1
+        sub_call.is_repeat = parent.is_repeat
         sub_call.retry_allowance = chain.draw() if chain.is_open else 0
         left_ms = max(chain.deadline_ms - self._clock.now_ms(), 0.0)
         sub_call.deadline_left_ms = min(call.deadline_left_ms, left_ms)
+        chain.sub_calls += 1
         self._record_use(parent, sub_call)
         return sub_call
 
@@ -157,8 +166,12 @@
             result.unused_allowance, sub_call.retry_allowance
         )
         chain.give_back(unused)
-        if result.outcome is not Outcome.OK:
-            chain.failed_deeper = True
+        chain.queued_ms += result.queued_ms
+        if result.outcome is Outcome.OK:
+            return
+        chain.failed_deeper = True
+        if result.reason in OVERLOAD_REASONS or result.refused_deeper:
+            chain.refused_calls += 1
 
     def _record_use(self, parent: wire.Call, sub_call: wire.Call) -> None:
         key = (parent.service, parent.class_name)
--- a/src/celeryfield/internal/routing/executor.py
+++ b/src/celeryfield/internal/routing/executor.py
@@ -47,6 +47,7 @@
 FINAL_REASONS = frozenset(
     {
         Reason.SUSPECT,
+        Reason.REPEAT_BUDGET,
         # The request may be what crashed the upstream; sending it again could
         # take down the next one.
         Reason.UPSTREAM_CRASHED,
@@ -186,11 +187,20 @@
             return None
         was_refused = result.outcome is Outcome.NOT_RUN
         candidate = self._choose(run)
+        if candidate is None and result.reason is Reason.BUSY:
+            # All are busy, so the call waits at the one that is least so.
+            run.busy_left = 0
+            candidate = self._balancer.choose(
+                run.call.service, NO_IDS, run.call.class_name
+            )
         if candidate is None and not was_refused:
             # The only candidate may well answer the second time.
             candidate = self._balancer.choose(run.call.service, NO_IDS)
         if candidate is None:
             return None
+        if was_refused and result.reason is Reason.BUSY:
+            self.counters.redirects += 1
+            return candidate
         is_free = was_refused and result.reason in FREE_REASONS
         if is_free and not run.redirected:
             run.redirected = True
--- a/src/celeryfield/internal/routing/levels.py
+++ b/src/celeryfield/internal/routing/levels.py
@@ -186,7 +186,13 @@
         ]
 
     def admits(self, call: wire.Call) -> bool:
-        """Returns whether no service on the way is known to refuse a call."""
+        """Returns whether no service on the way is known to refuse a call.
+
+        Sub-calls pass: their chains were admitted where they began, and all
+        work done for them since would be lost.
+        """
+        if call.depth:
+            return True
         level = self.level_for(call.service, call.class_name, call.tenant)
         return level == 0 or admission_rank(call) >= level
 
--- a/src/celeryfield/internal/schema/wire.capnp
+++ b/src/celeryfield/internal/schema/wire.capnp
@@ -38,6 +38,8 @@
   depth @17 :UInt16 $doc("Number of hops before this one.");
   routeName @18 :Text;
   fingerprint @19 :Data $doc("Hash of tenant, route and body.");
+  isRepeat @22 :Bool $doc("An upstream has received the call, or the one whose run made it, before.");
+  mayRedirect @21 :Bool $doc("The sender would rather try another node than let the call wait.");
   requestId @20 :Text $doc("Id that the caller gave the request; empty if it gave none.");
 }
 
@@ -71,6 +73,8 @@
   failedDeeper @5 :Bool $doc("The failure was already retried at a deeper hop.");
   started @6 :Bool;
   load @7 :LoadReport;
+  refusedDeeper @10 :Bool $doc("A sub-call was refused for lack of room or time.");
+  queuedMs @9 :Float32 $unit("ms") $doc("Time that the call and its sub-calls waited for slots.");
   bodyLength @8 :Int64 = -1 $unit("bytes") $doc("-1 if unknown until the end frame.");
 }
 
--- a/src/celeryfield/internal/schema/wire.py
+++ b/src/celeryfield/internal/schema/wire.py
@@ -129,6 +129,8 @@
         depth: Number of hops before this one.
         fingerprint: Hash of tenant, route and body.
         request_id: Id that the caller gave the request; empty if it gave none.
+        may_redirect: The sender would rather try another node than let the call wait.
+        is_repeat: An upstream has received the call, or the one whose run made it, before.
     """
 
     call_id: str = ""
@@ -152,6 +154,8 @@
     route_name: str = ""
     fingerprint: bytes = b""
     request_id: str = ""
+    may_redirect: bool = False
+    is_repeat: bool = False
 
     def fill(self, builder: Any) -> None:
         """Copies the fields into a message builder."""
@@ -179,6 +183,8 @@
         builder.routeName = self.route_name
         builder.fingerprint = self.fingerprint
         builder.requestId = self.request_id
+        builder.mayRedirect = self.may_redirect
+        builder.isRepeat = self.is_repeat
 
     def encode(self) -> bytes:
         """Returns the message as bytes."""
@@ -211,6 +217,8 @@
             reader.routeName,
             bytes(reader.fingerprint),
             reader.requestId,
+            reader.mayRedirect,
+            reader.isRepeat,
         )
 
     @classmethod
@@ -407,6 +415,8 @@
         outcome: ok, not-run, failed or unknown.
         failed_deeper: The failure was already retried at a deeper hop.
         body_length: -1 if unknown until the end frame. Unit: bytes.
+        queued_ms: Time that the call and its sub-calls waited for slots. Unit: ms.
+        refused_deeper: A sub-call was refused for lack of room or time.
     """
 
     outcome: str = ""
@@ -418,6 +428,8 @@
     started: bool = False
     load: LoadReport = dataclasses.field(default_factory=LoadReport)
     body_length: int = -1
+    queued_ms: float = 0.0
+    refused_deeper: bool = False
 
     def fill(self, builder: Any) -> None:
         """Copies the fields into a message builder."""
@@ -433,6 +445,8 @@
         builder.started = self.started
         self.load.fill(builder.load)
         builder.bodyLength = self.body_length
+        builder.queuedMs = self.queued_ms
+        builder.refusedDeeper = self.refused_deeper
 
     def encode(self) -> bytes:
         """Returns the message as bytes."""
@@ -453,6 +467,8 @@
             reader.started,
             LoadReport.read(reader.load),
             reader.bodyLength,
+            reader.queuedMs,
+            reader.refusedDeeper,
         )
 
     @classmethod
--- a/src/celeryfield/internal/transport/pool.py
+++ b/src/celeryfield/internal/transport/pool.py
@@ -283,4 +283,6 @@
         failed_deeper=reply.failed_deeper,
         started=reply.started,
         load=reply.load,
+        queued_ms=reply.queued_ms,
+        refused_deeper=reply.refused_deeper,
     )
--- a/src/celeryfield/internal/transport/server.py
+++ b/src/celeryfield/internal/transport/server.py
@@ -236,6 +236,8 @@
             started=result.started,
             load=result.load or wire.LoadReport(),
             body_length=len(result.body),
+            queued_ms=result.queued_ms,
+            refused_deeper=result.refused_deeper,
         )
         await connection.send(
             Kind.REPLY, stream_id, reply.encode(), result.body
--- a/src/celeryfield/internal/upstream/client.py
+++ b/src/celeryfield/internal/upstream/client.py
@@ -28,6 +28,11 @@
         self._session: aiohttp.ClientSession | None = None
         self._address = ""
 
+    @property
+    def has_room(self) -> bool:
+        """Whether the upstream is known to have free slots."""
+        return False
+
     def set_upstream(self, address: str, connections: int) -> None:
         """Points the client at an announced upstream."""
         if address == self._address and self._session is not None:
--- a/src/celeryfield/internal/upstream/tracker.py
+++ b/src/celeryfield/internal/upstream/tracker.py
@@ -1,5 +1,6 @@
 """What the upstream beside a node said about itself, in order."""
 
+import collections
 import dataclasses
 import enum
 import logging
@@ -11,6 +12,8 @@
 READY = "ready"
 DRAINING = "draining"
 GONE = "gone"
+# Ids of upstreams that left are remembered, the oldest are forgotten first.
+MAX_LEFT_IDS = 32
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -66,6 +69,10 @@
         self._clock = clock
         self._alive_ms = alive_ms
         self._heard_ms = float("-inf")
+        # Wall time of the leave; no boot that began before it comes back.
+        self._left_ms_by_id: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self.report: UpstreamReport | None = None
         self.state = GONE
 
@@ -73,6 +80,8 @@
         """Takes a status report."""
         now_ms = self._clock.now_ms()
         current = self.report
+        if self._has_left(report):
+            report = dataclasses.replace(report, state=DRAINING)
         if current is not None and report.boot != current.boot:
             is_alive = now_ms - self._heard_ms < self._alive_ms
             if is_alive and report.born_ms < current.born_ms:
@@ -88,9 +97,27 @@
         self.state = report.state
         return Verdict.ACCEPTED
 
-    def leave(self, upstream_id: str) -> bool:
-        """Takes the word that an upstream leaves; false for another one."""
-        if self.report is None or self.report.upstream_id != upstream_id:
+    def leave(self, upstream_id: str, service: str, address: str) -> bool:
+        """Takes the word that an upstream leaves.
+
+        Args:
+            upstream_id: Id of the upstream.
+            service: Service to assume if the upstream was not heard of.
+            address: Address to assume then.
+
+        Returns:
+            Whether that is the upstream which is tracked now.
+        """
+        self._left_ms_by_id[upstream_id] = self._clock.wall_ms()
+        if len(self._left_ms_by_id) > MAX_LEFT_IDS:
+            self._left_ms_by_id.popitem(last=False)
+        if self.report is None:
+            # A new process has not heard of it; reports that were delayed
+            # must not revive it.
+            self.report = UpstreamReport(
+                upstream_id, 0, -1, service, address, 0, DRAINING
+            )
+        elif self.report.upstream_id != upstream_id:
             return False
         self.report = dataclasses.replace(self.report, state=DRAINING)
         self.state = DRAINING
@@ -98,9 +125,16 @@
 
     def restore(self, report: UpstreamReport) -> None:
         """Takes over what an earlier process of this node had recorded."""
-        if self.report is None:
-            self.report = report
-            self.state = report.state
+        if self.report is not None:
+            return
+        if self._has_left(report):
+            report = dataclasses.replace(report, state=DRAINING)
+        self.report = report
+        self.state = report.state
+
+    def _has_left(self, report: UpstreamReport) -> bool:
+        left_ms = self._left_ms_by_id.get(report.upstream_id)
+        return left_ms is not None and report.born_ms <= left_ms
 
     def mark_gone(self) -> None:
         """Notes that nothing answers at the address until the next report."""
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -8,6 +8,7 @@
 from celeryfield.internal.calls import Candidate
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.dispatch.admission import AdmissionController
+from celeryfield.internal.dispatch.chain_limits import ChainLimits
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
 from celeryfield.internal.gateway import Gateway
 from celeryfield.internal.registry import records
@@ -84,6 +85,7 @@
         self.dispatcher = Dispatcher(
             clock,
             self.admission,
+            ChainLimits(clock),
             self.chains,
             self.upstream,
             self._on_crash,
@@ -257,7 +259,10 @@
         return True
 
     async def _on_leave(self, upstream_id: str) -> bool:
-        if self.tracker.leave(upstream_id):
+        settings = self.settings
+        if self.tracker.leave(
+            upstream_id, settings.service, settings.upstream_address
+        ):
             self._note_upstream()
             await self._wait_recorded()
         return True
--- a/src/celeryfield/platform/upstream.py
+++ b/src/celeryfield/platform/upstream.py
@@ -53,6 +53,12 @@
         self._upstream_id = ""
         self.load: UpstreamLoad | None = None
 
+    @property
+    def has_room(self) -> bool:
+        """Whether the upstream said last that slots are free."""
+        load = self.load
+        return load is not None and load.running + load.waiting < load.slots
+
     def set_upstream(self, address: str, upstream_id: str) -> None:
         """Points the client at an upstream."""
         self._upstream_id = upstream_id
--- a/tests/cover/test_dispatch_admission.py
+++ b/tests/cover/test_dispatch_admission.py
@@ -228,3 +228,23 @@
     controller.release(running.result().ok, RunEnd(1.0, EndKind.CRASHED))
     await settle()
     assert reason_of(waiting) is Reason.SUSPECT
+
+
+async def test_call_that_may_go_elsewhere_is_refused_rather_than_queued():
+    """Guards against a wait that is longer than a second hop."""
+    controller, clock = make_controller()
+    for _ in range(20):
+        done = await start(controller, make_call())
+        clock.advance(50)
+        controller.release(done.result().ok, RunEnd(50.0))
+    running = await start(controller, make_call())
+    waiting = await start(controller, make_call())
+    busy = await start(controller, make_call(may_redirect=True))
+    assert reason_of(busy) is Reason.BUSY
+    last = await start(controller, make_call())
+    assert not waiting.done()
+    assert not last.done()
+    controller.release(running.result().ok, RunEnd(50.0))
+    await settle()
+    assert waiting.result().is_ok()
+    last.cancel()
--- /dev/null
+++ b/tests/cover/test_dispatch_chain_limits.py
@@ -0,0 +1,146 @@
+"""Limits on chains by class, in manual time."""
+
+import asyncio
+
+import pytest
+
+from celeryfield.internal.calls import Reason
+from celeryfield.internal.clock import ManualClock
+from celeryfield.internal.dispatch.chain_limits import (
+    FIRST_LIMIT,
+    MIN_LIMIT,
+    ChainEnd,
+    ChainLimits,
+)
+from celeryfield.internal.schema import wire
+
+TIME_LIMIT_MS = 1_000.0
+WORK_MS = 100.0
+
+
+def make_call(class_name="lookup", **fields):
+    return wire.Call(
+        class_name=class_name, deadline_left_ms=TIME_LIMIT_MS, **fields
+    )
+
+
+def end_with(waited_ms, refused_calls=0):
+    return ChainEnd(
+        time_limit_ms=TIME_LIMIT_MS,
+        service_ms=WORK_MS + waited_ms,
+        waited_ms=waited_ms,
+        sub_calls=3,
+        refused_calls=refused_calls,
+    )
+
+
+async def play(limits, clock, offered, waited_ms, rounds):
+    """Offers calls round after round; returns how many run at the end."""
+    running = 0
+    for _ in range(rounds):
+        calls = [make_call(may_redirect=True) for _ in range(offered)]
+        entered = [call for call in calls if await limits.enter(call) is None]
+        running = len(entered)
+        clock.advance(WORK_MS + waited_ms)
+        for call in entered:
+            limits.leave(call, end_with(waited_ms))
+    return running
+
+
+async def test_class_without_sub_calls_is_not_limited():
+    """Guards against a limit where the upstream's own slots decide."""
+    limits = ChainLimits(ManualClock())
+    calls = [make_call() for _ in range(10 * FIRST_LIMIT)]
+    for call in calls:
+        assert await limits.enter(call) is None
+    for call in calls:
+        limits.leave(call, ChainEnd(TIME_LIMIT_MS, WORK_MS))
+    assert limits.headroom("lookup") is None
+
+
+async def test_long_waits_deeper_lower_the_limit_to_a_floor():
+    """Guards against chains that are begun only to miss their deadline."""
+    clock = ManualClock()
+    limits = ChainLimits(clock)
+    running = await play(limits, clock, 40, waited_ms=800.0, rounds=20)
+    assert running == MIN_LIMIT
+
+
+async def test_limit_grows_again_when_sub_calls_no_longer_wait():
+    """Guards against a class that stays held back after a burst."""
+    clock = ManualClock()
+    limits = ChainLimits(clock)
+    await play(limits, clock, 40, waited_ms=800.0, rounds=20)
+    running = await play(limits, clock, 40, waited_ms=0.0, rounds=15)
+    assert running == 40
+
+
+async def test_refused_sub_calls_count_as_long_waits():
+    """Guards against growth while deeper services turn chains away."""
+    clock = ManualClock()
+    limits = ChainLimits(clock)
+    await play(limits, clock, 20, waited_ms=0.0, rounds=10)
+    before = await play(limits, clock, 20, waited_ms=0.0, rounds=1)
+    for _ in range(6):
+        call = make_call()
+        await limits.enter(call)
+        clock.advance(WORK_MS)
+        limits.leave(call, end_with(0.0, refused_calls=1))
+    after = await play(limits, clock, 20, waited_ms=0.0, rounds=1)
+    assert after < before
+
+
+async def test_one_class_does_not_hold_back_another():
+    """Guards against urgent chains that pay for those of another class."""
+    clock = ManualClock()
+    limits = ChainLimits(clock)
+    await play(limits, clock, 40, waited_ms=800.0, rounds=20)
+    for _ in range(10):
+        assert await limits.enter(make_call("order")) is None
+
+
+async def test_sub_calls_pass_a_full_limit():
+    """Guards against lost work of chains that were admitted before."""
+    limits = ChainLimits(ManualClock())
+    first = make_call()
+    await limits.enter(first)
+    limits.leave(first, end_with(0.0))
+    for _ in range(FIRST_LIMIT):
+        assert await limits.enter(make_call()) is None
+    assert await limits.enter(make_call(may_redirect=True)) is Reason.BUSY
+    assert await limits.enter(make_call(depth=1)) is None
+
+
+async def test_held_call_goes_on_when_another_ends():
+    """Guards against a held call that misses a free place."""
+    limits = ChainLimits(ManualClock())
+    calls = [make_call() for _ in range(FIRST_LIMIT)]
+    for call in calls:
+        await limits.enter(call)
+    limits.leave(calls[0], end_with(0.0))
+    await limits.enter(calls[0])
+    held = asyncio.ensure_future(limits.enter(make_call()))
+    await asyncio.sleep(0)
+    assert not held.done()
+    limits.leave(calls[1], ChainEnd())
+    assert await asyncio.wait_for(held, 1) is None
+
+
+@pytest.mark.parametrize("is_woken", [True, False])
+async def test_cancelled_held_call_takes_no_place(is_woken):
+    """Guards against places lost when a caller gives up."""
+    limits = ChainLimits(ManualClock())
+    calls = [make_call() for _ in range(FIRST_LIMIT)]
+    for call in calls:
+        await limits.enter(call)
+    limits.leave(calls[0], end_with(0.0))
+    await limits.enter(calls[0])
+    held = asyncio.ensure_future(limits.enter(make_call()))
+    await asyncio.sleep(0)
+    if is_woken:
+        limits.leave(calls[0], ChainEnd())
+    held.cancel()
+    await asyncio.gather(held, return_exceptions=True)
+    if not is_woken:
+        limits.leave(calls[0], ChainEnd())
+    assert limits.headroom("lookup") == 1
--- a/tests/cover/test_dispatch_crashes.py
+++ b/tests/cover/test_dispatch_crashes.py
@@ -5,6 +5,7 @@
 from celeryfield.internal.calls import CallResult, Outcome, Reason
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.dispatch.admission import AdmissionController
+from celeryfield.internal.dispatch.chain_limits import ChainLimits
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
 from celeryfield.internal.routing.chains import ChainTable
 from celeryfield.internal.routing.levels import LevelTable
@@ -43,6 +44,7 @@
     dispatcher = Dispatcher(
         clock,
         admission,
+        ChainLimits(clock),
         ChainTable(clock, LevelTable(SETTINGS, clock)),
         CutUpstream(reason, accepting),
         lambda: None,
--- a/tests/cover/test_dispatch_parts.py
+++ b/tests/cover/test_dispatch_parts.py
@@ -24,6 +24,7 @@
     Waiter,
     WaitQueue,
     any_priority,
+    band_of,
 )
 from celeryfield.internal.dispatch.shares import TenantLoad, fair_share
 from celeryfield.internal.dispatch.suspects import (
@@ -38,6 +39,7 @@
     wire.Call,
     tenant=st.sampled_from("abc"),
     priority=st.integers(0, 3),
+    depth=st.integers(0, 1),
     long_running=st.booleans(),
 )
 
@@ -71,11 +73,11 @@
             long_only = call.long_running and long_full
             rivals = [w for w in before if w.call.long_running or not long_only]
             assert long_only or len(before) == self.MAX_WAITERS
-            assert all(w.call.priority >= call.priority for w in rivals)
+            assert all(band_of(w.call) >= band_of(call) for w in rivals)
         for victim in before:
             if victim.decision.done():
                 assert victim.decision.result() is Reason.QUEUE_FULL
-                assert victim.call.priority <= call.priority
+                assert band_of(victim.call) <= band_of(call)
         self.drop_decided()
         assert len(self.waiters) >= len(before)
 
@@ -89,7 +91,7 @@
             assert not eligible
             return
         assert waiter in eligible
-        assert waiter.call.priority == max(w.call.priority for w in eligible)
+        assert band_of(waiter.call) == max(band_of(w.call) for w in eligible)
         self.waiters.remove(waiter)
 
     @rule(data=st.data())
@@ -114,6 +116,10 @@
         assert self.queue.long_count == len(self.waiters) - len(short)
         assert self.queue.long_count <= self.MAX_LONG
         assert self.queue.short_cost_ms == 2.0 * len(short)
+        roots = [band_of(w.call) for w in self.waiters if not w.call.depth]
+        lowest_root = min(roots, default=99)
+        ahead = sum(band_of(w.call) >= lowest_root for w in short)
+        assert self.queue.root_cost_ms() == 2.0 * ahead
 
 
 TestQueue = QueueMachine.TestCase
@@ -136,6 +142,21 @@
     assert set(newest) == {waiters[79], waiters[199]}
 
 
+def test_serves_sub_calls_before_root_calls_of_one_priority():
+    """Guards against chains that fail late for want of their last call."""
+    queue = WaitQueue(10, 10)
+    calls = [
+        wire.Call(priority=1),
+        wire.Call(priority=1, depth=2),
+        wire.Call(priority=1, depth=1),
+        wire.Call(priority=2),
+    ]
+    for call in calls:
+        assert queue.add(make_waiter(call), True)
+    served = [queue.pop(any_priority, True).call for _ in calls]
+    assert served == [calls[3], calls[1], calls[2], calls[0]]
+
+
 def test_full_queue_displaces_the_tenant_above_its_share():
     """Guards against a flood that keeps other tenants out of the queue."""
     queue = WaitQueue(4, 4)
--- /dev/null
+++ b/tests/cover/test_dispatch_repeats.py
@@ -0,0 +1,158 @@
+"""Repeated requests to one upstream: their bound, and when they are sent."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.dispatch.admission import AdmissionController
+from celeryfield.internal.dispatch.chain_limits import ChainLimits
+from celeryfield.internal.dispatch.dispatcher import MAX_RESENDS, Dispatcher
+from celeryfield.internal.dispatch.repeats import (
+    REPEAT_SHARE,
+    WINDOW_MS,
+    RepeatBudget,
+)
+from celeryfield.internal.routing.chains import ChainTable
+from celeryfield.internal.routing.levels import LevelTable
+from celeryfield.internal.schema import settings as settings_schema
+from celeryfield.internal.schema import wire
+from celeryfield.internal.transport.server import RunState
+
+SETTINGS = settings_schema.NodeSettings.model_validate(
+    {"node": {"id": "a", "zone": "z1", "region": "r1"}}
+)
+OK = CallResult(Outcome.OK, started=True)
+REFUSED = not_run(Reason.UPSTREAM_SHED)
+
+
+class ScriptedUpstream:
+    """Gives prepared answers and counts the requests."""
+
+    def __init__(self, answers, has_room=True):
+        self.answers = list(answers)
+        self.has_room = has_room
+        self.count = 0
+
+    async def request(self, call, body, traceparent, timeout_ms):
+        self.count += 1
+        return self.answers.pop(0)
+
+    async def is_accepting(self):
+        return True
+
+
+def dispatcher_for(upstream):
+    clock = Clock()
+    admission = AdmissionController(SETTINGS, clock)
+    admission.set_capacity(4, 4, "ready", "stock")
+    chains = ChainTable(clock, LevelTable(SETTINGS, clock))
+    return Dispatcher(
+        clock, admission, ChainLimits(clock), chains, upstream, lambda: None
+    )
+
+
+async def run(dispatcher, **fields):
+    call = wire.Call(service="stock", deadline_left_ms=1_000.0, **fields)
+    return await dispatcher.run(call, b"", RunState())
+
+
+async def warm_up(dispatcher, upstream, count=100):
+    """Runs calls that earn the right to repeat some."""
+    upstream.answers = [OK] * count + upstream.answers
+    for _ in range(count):
+        await run(dispatcher)
+    upstream.count = 0
+
+
+async def test_refusal_by_an_upstream_with_room_is_sent_again():
+    """Guards against callers that pay for an upstream that fails at random."""
+    upstream = ScriptedUpstream([REFUSED, REFUSED, OK])
+    dispatcher = dispatcher_for(upstream)
+    await warm_up(dispatcher, upstream)
+    result = await run(dispatcher)
+    assert (result.outcome, upstream.count) == (Outcome.OK, 3)
+
+
+async def test_refusal_by_a_full_upstream_is_not_sent_again():
+    """Guards against more load on an upstream that has no room."""
+    upstream = ScriptedUpstream([REFUSED, OK], has_room=False)
+    dispatcher = dispatcher_for(upstream)
+    await warm_up(dispatcher, upstream)
+    result = await run(dispatcher)
+    assert (result.reason, upstream.count) == (Reason.UPSTREAM_SHED, 1)
+
+
+async def test_resends_of_one_call_are_bounded():
+    """Guards against an upstream that refuses everything."""
+    upstream = ScriptedUpstream([REFUSED] * 50)
+    dispatcher = dispatcher_for(upstream)
+    await warm_up(dispatcher, upstream)
+    result = await run(dispatcher)
+    assert result.outcome is Outcome.NOT_RUN
+    assert upstream.count == MAX_RESENDS
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        CallResult(Outcome.UNKNOWN, Reason.CONNECTION_LOST, 502, started=True),
+        CallResult(Outcome.FAILED, Reason.UPSTREAM_ERROR, 500, started=True),
+    ],
+)
+async def test_answer_that_may_have_run_is_not_sent_again(answer):
+    """Guards against running a request twice."""
+    upstream = ScriptedUpstream([answer, OK])
+    dispatcher = dispatcher_for(upstream)
+    await warm_up(dispatcher, upstream)
+    result = await run(dispatcher)
+    assert (result.outcome, upstream.count) == (answer.outcome, 1)
+
+
+async def test_repeat_without_budget_never_reaches_the_upstream():
+    """Guards against repeats from other nodes that this node cannot see."""
+    upstream = ScriptedUpstream([OK])
+    dispatcher = dispatcher_for(upstream)
+    result = await run(dispatcher, is_repeat=True)
+    assert (result.outcome, result.reason) == (
+        Outcome.NOT_RUN,
+        Reason.REPEAT_BUDGET,
+    )
+    assert upstream.count == 0
+
+
+@given(
+    st.lists(
+        st.tuples(st.booleans(), st.integers(0, 2), st.floats(0, 400)),
+        max_size=200,
+    )
+)
+def test_repeats_stay_below_their_share_of_each_window(events):
+    """Guards against a budget that saves up or counts a request twice."""
+    budget = RepeatBudget()
+    now_ms = 0.0
+    firsts, repeats = [], []
+    for is_repeat, priority, pause_ms in events:
+        now_ms += pause_ms
+        if not is_repeat:
+            budget.note_first(priority, now_ms)
+            firsts.append(now_ms)
+        elif budget.try_take(priority, now_ms):
+            repeats.append(now_ms)
+        start_ms = now_ms - WINDOW_MS
+        recent = sum(time > start_ms for time in repeats)
+        # A bucket is counted until all of it has left the window.
+        counted = sum(time > start_ms - 500.0 for time in firsts)
+        assert recent <= REPEAT_SHARE * counted or not is_repeat
+
+
+def test_half_of_the_budget_is_kept_for_the_highest_priority():
+    """Guards against unimportant repeats that use up the budget."""
+    budget = RepeatBudget()
+    budget.note_first(9, 0.0)
+    for _ in range(99):
+        budget.note_first(1, 0.0)
+    low = sum(budget.try_take(1, 0.0) for _ in range(100))
+    high = sum(budget.try_take(9, 0.0) for _ in range(100))
+    assert (low, high) == (8, 8)
--- a/tests/cover/test_routing_executor.py
+++ b/tests/cover/test_routing_executor.py
@@ -7,6 +7,7 @@
 
 from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
 from celeryfield.internal.clock import ManualClock
+from celeryfield.internal.routing.attempts import MAX_BUSY_REDIRECTS
 from celeryfield.internal.routing.chains import (
     EXPIRY_GRACE_MS,
     ChainTable,
@@ -250,6 +251,58 @@
     assert (await executor.execute(call_to(), b"")).outcome is Outcome.OK
 
 
+async def test_sub_calls_pass_the_levels_of_services_on_the_way():
+    """Guards against work of admitted chains that is thrown away."""
+    script = Script(OK)
+    executor, levels, _ = executor_for(script, clock=ManualClock())
+    for number in range(3):
+        levels.learn(f"s-{number}", "s", "k", load_with(("s", 99 * 128)))
+    refused = await executor.execute(call_to(), b"")
+    assert refused.reason is Reason.OVERLOAD
+    admitted = await executor.execute(call_to(depth=1), b"")
+    assert admitted.outcome is Outcome.OK
+
+
+async def test_busy_upstreams_send_a_call_on_before_it_waits():
+    """Guards against a call that waits beside an idle upstream."""
+    seen = []
+
+    async def send(candidate, call, _body):
+        seen.append((candidate.node_id, call.may_redirect))
+        if len(seen) <= MAX_BUSY_REDIRECTS:
+            return not_run(Reason.BUSY)
+        return OK
+
+    executor, _, _ = executor_for(send)
+    assert (await executor.execute(call_to(), b"")).outcome is Outcome.OK
+    node_ids = [node_id for node_id, _ in seen]
+    assert len(set(node_ids)) == MAX_BUSY_REDIRECTS + 1
+    may_redirect = [allowed for _, allowed in seen]
+    assert may_redirect == [True] * MAX_BUSY_REDIRECTS + [False]
+
+
+async def test_repeat_that_its_budget_refused_goes_to_nobody_else():
+    """Guards against a bound that is passed at the next upstream."""
+    script = Script(not_run(Reason.REPEAT_BUDGET), OK)
+    executor, _, _ = executor_for(script)
+    result = await executor.execute(call_to(retry_allowance=2), b"")
+    assert result.outcome is Outcome.NOT_RUN
+    assert len(script.node_ids) == 1
+
+
+async def test_later_attempts_say_that_they_are_repeats():
+    """Guards against repeats that upstreams count as first requests."""
+    flags = []
+
+    async def send(_candidate, call, _body):
+        flags.append(call.is_repeat)
+        return not_run(Reason.UPSTREAM_SHED) if len(flags) == 1 else OK
+
+    executor, _, _ = executor_for(send)
+    await executor.execute(call_to(retry_allowance=2), b"")
+    assert flags == [False, True]
+
+
 def test_applies_a_tenant_level_only_to_tenants_that_all_reporters_name():
     """Guards against senders that shed tenants within their share."""
     clock = ManualClock()
--- /dev/null
+++ b/tests/cover/test_upstream_tracker.py
@@ -0,0 +1,133 @@
+"""What a node believes of its upstream when reports come late or again."""
+
+import dataclasses
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from celeryfield.internal.clock import ManualClock
+from celeryfield.internal.upstream.tracker import (
+    DRAINING,
+    GONE,
+    READY,
+    UpstreamReport,
+    UpstreamTracker,
+    Verdict,
+)
+
+ALIVE_MS = 3_000.0
+FIRST = UpstreamReport("stock-1", 100, 1, "stock", "10.0.0.1:80", 4, READY)
+
+
+def make_tracker(wall_ms=1_000):
+    clock = ManualClock()
+    clock.wall_ms = lambda: wall_ms
+    return UpstreamTracker(clock, ALIVE_MS), clock
+
+
+def later(report=FIRST, **fields):
+    return dataclasses.replace(
+        report, **({"sequence": report.sequence + 1} | fields)
+    )
+
+
+def test_late_report_of_the_same_boot_changes_nothing():
+    """Guards against a reordered report that undoes a newer one."""
+    tracker, _ = make_tracker()
+    tracker.accept(later(slots=8))
+    assert tracker.accept(FIRST) is Verdict.LATE
+    assert tracker.report.slots == 8
+
+
+def test_report_without_a_leave_cannot_revive_a_draining_boot():
+    """Guards against requests to an upstream that said it was leaving."""
+    tracker, _ = make_tracker()
+    tracker.accept(later(state=DRAINING))
+    tracker.accept(later(sequence=9))
+    assert tracker.state == DRAINING
+
+
+def test_leave_of_an_unknown_upstream_outlasts_a_delayed_report():
+    """Guards against a restarted node that forgets a leave it acknowledged.
+
+    The process knew nothing of the upstream when the leave came, and a report
+    from before the leave arrived after it.
+    """
+    tracker, _ = make_tracker()
+    assert tracker.leave(FIRST.upstream_id, "stock", "10.0.0.1:80")
+    assert tracker.state == DRAINING
+    tracker.accept(FIRST)
+    assert tracker.state == DRAINING
+
+
+def test_boot_after_the_leave_is_served_under_the_same_id():
+    """Guards against an upstream that never gets work after a restart."""
+    tracker, clock = make_tracker(wall_ms=1_000)
+    tracker.accept(FIRST)
+    tracker.leave(FIRST.upstream_id, "stock", "10.0.0.1:80")
+    clock.advance(ALIVE_MS)
+    restarted = dataclasses.replace(FIRST, born_ms=1_500, sequence=0)
+    assert tracker.accept(restarted) is Verdict.ACCEPTED
+    assert tracker.state == READY
+
+
+def test_record_of_an_earlier_process_does_not_undo_a_leave():
+    """Guards against a store that still shows the upstream as ready."""
+    tracker, _ = make_tracker()
+    tracker.leave(FIRST.upstream_id, "stock", "10.0.0.1:80")
+    tracker.restore(FIRST)
+    assert tracker.state == DRAINING
+
+
+def test_older_boot_does_not_replace_one_that_was_heard_of_lately():
+    """Guards against a report that was delayed over a restart."""
+    tracker, clock = make_tracker()
+    newer = dataclasses.replace(FIRST, born_ms=200)
+    tracker.accept(newer)
+    assert tracker.accept(FIRST) is Verdict.STALE
+    clock.advance(ALIVE_MS)
+    assert tracker.accept(FIRST) is Verdict.ACCEPTED
+
+
+def test_silence_and_refused_connections_end_when_a_report_comes():
+    """Guards against an upstream that stays out after a crash."""
+    tracker, clock = make_tracker()
+    tracker.accept(FIRST)
+    clock.advance(ALIVE_MS)
+    assert tracker.expire()
+    assert tracker.state == GONE
+    tracker.accept(later())
+    tracker.mark_gone()
+    assert tracker.state == GONE
+    tracker.accept(later(sequence=7))
+    assert tracker.state == READY
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(("report", "leave", "restore", "gone")),
+            st.integers(1, 30),
+            st.sampled_from((READY, DRAINING)),
+        ),
+        max_size=20,
+    )
+)
+def test_no_order_of_events_revives_a_boot_that_left(events):
+    """Guards against any reordering that undoes a leave of one boot."""
+    tracker, _ = make_tracker()
+    has_left = False
+    for kind, sequence, state in events:
+        report = later(sequence=sequence, state=state)
+        if kind == "report":
+            verdict = tracker.accept(report)
+            is_taken = verdict is Verdict.ACCEPTED
+            has_left = has_left or (is_taken and state == DRAINING)
+        elif kind == "leave":
+            tracker.leave(report.upstream_id, "stock", report.address)
+            has_left = True
+        elif kind == "restore" and not has_left:
+            tracker.restore(dataclasses.replace(report, state=READY))
+        elif kind == "gone":
+            tracker.mark_gone()
+        assert not has_left or tracker.state != READY
