--- a/src/celeryfield/cli/main.py
+++ b/src/celeryfield/cli/main.py
@@ -13,6 +13,7 @@
 from celeryfield.cli.explain import explain
 from celeryfield.cli.node import node
 from celeryfield.cli.status import status
+from celeryfield.cli.trace import trace
 from celeryfield.cli.version import version
 
 COMMANDS = (
@@ -23,6 +24,7 @@
     status,
     drain,
     explain,
+    trace,
     demo,
     version,
 )
--- a/src/celeryfield/internal/calls.py
+++ b/src/celeryfield/internal/calls.py
@@ -70,6 +70,9 @@
         load: Load report of the answering node, if one answered.
         queued_ms: Time that the call and its sub-calls waited for slots.
         refused_deeper: A sub-call was refused for lack of room or time.
+        attempts: Attempts that were sent.
+        retry_after_s: When a refused caller should return; 0 if it is not
+            told.
     """
 
     outcome: Outcome
@@ -83,6 +86,8 @@
     load: wire.LoadReport | None = None
     queued_ms: float = 0.0
     refused_deeper: bool = False
+    attempts: int = 0
+    retry_after_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/celeryfield/internal/dispatch/chain_limits.py
+++ b/src/celeryfield/internal/dispatch/chain_limits.py
@@ -48,6 +48,7 @@
 
     Attributes:
         time_limit_ms: Time that was left when the call started.
+        slot_wait_ms: How long the call itself waited for a slot.
         service_ms: How long it ran at the upstream.
         waited_ms: How long its sub-calls waited for slots.
         sub_calls: Number of its sub-calls.
@@ -55,6 +56,7 @@
     """
 
     time_limit_ms: float = 0.0
+    slot_wait_ms: float = 0.0
     service_ms: float = 0.0
     waited_ms: float = 0.0
     sub_calls: int = 0
--- a/src/celeryfield/internal/dispatch/control.py
+++ b/src/celeryfield/internal/dispatch/control.py
@@ -2,6 +2,7 @@
 
 import math
 
+from celeryfield.internal import events
 from celeryfield.internal.calls import admission_rank
 from celeryfield.internal.dispatch.levels import AdmissionLevel
 from celeryfield.internal.dispatch.limiter import ConcurrencyLimit
@@ -94,6 +95,7 @@
         self.note_delay(limit)
         has_short_waiters = self._queue.count > self._queue.long_count
         idle = self._slots.count < limit and not has_short_waiters
+        previous = self.level.level
         self.level.adjust(
             elapsed_ms,
             limit,
@@ -101,7 +103,20 @@
             self._lowest_delay_ms,
             idle,
         )
+        if self.level.level != previous:
+            self._emit_level(previous, limit)
         inflation = self.times.inflation(now_ms)
         self.limit.adjust(now_ms, self._had_to_wait, inflation)
         self._had_to_wait = False
         self._lowest_delay_ms = math.inf
+
+    def _emit_level(self, previous: int, limit: int) -> None:
+        events.emit(
+            events.LevelChanged,
+            admission_level=self.level.level,
+            previous_level=previous,
+            delay_ms=self._lowest_delay_ms,
+            limit=limit,
+            running=self._slots.count,
+            queued=self._queue.count,
+        )
--- a/src/celeryfield/internal/dispatch/dispatcher.py
+++ b/src/celeryfield/internal/dispatch/dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from celeryfield.internal import events
 from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.dispatch.admission import AdmissionController
@@ -56,12 +57,23 @@
         self, call: wire.Call, body: bytes, state: RunState
     ) -> CallResult:
         """Waits for a permit and runs the call once."""
+        end = ChainEnd()
+        deadline_left_ms = call.deadline_left_ms
+        result = None
+        try:
+            result = await self._run_limited(call, body, state, end)
+        finally:
+            self._emit_end(call, result, end, deadline_left_ms)
+        return self._with_load(call, result)
+
+    async def _run_limited(
+        self, call: wire.Call, body: bytes, state: RunState, end: ChainEnd
+    ) -> CallResult:
+        """Runs a call within the limit of its class."""
         received_ms = self._clock.now_ms()
         refusal = await self._chain_limits.enter(call)
         if refusal is not None:
-            result = not_run(refusal, unused=call.retry_allowance)
-            return self._with_load(call, result)
-        end = ChainEnd()
+            return not_run(refusal, unused=call.retry_allowance)
         try:
             return await self._run_admitted(call, body, state, end, received_ms)
         finally:
@@ -77,26 +89,24 @@
     ) -> CallResult:
         granted = await self._admission.acquire(call)
         if granted.is_error():
-            result = not_run(granted.error.reason, unused=call.retry_allowance)
-            return self._with_load(call, result)
+            return not_run(granted.error.reason, unused=call.retry_allowance)
         permit = granted.ok
         run_end = RunEnd(0.0, EndKind.CANCELLED)
-        waited_ms = self._clock.now_ms() - received_ms
+        end.slot_wait_ms = self._clock.now_ms() - received_ms
         try:
-            timeout_ms = call.deadline_left_ms - waited_ms
+            timeout_ms = call.deadline_left_ms - end.slot_wait_ms
             if timeout_ms < MINIMUM_TIMEOUT_MS:
-                result = not_run(
+                return not_run(
                     Reason.DEADLINE, 504, unused=call.retry_allowance
                 )
-                return self._with_load(call, result)
             result, run_end = await self._run_permitted(
                 call, body, state, timeout_ms, end
             )
         finally:
             self._admission.release(permit, run_end)
-        result.queued_ms = waited_ms + end.waited_ms
+        result.queued_ms = end.slot_wait_ms + end.waited_ms
         result.refused_deeper = end.refused_calls > 0
-        return self._with_load(call, result)
+        return result
 
     async def _run_permitted(
         self,
@@ -193,6 +203,35 @@
             )
         return await asyncio.shield(self._crash_check)
 
+    def _emit_end(
+        self,
+        call: wire.Call,
+        result: CallResult | None,
+        end: ChainEnd,
+        deadline_left_ms: float,
+    ) -> None:
+        report = self._admission.load_report()
+        level = report.levels[0].level if report.levels else 0
+        room = self._chain_limits.headroom(call.class_name)
+        events.emit(
+            events.CallEnded,
+            request=call.request_id,
+            call=call.call_id,
+            service=call.service,
+            depth=call.depth,
+            deadline_left_ms=deadline_left_ms,
+            waited_ms=end.slot_wait_ms,
+            service_ms=end.service_ms,
+            outcome=str(result.outcome if result else Outcome.UNKNOWN),
+            reason=str(result.reason if result else Reason.CANCELLED),
+            status=result.status if result else 0,
+            running=report.in_flight,
+            queued=report.queued,
+            limit=report.limit,
+            admission_level=level,
+            class_room=-1 if room is None else room,
+        )
+
     def _with_load(self, call: wire.Call, result: CallResult) -> CallResult:
         report = self._admission.load_report(call.class_name)
         headroom = self._chain_limits.headroom(call.class_name)
--- a/src/celeryfield/internal/dispatch/suspects.py
+++ b/src/celeryfield/internal/dispatch/suspects.py
@@ -5,6 +5,7 @@
 import enum
 from collections.abc import Iterable
 
+from celeryfield.internal import events
 from celeryfield.internal.dispatch.permits import Permit
 from celeryfield.internal.schema.settings import DispatchSettings
 
@@ -82,6 +83,11 @@
             suspect = self._find(fingerprint, now_ms)
             crashes = 0 if suspect is None else suspect.crashes
             self._store(fingerprint, crashes + 1, now_ms)
+            events.emit(
+                events.SuspectFound,
+                fingerprint=fingerprint.hex(),
+                crashes=crashes + 1,
+            )
 
     def record_completion(self, fingerprint: bytes, now_ms: float) -> None:
         """Clears a suspect that ran to its end."""
--- /dev/null
+++ b/src/celeryfield/internal/events.py
@@ -0,0 +1,547 @@
+"""Events of the log: what a node decided, and what it believes.
+
+Each event is one line. Its fields name the inputs of the decision, how old
+they were, and the outcome. A request keeps its id on all nodes, and each
+attempt has a call id, so the lines of several nodes can be joined.
+"""
+
+import dataclasses
+import logging
+import time
+import zlib
+from typing import ClassVar
+
+_logger = logging.getLogger(__name__)
+
+WINDOW_S = 1.0
+# Lines per second of each event about something that went well.
+KEPT_WHEN_OK = 1
+# One in so many requests is followed: all nodes choose the same ones by their
+# ids, so that whole stories are left when much is left out.
+FOLLOWED_ONE_IN = 16
+# Lines per second about followed requests.
+KEPT_OF_FOLLOWED = 30
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Event:
+    """One line of the log.
+
+    Attributes:
+        message: Name of the event.
+        level: Level of the line.
+        per_second: Lines of this event and outcome in each second; the others
+            are counted and left out. None keeps all. Of what went well, one
+            line is kept.
+    """
+
+    message: ClassVar[str]
+    level: ClassVar[int] = logging.INFO
+    per_second: ClassVar[int | None] = 10
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NodeStarted(Event):
+    """The process has opened its listeners.
+
+    Attributes:
+        incarnation: Start of the process, in ms since the epoch.
+        version: Version of celeryfield.
+    """
+
+    message: ClassVar[str] = "node started"
+    per_second: ClassVar[int | None] = None
+    incarnation: int
+    version: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NodeLeaving(Event):
+    """The process was asked to end and takes no new work.
+
+    Attributes:
+        in_flight: Requests that it still runs.
+    """
+
+    message: ClassVar[str] = "node is leaving"
+    per_second: ClassVar[int | None] = None
+    in_flight: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NodeStopped(Event):
+    """The process ends.
+
+    Attributes:
+        in_flight: Requests that did not end in time.
+        took_ms: Time since it began to leave.
+    """
+
+    message: ClassVar[str] = "node stopped"
+    per_second: ClassVar[int | None] = None
+    in_flight: int
+    took_ms: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReloadRequested(Event):
+    """SIGHUP was received; settings are read at the start only."""
+
+    message: ClassVar[str] = "reload requested"
+    per_second: ClassVar[int | None] = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ConfigInForce(Event):
+    """A version of the routes came into force.
+
+    Attributes:
+        version: Its version.
+        previous: The version before; 0 for the first.
+        routes: Number of routes.
+    """
+
+    message: ClassVar[str] = "configuration in force"
+    version: int
+    previous: int
+    routes: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ConfigRefused(Event):
+    """A configuration cannot be read; the one in force stays.
+
+    Attributes:
+        problem: What is wrong and where.
+    """
+
+    message: ClassVar[str] = "configuration cannot be used"
+    level: ClassVar[int] = logging.ERROR
+    problem: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class UpstreamChanged(Event):
+    """The belief about the local upstream changed.
+
+    Attributes:
+        upstream: Id of the upstream.
+        service: Its service.
+        state: ready, draining or gone.
+        slots: Calls it runs at once.
+        born_ms: Its start, in ms since the epoch.
+        cause: report, leave, record, silence or refused connection.
+    """
+
+    message: ClassVar[str] = "upstream changed"
+    upstream: str
+    service: str
+    state: str
+    slots: int
+    born_ms: int
+    cause: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReportIgnored(Event):
+    """A status report of the upstream changed nothing.
+
+    Attributes:
+        upstream: Id that the report names.
+        problem: late, stale, or what cannot be read.
+    """
+
+    message: ClassVar[str] = "status report ignored"
+    upstream: str
+    problem: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NeighbourChanged(Event):
+    """The record of another node changed.
+
+    Attributes:
+        peer: Id of the node.
+        service: Service of its upstream.
+        state: State of its upstream, or gone.
+        incarnation: Start of the node, in ms since the epoch.
+        version: Revision of the record in the store.
+    """
+
+    message: ClassVar[str] = "neighbour changed"
+    peer: str
+    service: str
+    state: str
+    incarnation: int
+    version: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DependencyLost(Event):
+    """The store or another node cannot be reached.
+
+    Attributes:
+        dependency: store, or the id of a node.
+        problem: How the last try ended.
+    """
+
+    message: ClassVar[str] = "dependency lost"
+    level: ClassVar[int] = logging.WARNING
+    dependency: str
+    problem: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DependencyRegained(Event):
+    """The store or another node answers again.
+
+    Attributes:
+        dependency: store, or the id of a node.
+        away_ms: Time since it was lost.
+    """
+
+    message: ClassVar[str] = "dependency regained"
+    dependency: str
+    away_ms: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CandidateEjected(Event):
+    """A candidate gets no calls for a while.
+
+    Attributes:
+        peer: Id of the node beside the upstream.
+        cause: gone, failing, slow or trial failed.
+        failures: Failures in a row.
+        inflation: Its latency relative to that of all candidates.
+        for_ms: Length of the ejection.
+    """
+
+    message: ClassVar[str] = "candidate ejected"
+    peer: str
+    cause: str
+    failures: int
+    inflation: float
+    for_ms: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CandidateReturned(Event):
+    """An ejected candidate gets calls again.
+
+    Attributes:
+        peer: Id of the node beside the upstream.
+        ejections: Ejections in a row before.
+    """
+
+    message: ClassVar[str] = "candidate returned"
+    peer: str
+    ejections: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LevelChanged(Event):
+    """The admission level of the local upstream changed.
+
+    Attributes:
+        admission_level: Calls of a lower rank are refused; 0 refuses none. A
+            rank is 128 times the priority plus a part by request.
+        previous_level: The level before.
+        delay_ms: Lowest queue delay of the interval before.
+        limit: Calls that may run at once.
+        running: Calls that run.
+        queued: Calls that wait.
+    """
+
+    message: ClassVar[str] = "admission level changed"
+    per_second: ClassVar[int | None] = 2
+    admission_level: int
+    previous_level: int
+    delay_ms: float
+    limit: int
+    running: int
+    queued: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SuspectFound(Event):
+    """A request was running when the upstream crashed.
+
+    Attributes:
+        fingerprint: Hash of caller, method, path and body.
+        crashes: Crashes known so far; from the second one on it is refused.
+    """
+
+    message: ClassVar[str] = "suspect request found"
+    level: ClassVar[int] = logging.WARNING
+    fingerprint: str
+    crashes: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestEnded(Event):
+    """The node that a request entered at has answered it.
+
+    Attributes:
+        request: Id that the caller gave the request.
+        call: Id of the call; attempts append a number to it.
+        parent: Id of the request whose run made it; empty for a first one.
+        route: Route that matched.
+        service: Service that the route chose.
+        priority: Priority of the route; higher is refused later.
+        config_version: Version of the routes.
+        deadline_ms: Time that was left at the start.
+        took_ms: Time to the answer.
+        outcome: ok, failed, unknown or not-run.
+        reason: Why it is not ok.
+        status: HTTP status of the answer.
+        attempts: Attempts that were sent.
+        retry_after_s: When the caller was told to return; 0 if not told.
+    """
+
+    message: ClassVar[str] = "request ended"
+    request: str
+    call: str
+    parent: str
+    route: str
+    service: str
+    priority: int
+    config_version: int
+    deadline_ms: float
+    took_ms: float
+    outcome: str
+    reason: str
+    status: int
+    attempts: int
+    retry_after_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class OutcomeUnknown(RequestEnded):
+    """A request that must not run twice ended without an answer."""
+
+    message: ClassVar[str] = "request ended with unknown outcome"
+    level: ClassVar[int] = logging.WARNING
+    per_second: ClassVar[int | None] = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AdmissionRefused(Event):
+    """The sender refused a call because a service on its way is overloaded.
+
+    Attributes:
+        request: Id of the request.
+        call: Id of the call.
+        service: Service that the call is for.
+        rank: Rank of the call.
+        admission_level: Rank that it would need.
+        level_of: Service that asks for this level.
+        level_age_ms: Age of the report of the level.
+    """
+
+    message: ClassVar[str] = "call refused at sender"
+    request: str
+    call: str
+    service: str
+    rank: int
+    admission_level: int
+    level_of: str
+    level_age_ms: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AttemptEnded(Event):
+    """One attempt of a call at one node has ended.
+
+    Attributes:
+        request: Id of the request.
+        call: Id of the attempt.
+        service: Service of the upstream.
+        peer: Node that it was sent to.
+        peer_zone: Availability zone of that node.
+        candidates: Candidates of the service.
+        load: Load of the node relative to its limit, as believed.
+        load_age_ms: Age of the report behind that belief; -1 without one.
+        took_ms: Time to its end.
+        outcome: ok, failed, unknown or not-run.
+        reason: Why it is not ok.
+    """
+
+    message: ClassVar[str] = "attempt ended"
+    per_second: ClassVar[int | None] = 5
+    request: str
+    call: str
+    service: str
+    peer: str
+    peer_zone: str
+    candidates: int
+    load: float
+    load_age_ms: float
+    took_ms: float
+    outcome: str
+    reason: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallEnded(Event):
+    """The node beside an upstream has ended a call, run or refused.
+
+    Attributes:
+        request: Id of the request.
+        call: Id of the attempt.
+        service: Service of the upstream.
+        depth: Hops before this one.
+        deadline_left_ms: Time that was left when it arrived.
+        waited_ms: Wait for a slot.
+        service_ms: Time at the upstream; 0 if it was not sent there.
+        outcome: ok, failed, unknown or not-run.
+        reason: Why it is not ok.
+        status: HTTP status of the answer.
+        running: Calls that run beside it now.
+        queued: Calls that wait now.
+        limit: Calls that may run at once.
+        admission_level: Admission level of the upstream.
+        class_room: Chains of the class that may still begin here; -1 if they
+            are not limited.
+    """
+
+    message: ClassVar[str] = "call ended"
+    per_second: ClassVar[int | None] = 5
+    request: str
+    call: str
+    service: str
+    depth: int
+    deadline_left_ms: float
+    waited_ms: float
+    service_ms: float
+    outcome: str
+    reason: str
+    status: int
+    running: int
+    queued: int
+    limit: int
+    admission_level: int
+    class_room: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LinesLeftOut(Event):
+    """Lines that the bound on the volume left out since the last such line.
+
+    Attributes:
+        counts: Number of lines by event and outcome.
+        unwritten: Lines that were lost because standard output stood still.
+    """
+
+    message: ClassVar[str] = "lines left out"
+    per_second: ClassVar[int | None] = None
+    counts: dict[str, int]
+    unwritten: int
+
+
+def all_events() -> list[type[Event]]:
+    """Returns the events in the order of this module."""
+    # Slots make a second class of each, which replaces the first.
+    by_message: dict[str, type[Event]] = {}
+    remaining = list(Event.__subclasses__())
+    while remaining:
+        event = remaining.pop(0)
+        by_message[event.message] = event
+        remaining[:0] = event.__subclasses__()
+    return list(by_message.values())
+
+
+class VolumeLimit:
+    """Bounds the lines per second of each event and outcome.
+
+    The first ones of each second are kept, and those of followed requests.
+
+    Attributes:
+        left_out_by_key: Lines left out since the last report.
+    """
+
+    def __init__(self) -> None:
+        self.left_out_by_key: dict[str, int] = {}
+        self._window_start_s = float("-inf")
+        self._kept_by_key: dict[str, int] = {}
+        self._kept_of_followed = 0
+
+    def permits(self, event: type[Event], outcome: str, request: str) -> bool:
+        """Counts a line and returns whether it is kept.
+
+        Args:
+            event: Kind of the event.
+            outcome: Outcome in the line, if it has one.
+            request: Request in the line, if it has one.
+        """
+        if event.per_second is None:
+            return True
+        now_s = time.monotonic()
+        if now_s - self._window_start_s >= WINDOW_S:
+            self._window_start_s = now_s
+            self._kept_by_key.clear()
+            self._kept_of_followed = 0
+        key = f"{event.message}: {outcome}" if outcome else event.message
+        kept = self._kept_by_key.get(key, 0)
+        most = KEPT_WHEN_OK if outcome == "ok" else event.per_second
+        if kept >= most and not self._follows(request):
+            left_out = self.left_out_by_key.get(key, 0)
+            self.left_out_by_key[key] = left_out + 1
+            return False
+        self._kept_by_key[key] = kept + 1
+        return True
+
+    def _follows(self, request: str) -> bool:
+        """Returns whether a line is kept for the request that it is about."""
+        if not request or self._kept_of_followed >= KEPT_OF_FOLLOWED:
+            return False
+        # Requests that a run makes have its id in front.
+        first = request.partition(".")[0]
+        if zlib.crc32(first.encode()) % FOLLOWED_ONE_IN:
+            return False
+        self._kept_of_followed += 1
+        return True
+
+
+_volume = VolumeLimit()
+
+
+def emit(event: type[Event], **fields: object) -> None:
+    """Writes an event, unless its volume is used up.
+
+    Args:
+        event: Kind of the event.
+        **fields: Its fields.
+    """
+    if not _logger.isEnabledFor(event.level):
+        return
+    outcome = str(fields.get("outcome", ""))
+    request = str(fields.get("request", ""))
+    if not _volume.permits(event, outcome, request):
+        return
+    _write(event(**fields))
+
+
+def report_left_out(unwritten: int = 0) -> None:
+    """Writes how many lines were left out since the last call, if any.
+
+    Args:
+        unwritten: Lines that could not be written.
+    """
+    counts = _volume.left_out_by_key
+    if not counts and not unwritten:
+        return
+    _volume.left_out_by_key = {}
+    _write(LinesLeftOut(counts, unwritten))
+
+
+def _write(event: Event) -> None:
+    fields = {
+        field.name: _shortened(getattr(event, field.name))
+        for field in dataclasses.fields(event)
+    }
+    _logger.log(event.level, event.message, extra=fields)
+
+
+def _shortened(value: object) -> object:
+    return round(value, 2) if isinstance(value, float) else value
--- a/src/celeryfield/internal/metrics.py
+++ b/src/celeryfield/internal/metrics.py
@@ -101,6 +101,15 @@
                 lambda field=field: getattr(counters, field.name)
             )
 
+    def watch(
+        self, name: str, description: str, read: Callable[[], float]
+    ) -> None:
+        """Exports a figure that is read when metrics are fetched."""
+        gauge = prometheus_client.Gauge(
+            f"celeryfield_{name}", description, registry=self.registry
+        )
+        gauge.set_function(read)
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/src/celeryfield/internal/request_story.py
@@ -0,0 +1,185 @@
+"""Finds the story of one request in the logs of several nodes."""
+
+import collections
+import dataclasses
+import json
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+# Lines about beliefs that are kept while the request's own lines are searched.
+MAX_BELIEFS = 100_000
+# A line that is longer is no line of a node.
+MAX_LINE_CHARACTERS = 65_536
+
+_BELIEFS = frozenset(
+    (
+        "node started",
+        "node is leaving",
+        "node stopped",
+        "configuration in force",
+        "configuration cannot be used",
+        "upstream changed",
+        "neighbour changed",
+        "dependency lost",
+        "dependency regained",
+        "candidate ejected",
+        "candidate returned",
+        "admission level changed",
+        "suspect request found",
+        "lines left out",
+    )
+)
+
+_WORDS_BY_EVENT = {
+    "request ended": (
+        "answered the {route} request for {service} with {status} after "
+        "{took_ms} of {deadline_ms} ms and {attempts} attempts: {outcome} "
+        "{reason}"
+    ),
+    "request ended with unknown outcome": (
+        "answered the {route} request for {service} with {status} after "
+        "{took_ms} ms; it may have run and was not sent again: {reason}"
+    ),
+    "call refused at sender": (
+        "refused the call to {service} before sending it: {level_of} admits "
+        "ranks from {admission_level} on ({level_age_ms} ms ago), the call "
+        "has {rank}"
+    ),
+    "attempt ended": (
+        "sent the call to {peer} in {peer_zone}, one of {candidates}, "
+        "believing a load of {load} ({load_age_ms} ms old); after {took_ms} "
+        "ms: {outcome} {reason}"
+    ),
+    "call ended": (
+        "handled the call to {service} at hop {depth}: waited {waited_ms} ms "
+        "and ran {service_ms} ms of {deadline_left_ms} ms; {outcome} {reason} "
+        "{status}; then {running} running of {limit}, {queued} waiting, "
+        "level {admission_level}, room of its class {class_room}"
+    ),
+    "upstream changed": (
+        "believes upstream {upstream} of {service} to be {state} with {slots} "
+        "slots, by {cause}"
+    ),
+    "neighbour changed": (
+        "believes the upstream beside {peer} to be {state} (record {version})"
+    ),
+    "dependency lost": "cannot reach {dependency}: {problem}",
+    "dependency regained": "reaches {dependency} again after {away_ms} ms",
+    "candidate ejected": (
+        "sends nothing to {peer} for {for_ms} ms: {cause}, {failures} "
+        "failures in a row, {inflation} times the usual latency"
+    ),
+    "admission level changed": (
+        "raised or lowered the admission level from {previous_level} to "
+        "{admission_level}: {running} running of {limit}, {queued} waiting "
+        "for {delay_ms} ms"
+    ),
+    "suspect request found": (
+        "counts {crashes} crashes with request {fingerprint} running"
+    ),
+    "configuration in force": "uses configuration {version}",
+}
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoryLine:
+    """One line of a node.
+
+    Attributes:
+        time: Time of the line, as the node wrote it.
+        node: Id of the node.
+        event: Name of the event.
+        fields: All fields of the line.
+        is_own: The line names the request; others tell what the node believed.
+    """
+
+    time: str
+    node: str
+    event: str
+    fields: dict[str, Any]
+    is_own: bool
+
+    def text(self) -> str:
+        """Returns the line in plain words."""
+        template = _WORDS_BY_EVENT.get(self.event, self.event)
+        known = collections.defaultdict(lambda: "?", self.fields)
+        words = " ".join(template.format_map(known).split())
+        subject = str(self.fields.get("request", "")) if self.is_own else ""
+        return f"{self.time} {self.node} {subject or '-'}: {words}"
+
+
+def parse_line(line: str) -> dict[str, Any] | None:
+    """Returns the fields of a node's line; none if it is another one's.
+
+    A program that collects logs may have put something in front.
+    """
+    start = line.find("{")
+    if start < 0 or len(line) > MAX_LINE_CHARACTERS:
+        return None
+    try:
+        fields = json.loads(line[start:])
+    except ValueError:
+        return None
+    if not isinstance(fields, dict):
+        return None
+    texts = (fields.get("message"), fields.get("node"), fields.get("time"))
+    return fields if all(isinstance(text, str) for text in texts) else None
+
+
+def find_story(
+    request_id: str, lines: Iterable[str], context: int = 3
+) -> list[StoryLine]:
+    """Returns the lines of a request and of the requests that its run made.
+
+    Args:
+        request_id: Id that the caller gave the request.
+        lines: Lines of any number of logs, in any order.
+        context: Lines about the beliefs of an involved node to add before the
+            first own line and up to the last one.
+
+    Returns:
+        The lines in order of time.
+    """
+    own: list[StoryLine] = []
+    beliefs: collections.deque[StoryLine] = collections.deque(
+        maxlen=MAX_BELIEFS
+    )
+    for fields in _decoded(lines):
+        event = fields["message"]
+        request = fields.get("request")
+        is_own = isinstance(request, str) and _belongs(request, request_id)
+        found = StoryLine(fields["time"], fields["node"], event, fields, is_own)
+        if is_own:
+            own.append(found)
+        elif event in _BELIEFS:
+            beliefs.append(found)
+    if not own:
+        return []
+    around = _around(own, beliefs, context)
+    return sorted([*own, *around], key=lambda line: line.time)
+
+
+def _decoded(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+    for line in lines:
+        fields = parse_line(line)
+        if fields is not None:
+            yield fields
+
+
+def _belongs(request: str, request_id: str) -> bool:
+    """Returns whether a request is the one searched for or below it."""
+    return request == request_id or request.startswith(f"{request_id}.")
+
+
+def _around(
+    own: list[StoryLine], beliefs: Iterable[StoryLine], context: int
+) -> list[StoryLine]:
+    """Returns the newest beliefs of each involved node up to the last line."""
+    last = max(line.time for line in own)
+    nodes = {line.node for line in own}
+    nodes |= {str(line.fields.get("peer", "")) for line in own}
+    by_node: dict[str, list[StoryLine]] = {}
+    for line in sorted(beliefs, key=lambda line: line.time):
+        if line.node in nodes and line.time <= last:
+            by_node.setdefault(line.node, []).append(line)
+    return [line for lines in by_node.values() for line in lines[-context:]]
--- a/src/celeryfield/internal/routes/entry.py
+++ b/src/celeryfield/internal/routes/entry.py
@@ -5,9 +5,12 @@
 
 import xxhash
 
-from celeryfield.internal.calls import CallResult
+from celeryfield.internal import events
+from celeryfield.internal.calls import CallResult, Outcome, Reason
 from celeryfield.internal.clock import Clock
+from celeryfield.internal.metrics import Metrics
 from celeryfield.internal.routes.manager import RouteManager
+from celeryfield.internal.routes.returning import ReturnPlanner
 from celeryfield.internal.routes.splits import TrafficSplitter
 from celeryfield.internal.routes.table import Route
 from celeryfield.internal.routing.chains import Chain, ChainTable
@@ -43,10 +46,17 @@
 
 @dataclasses.dataclass(slots=True)
 class EnteredCall:
-    """A call with the chain that it belongs to, if it is a sub-call."""
+    """A call with the chain that it belongs to, if it is a sub-call.
+
+    Attributes:
+        call: The call.
+        chain: The chain; none if the call begins one.
+        parent_id: Id of the request whose run made it, as far as known.
+    """
 
     call: wire.Call
     chain: Chain | None
+    parent_id: str = ""
 
 
 class RouteEntry:
@@ -59,6 +69,7 @@
         routes: Route table in force.
         chains: Calls that run on the local upstream.
         executor: Runs the calls.
+        metrics: Counts the calls, if they are to be counted.
     """
 
     def __init__(
@@ -69,15 +80,21 @@
         routes: RouteManager,
         chains: ChainTable,
         executor: CallExecutor,
+        metrics: Metrics | None = None,
     ) -> None:
         self._clock = clock
         self._routes = routes
         self._chains = chains
         self._executor = executor
+        self._metrics = metrics
+        self._returns = ReturnPlanner(clock)
         self._splitter = TrafficSplitter()
         self._id_prefix = f"{node_id}-{incarnation:x}-"
         self._numbers = itertools.count(1)
         routes.subscribe(self._splitter.set_table)
+        routes.subscribe(
+            lambda table: self._returns.keep(set(table.routes_by_name))
+        )
 
     def match(self, host: str, path: str) -> Route | None:
         """Returns the route of a request, if there is one."""
@@ -113,15 +130,63 @@
         chain = self._chains.find_request(request.parent_id)
         if chain is not None:
             call = self._chains.begin_sub_call(chain, call)
-        return EnteredCall(call, chain)
+        if self._metrics is not None:
+            self._metrics.started(call)
+        return EnteredCall(call, chain, request.parent_id)
 
     async def run(self, entered: EnteredCall, body: bytes) -> CallResult:
         """Runs a call; settles the allowance of its chain at the end."""
-        result = await self._executor.execute(entered.call, body)
-        if entered.chain is not None:
-            self._chains.end_sub_call(entered.chain, entered.call, result)
+        started_ms = self._clock.now_ms()
+        result = CallResult(Outcome.UNKNOWN, Reason.CANCELLED)
+        try:
+            result = await self._executor.execute(entered.call, body)
+            if entered.chain is not None:
+                self._chains.end_sub_call(entered.chain, entered.call, result)
+            self._plan_return(entered.call, result, started_ms)
+        finally:
+            took_ms = self._clock.now_ms() - started_ms
+            self._emit_end(entered, result, took_ms)
+            if self._metrics is not None:
+                self._metrics.finished(entered.call, result, took_ms)
         return result
 
+    def _plan_return(
+        self, call: wire.Call, result: CallResult, started_ms: float
+    ) -> None:
+        """Tells a refused caller when to return."""
+        is_refused = result.outcome is Outcome.NOT_RUN
+        self._returns.note(call.class_name, is_refused)
+        if is_refused:
+            took_ms = self._clock.now_ms() - started_ms
+            left_ms = call.deadline_left_ms - took_ms
+            result.retry_after_s = self._returns.pause_s(
+                call.class_name, left_ms
+            )
+
+    def _emit_end(
+        self, entered: EnteredCall, result: CallResult, took_ms: float
+    ) -> None:
+        call = entered.call
+        is_unknown = result.outcome is Outcome.UNKNOWN and not call.repeatable
+        table = self._routes.current
+        events.emit(
+            events.OutcomeUnknown if is_unknown else events.RequestEnded,
+            request=call.request_id,
+            call=call.call_id,
+            parent=entered.parent_id,
+            route=call.route_name,
+            service=call.service,
+            priority=call.priority,
+            config_version=table.version if table else 0,
+            deadline_ms=call.deadline_left_ms,
+            took_ms=took_ms,
+            outcome=str(result.outcome),
+            reason=str(result.reason),
+            status=result.status,
+            attempts=result.attempts,
+            retry_after_s=result.retry_after_s,
+        )
+
 
 def _deadline_ms(route: Route, request: RoutedRequest) -> float:
     limits = [
--- a/src/celeryfield/internal/routes/manager.py
+++ b/src/celeryfield/internal/routes/manager.py
@@ -1,13 +1,11 @@
 """The route table in force at one node."""
 
-import logging
 from collections.abc import Callable
 
+from celeryfield.internal import events
 from celeryfield.internal.routes.table import RouteTable
 from celeryfield.internal.schema.fileset import ClassSection
 
-logger = logging.getLogger(__name__)
-
 # Retries per first attempt at one hop. Calls made by a repeated run are repeats
 # too, so the share grows with each hop: four hops at this ratio add 17%, below
 # the 20% that all repeats together may take.
@@ -51,9 +49,11 @@
             )
             for route in candidate.routes_by_name.values()
         }
-        logger.info(
-            "route table in force",
-            extra={"version": candidate.version, "previous": previous},
+        events.emit(
+            events.ConfigInForce,
+            version=candidate.version,
+            previous=previous,
+            routes=len(candidate.routes_by_name),
         )
         for callback in self._callbacks:
             callback(candidate)
--- a/src/celeryfield/internal/routing/attempts.py
+++ b/src/celeryfield/internal/routing/attempts.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from celeryfield.errors import CeleryfieldError
+from celeryfield.internal import events
 from celeryfield.internal.calls import (
     CallResult,
     Candidate,
@@ -76,6 +77,7 @@
         if result.outcome is Outcome.NOT_RUN and self.maybe_run is not None:
             result = self.maybe_run
         result.unused_allowance = self.allowance
+        result.attempts = self.attempts
         return result
 
 
@@ -162,6 +164,31 @@
                 return _unknown(Reason.DEADLINE, GATEWAY_TIMEOUT)
             return _unknown(Reason.INTERNAL, BAD_GATEWAY)
 
+    def _emit_end(
+        self,
+        run: Run,
+        candidate: Candidate,
+        result: CallResult | None,
+        latency_ms: float,
+    ) -> None:
+        belief = self._balancer.belief(candidate)
+        number = run.attempts - 1
+        call_id = run.call.call_id
+        events.emit(
+            events.AttemptEnded,
+            request=run.call.request_id,
+            call=f"{call_id}.{number}" if number else call_id,
+            service=run.call.service,
+            peer=candidate.node_id,
+            peer_zone=candidate.zone,
+            candidates=belief.candidates,
+            load=belief.load,
+            load_age_ms=belief.age_ms,
+            took_ms=latency_ms,
+            outcome=str(result.outcome if result else Outcome.UNKNOWN),
+            reason=str(result.reason if result else Reason.CANCELLED),
+        )
+
     def _record_end(
         self,
         run: Run,
@@ -172,6 +199,7 @@
         """Tells balancer, levels and hedging how an attempt ended."""
         call = run.call
         latency_ms = self._clock.now_ms() - started_ms
+        self._emit_end(run, candidate, result, latency_ms)
         if result is None:
             end = AttemptEnd(
                 Outcome.UNKNOWN,
--- a/src/celeryfield/internal/routing/balancer.py
+++ b/src/celeryfield/internal/routing/balancer.py
@@ -34,12 +34,29 @@
 FAILURE_WEIGHT = 0.1
 # A candidate that is avoided gives no news, so its failures fade.
 FAILURE_HALF_LIFE_MS = 1500.0
+# Less than this does not tell candidates apart.
+LEAST_FAILURE_SHARE = 0.01
 # Share of the service time by which a full upstream is slower than an idle one.
 BUSY_SLOWDOWN = 0.3
 # A cold candidate starts with this share of its limit.
 COLD_SHARE = 0.1
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Belief:
+    """What a sender knows about a candidate.
+
+    Attributes:
+        load: Load relative to its limit, with one more call.
+        age_ms: Age of the newest report; -1 without one.
+        candidates: Candidates of the service.
+    """
+
+    load: float
+    age_ms: float
+    candidates: int
+
+
 class RoutingError(CeleryfieldError):
     """No node can take a call."""
 
@@ -85,7 +102,8 @@
         if self.failure_share == 0.0:
             return 0.0
         age_ms = now - self.failure_ms
-        return self.failure_share * 0.5 ** (age_ms / FAILURE_HALF_LIFE_MS)
+        share = self.failure_share * 0.5 ** (age_ms / FAILURE_HALF_LIFE_MS)
+        return share if share >= LEAST_FAILURE_SHARE else 0.0
 
     def fresh_service_ms(self, class_name: str, now: float) -> float | None:
         """Returns the service time of a class that was told recently."""
@@ -165,7 +183,7 @@
         if not is_known:
             return _CandidateState(
                 candidate,
-                Health(),
+                Health(candidate.node_id),
                 limit=max(candidate.slots, 1),
                 cold_since_ms=cold_since_ms,
             )
@@ -373,6 +391,17 @@
             return None
         return entry, state
 
+    def belief(self, candidate: Candidate) -> Belief:
+        """Returns what is known about a candidate, for the log."""
+        found = self._find(candidate)
+        if found is None:
+            return Belief(0.0, -1.0, 0)
+        entry, state = found
+        now = self._clock.now_ms()
+        age_ms = now - state.reported_ms if state.reported_ms else -1.0
+        load = self._score(entry, state, now)
+        return Belief(load, age_ms, len(entry.states_by_id))
+
     def record_start(self, candidate: Candidate) -> None:
         """Counts an attempt as in flight."""
         found = self._find(candidate)
--- a/src/celeryfield/internal/routing/executor.py
+++ b/src/celeryfield/internal/routing/executor.py
@@ -4,11 +4,13 @@
 import dataclasses
 import functools
 
+from celeryfield.internal import events
 from celeryfield.internal.calls import (
     CallResult,
     Candidate,
     Outcome,
     Reason,
+    admission_rank,
     not_run,
 )
 from celeryfield.internal.clock import Clock
@@ -151,6 +153,7 @@
             return await self._execute_baseline(run)
         if not self._levels.admits(call):
             self.counters.shed += 1
+            self._emit_refusal(call)
             return not_run(Reason.OVERLOAD, unused=call.retry_allowance)
         candidate = self._choose(run)
         if candidate is None:
@@ -166,6 +169,19 @@
                 return run.finish(result)
             result = await self._attempt(run, candidate)
 
+    def _emit_refusal(self, call: wire.Call) -> None:
+        refusal = self._levels.refusal(call)
+        events.emit(
+            events.AdmissionRefused,
+            request=call.request_id,
+            call=call.call_id,
+            service=call.service,
+            rank=admission_rank(call),
+            admission_level=refusal.level if refusal else 0,
+            level_of=refusal.service if refusal else "",
+            level_age_ms=refusal.age_ms if refusal else 0.0,
+        )
+
     def close(self) -> None:
         """Stops the timers; calls that still run lose their deadline."""
         self._alarms.close()
--- a/src/celeryfield/internal/routing/levels.py
+++ b/src/celeryfield/internal/routing/levels.py
@@ -196,6 +196,11 @@
         level = self.level_for(call.service, call.class_name, call.tenant)
         return level == 0 or admission_rank(call) >= level
 
+    def refusal(self, call: wire.Call) -> wire.ServiceLevel | None:
+        """Returns the highest level on the way of a call, for the log."""
+        entries = self.levels_to_pass_on(call.service, call.class_name)
+        return max(entries, key=lambda entry: entry.level, default=None)
+
     def refusing_ids(self, call: wire.Call) -> frozenset[str]:
         """Returns the reporters whose own fresh level refuses a call."""
         levels = self._levels_by_service.get(call.service)
--- a/src/celeryfield/internal/routing/outliers.py
+++ b/src/celeryfield/internal/routing/outliers.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from celeryfield.internal import events
 from celeryfield.internal.calls import Outcome, Reason
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.schema import wire
@@ -80,6 +81,7 @@
     """What is known about one candidate.
 
     Attributes:
+        node_id: Id of the node.
         inflation: Average latency relative to that of the class.
         samples: Latencies seen so far.
         consecutive_failures: Failures since the last success.
@@ -90,6 +92,7 @@
         trial_running: The trial call is in flight.
     """
 
+    node_id: str = ""
     inflation: float = 1.0
     samples: int = 0
     consecutive_failures: int = 0
@@ -140,8 +143,12 @@
         elif not end.is_given_up and end.outcome is not Outcome.NOT_RUN:
             health.consecutive_failures = 0
         is_failing = health.consecutive_failures >= MAX_CONSECUTIVE_FAILURES
-        if end.is_gone or is_failing or self._is_slow(health, end):
-            self._eject(health)
+        if end.is_gone:
+            self._eject(health, "gone")
+        elif is_failing:
+            self._eject(health, "failing")
+        elif self._is_slow(health, end):
+            self._eject(health, "slow")
 
     def _sample(self, health: Health, end: AttemptEnd) -> float:
         """Adds a latency; returns it relative to that of the class."""
@@ -195,7 +202,7 @@
         health.trial_running = False
         is_slow = self._exceeds_peers(health, inflation, end.class_name)
         if end.is_failure or is_slow:
-            self._extend(health)
+            self._extend(health, "trial failed")
         elif not end.is_given_up:
             health.inflation = inflation
             self._return(health)
@@ -203,13 +210,13 @@
     def _most_ejected(self) -> int:
         return int(len(self._healths) * self._settings.max_ejected_share)
 
-    def _eject(self, health: Health) -> None:
+    def _eject(self, health: Health, cause: str) -> None:
         ejected = [h for h in self._healths if h.ejected_until_ms is not None]
         if len(ejected) >= self._most_ejected():
             return
-        self._extend(health)
+        self._extend(health, cause)
 
-    def _extend(self, health: Health) -> None:
+    def _extend(self, health: Health, cause: str) -> None:
         now = self._clock.now_ms()
         longest_ms = MAX_EJECT_FACTOR * self._settings.eject_ms
         returned_ms = health.returned_ms
@@ -217,12 +224,26 @@
             health.ejections = 0
             health.returned_ms = None
         factor = min(2**health.ejections, MAX_EJECT_FACTOR)
-        health.ejected_until_ms = now + factor * self._settings.eject_ms
+        for_ms = factor * self._settings.eject_ms
+        health.ejected_until_ms = now + for_ms
+        events.emit(
+            events.CandidateEjected,
+            peer=health.node_id,
+            cause=cause,
+            failures=health.consecutive_failures,
+            inflation=health.inflation,
+            for_ms=for_ms,
+        )
         # Counts no further than the bound, so the power stays small.
         health.ejections = min(health.ejections + 1, MAX_EJECT_FACTOR)
         health.trial_running = False
 
     def _return(self, health: Health) -> None:
+        events.emit(
+            events.CandidateReturned,
+            peer=health.node_id,
+            ejections=health.ejections,
+        )
         health.ejected_until_ms = None
         health.trial_running = False
         health.consecutive_failures = 0
--- a/src/celeryfield/internal/store/prefix_watcher.py
+++ b/src/celeryfield/internal/store/prefix_watcher.py
@@ -5,6 +5,7 @@
 
 import mode
 
+from celeryfield.internal import events
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.store.answers import StoreListing
 from celeryfield.internal.store.client import StoreClient
@@ -51,6 +52,7 @@
         self._backoff = client.new_backoff()
         self._revision: int | None = None
         self._is_connected = True
+        self._lost_ms = 0.0
         self.heard_ms: float | None = None
 
     @mode.Service.task
@@ -86,7 +88,11 @@
         self._backoff.reset()
         if not self._is_connected:
             self._is_connected = True
-            logger.info("store is back", extra={"prefix": self._prefix})
+            events.emit(
+                events.DependencyRegained,
+                dependency=f"store: {self._prefix}",
+                away_ms=self._clock.now_ms() - self._lost_ms,
+            )
 
     async def _recover(self, error: StoreError) -> None:
         revision, self._revision = self._revision, None
@@ -98,8 +104,10 @@
             return
         if self._is_connected:
             self._is_connected = False
-            logger.warning(
-                "store cannot be reached",
-                extra={"prefix": self._prefix, "problem": str(error)},
+            self._lost_ms = self._clock.now_ms()
+            events.emit(
+                events.DependencyLost,
+                dependency=f"store: {self._prefix}",
+                problem=str(error),
             )
         await self._clock.sleep_ms(self._backoff.next_delay_ms())
--- a/src/celeryfield/internal/transport/pool.py
+++ b/src/celeryfield/internal/transport/pool.py
@@ -4,6 +4,7 @@
 import logging
 import ssl
 
+from celeryfield.internal import events
 from celeryfield.internal.calls import (
     CallResult,
     Candidate,
@@ -29,6 +30,8 @@
 CONNECT_TIMEOUT_S = 1.0
 # A node that is seldom used again costs both ends memory; opening a connection
 # takes about a millisecond.
+# Nodes that are remembered as lost, so that each loss is noted once.
+MAX_LOST_NOTED = 4_096
 IDLE_CLOSE_MS = 120_000.0
 # The dispatching node answers at the deadline itself; its answer tells more
 # than a timeout here would, so it gets this much time to arrive.
@@ -57,6 +60,7 @@
         self._clock = clock
         self._hello = hello
         self._ssl_context = ssl_context
+        self._lost_ms_by_id: dict[str, float] = {}
         self._connections_by_peer: dict[tuple[str, int], PeerConnection] = {}
         self._opening_by_peer: dict[
             tuple[str, int], asyncio.Task[PeerConnection]
@@ -206,14 +210,37 @@
                     candidate, self._connection_number
                 )
         except (OSError, TimeoutError, TransportError, MessageError) as error:
+            self._note_lost(candidate.node_id, error)
             raise UnreachableError(
                 f"cannot reach node {candidate.node_id}: {error}"
             ) from error
         self._connections_by_peer[peer] = connection
+        self._note_regained(candidate.node_id)
         if self._checker is None or self._checker.done():
             self._checker = asyncio.ensure_future(self._check_connections())
         return connection
 
+    def _note_lost(self, node_id: str, error: Exception) -> None:
+        if node_id in self._lost_ms_by_id:
+            return
+        if len(self._lost_ms_by_id) >= MAX_LOST_NOTED:
+            del self._lost_ms_by_id[next(iter(self._lost_ms_by_id))]
+        self._lost_ms_by_id[node_id] = self._clock.now_ms()
+        events.emit(
+            events.DependencyLost,
+            dependency=node_id,
+            problem=str(error) or type(error).__name__,
+        )
+
+    def _note_regained(self, node_id: str) -> None:
+        lost_ms = self._lost_ms_by_id.pop(node_id, None)
+        if lost_ms is not None:
+            events.emit(
+                events.DependencyRegained,
+                dependency=node_id,
+                away_ms=self._clock.now_ms() - lost_ms,
+            )
+
     async def _check_connections(self) -> None:
         """Finds silent connections and closes those that nobody uses."""
         interval_ms = self._settings.routing.silent_ms / 2
@@ -263,7 +290,8 @@
         connection.send_hello(hello)
         connection.hello = await greeting
         # A restarted node answers here before its new record is known.
-        if connection.peer_id != candidate.node_id:
+        is_named = bool(candidate.node_id)
+        if is_named and connection.peer_id != candidate.node_id:
             connection.close()
             raise UnreachableError("another node answered")
         return connection
--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -1,7 +1,6 @@
 """HTTP listener for callers and for calls of the local upstream."""
 
 import logging
-import random
 
 from aiohttp import web
 from mode import Service
@@ -17,10 +16,8 @@
 
 logger = logging.getLogger(__name__)
 
-# Refused callers come back within this range, spread so that they do not
-# return together.
-RETRY_AFTER_MIN_S = 0.3
-RETRY_AFTER_MAX_S = 1.2
+# Told to callers that no route decided about.
+RETRY_AFTER_S = 0.5
 
 
 class CallerListener(Service):
@@ -43,7 +40,6 @@
         self._limits = CallerLimits()
         self._is_closing = False
         self._runner: web.ServerRunner | None = None
-        self._random = random.Random()
 
     async def on_start(self) -> None:
         """Opens the listener."""
@@ -118,7 +114,7 @@
         if result.outcome is Outcome.NOT_RUN and status not in (404, 413):
             status = 503
             answer_headers = CIMultiDict()
-            pause_s = self._random.uniform(RETRY_AFTER_MIN_S, RETRY_AFTER_MAX_S)
+            pause_s = result.retry_after_s or RETRY_AFTER_S
             answer_headers[headers.RETRY_AFTER] = f"{pause_s:.2f}"
         if request_id:
             answer_headers[headers.REQUEST_ID] = request_id
--- a/tests/cover/test_cli_docs.py
+++ b/tests/cover/test_cli_docs.py
@@ -19,10 +19,10 @@
     return module
 
 
-def test_tables_of_the_page_are_current(reference):
-    """Guards against keys, codes and routes that the page does not name."""
-    text = reference.PAGE.read_text(encoding="utf-8")
-    assert text == reference.render(text)
+def test_tables_of_the_pages_are_current(reference):
+    """Guards against keys, codes, routes and events that no page names."""
+    for page in reference.TABLES_BY_PAGE:
+        assert page.read_text(encoding="utf-8") == reference.render(page)
 
 
 def test_page_names_every_command():
--- /dev/null
+++ b/tests/cover/test_events.py
@@ -0,0 +1,163 @@
+"""The log of events: its bound, its writer, and its names."""
+
+import dataclasses
+import json
+import logging
+import os
+import threading
+import time
+import zlib
+
+import pytest
+
+from celeryfield.internal import events, logs
+from celeryfield.internal.schema.settings import NodeSettings
+
+SETTINGS = NodeSettings(node={"id": "n1", "zone": "z1", "region": "r1"})
+REFUSAL = {
+    "request": "a1",
+    "call": "c",
+    "service": "s",
+    "rank": 1,
+    "admission_level": 2,
+    "level_of": "t",
+    "level_age_ms": 3.14159,
+}
+
+
+@pytest.fixture
+def pipe(monkeypatch):
+    """Sends the logs of the process into a pipe."""
+    monkeypatch.setattr(events, "_volume", events.VolumeLimit())
+    root = logging.getLogger()
+    before = (root.handlers[:], root.level, logging.raiseExceptions)
+    reader, writer = os.pipe()
+    yield reader, logs.configure(SETTINGS, writer)
+    root.handlers[:], root.level, logging.raiseExceptions = before
+    # The writer's thread is released if it stands still.
+    os.set_blocking(reader, False)
+    until = time.monotonic() + 5
+    while time.monotonic() < until:
+        try:
+            if not os.read(reader, 1 << 20):
+                break
+        except BlockingIOError:
+            break
+    os.close(reader)
+
+
+def read_lines(reader):
+    """Reads lines until none has come for a while."""
+    os.set_blocking(reader, False)
+    data = b""
+    quiet_since = time.monotonic()
+    while time.monotonic() - quiet_since < 0.3:
+        try:
+            data += os.read(reader, 1 << 20)
+            quiet_since = time.monotonic()
+        except BlockingIOError:
+            time.sleep(0.01)
+    return [json.loads(line) for line in data.splitlines()]
+
+
+def test_line_holds_the_inputs_of_the_decision(pipe):
+    """Guards against lines from which no cause can be found."""
+    reader, _ = pipe
+    events.emit(events.AdmissionRefused, **REFUSAL)
+    (line,) = read_lines(reader)
+    assert (
+        line.items()
+        >= {
+            "message": "call refused at sender",
+            "level": "INFO",
+            "node": "n1",
+            "zone": "z1",
+            "request": "a1",
+            "level_of": "t",
+            "level_age_ms": 3.14,
+        }.items()
+    )
+
+
+def test_storm_of_refusals_is_bounded_and_counted(pipe):
+    """Guards against a log that costs more than the requests."""
+    reader, _ = pipe
+    started = time.monotonic()
+    for _ in range(10_000):
+        events.emit(events.AdmissionRefused, **REFUSAL)
+    assert time.monotonic() - started < 1.0
+    events.report_left_out()
+    *lines, summary = read_lines(reader)
+    left_out = summary["counts"]["call refused at sender"]
+    assert left_out + len(lines) == 10_000
+    assert len(lines) <= 2 * (
+        events.AdmissionRefused.per_second + events.KEPT_OF_FOLLOWED
+    )
+
+
+def test_unknown_outcomes_are_all_kept(pipe):
+    """Guards against an unsafe request that left no trace."""
+    reader, _ = pipe
+    fields = {
+        field.name: "" for field in dataclasses.fields(events.OutcomeUnknown)
+    }
+    for number in range(300):
+        fields["request"] = str(number)
+        events.emit(events.OutcomeUnknown, **fields)
+    lines = read_lines(reader)
+    assert [line["request"] for line in lines] == [str(n) for n in range(300)]
+
+
+def test_only_samples_are_kept_of_what_went_well(pipe):
+    """Guards against processor time spent on lines that nobody needs."""
+    reader, _ = pipe
+    fields = {
+        field.name: 0 for field in dataclasses.fields(events.AttemptEnded)
+    }
+    for outcome in ["ok", "failed"] * 5:
+        events.emit(events.AttemptEnded, **(fields | {"outcome": outcome}))
+    lines = read_lines(reader)
+    outcomes = [line["outcome"] for line in lines]
+    assert outcomes.count("ok") <= 2 * events.KEPT_WHEN_OK
+    assert outcomes.count("failed") == 5
+
+
+def test_followed_requests_keep_all_their_lines(pipe):
+    """Guards against stories of which each node left out another part."""
+    reader, _ = pipe
+    for number in range(400):
+        events.emit(
+            events.AdmissionRefused, **(REFUSAL | {"request": f"r{number}.7"})
+        )
+    kept = {line["request"] for line in read_lines(reader)}
+    followed = {
+        f"r{number}.7"
+        for number in range(400)
+        if zlib.crc32(f"r{number}".encode()) % events.FOLLOWED_ONE_IN == 0
+    }
+    assert 10 < len(followed) <= events.KEPT_OF_FOLLOWED
+    assert followed <= kept
+
+
+def test_full_pipe_never_blocks_and_losses_are_counted(pipe):
+    """Guards against a node that stops because nobody reads its log."""
+    _, log_writer = pipe
+    logger = logging.getLogger("storm")
+    started = time.monotonic()
+    for _ in range(3 * logs.MAX_WAITING):
+        logger.warning("x" * 100)
+    assert time.monotonic() - started < 5.0
+    assert log_writer.take_dropped() > logs.MAX_WAITING
+    assert log_writer.take_dropped() == 0
+    assert any(thread.daemon for thread in threading.enumerate())
+
+
+def test_fields_do_not_clash_with_those_of_the_logging_library():
+    """Guards against an event that raises when it is first written."""
+    reserved = set(logging.makeLogRecord({}).__dict__)
+    reserved |= {"message", "asctime", "time", "level", "node", "zone"}
+    assert events.OutcomeUnknown in events.all_events()
+    for event in events.all_events():
+        names = {field.name for field in dataclasses.fields(event)}
+        assert not names & reserved
+        assert event.__doc__
--- /dev/null
+++ b/tests/cover/test_platform_border.py
@@ -0,0 +1,183 @@
+"""What the adapter makes of the platform's files, bodies and headers."""
+
+import json
+import pathlib
+import re
+
+import pytest
+from platform_standins import config_spec, settings_text
+
+from celeryfield.internal.store.answers import StoreAnswer
+from celeryfield.internal.store.client import ANY_VERSION
+from celeryfield.internal.store.errors import (
+    StoreConflictError,
+    StoreHistoryLostError,
+    StoreMissingError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from celeryfield.platform import config, headers, settings
+from celeryfield.platform.objects import DIALECT
+
+SOURCE = pathlib.Path(__file__).parents[2] / "src" / "celeryfield"
+# Names that only the platform's pages use.
+WIRE_NAMES = re.compile(
+    r"X-Attempt-Id|X-Deadline-Ms|X-Target-Instance|X-Server-|X-Not-Executed"
+    r"|X-Caller-Service|X-Instance-Id|trafficSplit|pathPrefix|routeType"
+    r"|heartbeatMs|coldRemainingMs|currentRev|staleOk|resourceType|appAddr"
+)
+
+
+def answer(status, content=None):
+    body = b"" if content is None else json.dumps(content).encode()
+    return StoreAnswer(status, 0, body)
+
+
+def stored(name, revision=3, spec=None):
+    return {"metadata": {"name": name, "revision": revision}, "spec": spec}
+
+
+def test_wire_names_stay_in_the_adapter():
+    """Guards against modules that depend on one platform."""
+    found = [
+        str(path.relative_to(SOURCE))
+        for path in SOURCE.rglob("*.py")
+        if "platform" not in path.relative_to(SOURCE).parts
+        and WIRE_NAMES.search(path.read_text(encoding="utf-8"))
+    ]
+    assert found == []
+
+
+def test_settings_are_translated():
+    """Guards against listeners on the wrong ports."""
+    text = settings_text(1, 9000, 9001)
+    parsed = settings.parse(text).ok
+    assert parsed.node.node.id == "node-1"
+    assert parsed.node.store.url == "http://127.0.0.1:9000"
+    assert parsed.upstream_address == "127.0.0.1:9001"
+    assert parsed.node.listen.caller_port == parsed.callers.port
+    assert (parsed.drain_ms, parsed.grace_ms) == (1000.0, 5000.0)
+    unknown = text.replace("[self]", "[new]\nx = 1\n[self]\nnewField = 2")
+    assert settings.parse(unknown).ok.service == "stock"
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "place"),
+    [
+        ('zone = "z1"', "", "self.zone"),
+        ("heartbeatMs = 500", "heartbeatMs = 0", "heartbeatMs"),
+        ("[self]", "[self", "TOML"),
+        ('outbound = "127.0.0.1:', 'outbound = "127.0.0.1;', "host:port"),
+    ],
+)
+def test_fault_in_the_settings_is_named(old, new, place):
+    """Guards against a node that starts with half of its settings."""
+    problem = settings.parse(settings_text(1, 9000, 9001).replace(old, new, 1))
+    assert place in str(problem.error)
+
+
+def test_configuration_is_decoded_once_into_own_names():
+    """Guards against ranks and kinds that are taken the wrong way round."""
+    content = config_spec(version=0x1F, routeType="unsafe", priority=2)
+    content["resources"].append(
+        {"resourceType": "news", "metadata": {"name": "x"}, "spec": {"a": 1}}
+    )
+    table = config.decode(json.dumps(content).encode()).ok
+    assert table.version == 31
+    (route,) = table.routes_by_name.values()
+    assert not route.repeatable
+    assert route.priority == config.HIGHEST_PRIORITY - 2
+    assert route.parts[0].service == "stock"
+    assert table.services_by_name["stock"].max_connections == 20
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"pathPrefix": "no-slash"},
+        {"timeoutMs": "soon"},
+        {"maxAttempts": 0},
+        {"trafficSplit": [{"service": "a", "weight": -1}]},
+    ],
+)
+def test_configuration_with_one_bad_entry_is_refused_whole(change):
+    """Guards against 404 for a route whose entry could not be read."""
+    content = json.dumps(config_spec(**change)).encode()
+    assert config.decode(content).is_error()
+
+
+def test_headers_of_one_connection_and_forged_ones_are_not_forwarded():
+    """Guards against a caller that chooses the node's own headers."""
+    sent = {
+        "Connection": "close",
+        "X-Deadline-Ms": "5",
+        "X-Target-Instance": "i-9",
+        "x-caller-service": "forged",
+        "X-Attempt-Id": "a1",
+        "Accept": "*/*",
+    }
+    pairs = headers.as_pairs(headers.forwarded(sent, "stock"))
+    assert pairs == [
+        ("X-Attempt-Id", "a1"),
+        ("Accept", "*/*"),
+        ("X-Caller-Service", "stock"),
+    ]
+
+
+def test_listing_passes_over_objects_that_cannot_be_read():
+    """Guards against one entry of another writer that hides the others."""
+    page = {
+        "items": [5, {"metadata": {}}, stored("a", spec={"x": 1})],
+        "hasMore": True,
+        "currentRev": 9,
+    }
+    listing = DIALECT.decode_listing("nodes/", answer(200, page)).ok
+    assert [found.key for found in listing.objects] == ["nodes/a"]
+    assert json.loads(listing.objects[0].value) == {"x": 1}
+    assert (listing.revision, listing.next_name) == (9, "a")
+
+
+def test_last_event_of_an_object_counts():
+    """Guards against an object that is both there and deleted."""
+    events = [
+        {"object": stored("a"), "deleted": True},
+        {"object": stored("a", 4), "deleted": False},
+        {"object": stored("b"), "deleted": False},
+        {"object": stored("b", 5), "deleted": True},
+    ]
+    content = {"events": events, "currentRev": 5}
+    listing = DIALECT.decode_changes("nodes/", answer(200, content)).ok
+    assert [found.key for found in listing.objects] == ["nodes/a"]
+    assert listing.deleted_keys == ("nodes/b",)
+
+
+def test_errors_of_the_store_are_told_apart():
+    """Guards against a write that is repeated although it may be done."""
+    lost = DIALECT.decode_changes("nodes/", answer(410)).error
+    assert isinstance(lost, StoreHistoryLostError)
+    key, value = "nodes/a", b"{}"
+    conflict = DIALECT.decode_written(
+        key, value, 2, answer(409, stored("a", 6))
+    )
+    assert isinstance(conflict.error, StoreConflictError)
+    missing = DIALECT.decode_written(key, value, 2, answer(404)).error
+    assert isinstance(missing, StoreMissingError)
+    for status in (429, 503):
+        refused = DIALECT.decode_written(key, value, 2, answer(status)).error
+        assert isinstance(refused, StoreUnavailableError)
+    unknown = DIALECT.decode_written(key, value, 2, answer(500)).error
+    assert isinstance(unknown, StoreOutcomeUnknownError)
+    written = DIALECT.decode_written(key, value, 2, answer(200, stored("a", 7)))
+    assert written.ok.version == 7
+
+
+def test_writes_name_the_version_that_they_replace():
+    """Guards against a write over a change that was not seen."""
+    created = DIALECT.write("nodes/a b", b'{"x":1}', 0)
+    assert (created.method, created.path) == ("POST", "/objects/nodes")
+    replaced = DIALECT.write("nodes/a b", b'{"x":1}', 4)
+    assert (replaced.method, replaced.path) == ("PUT", "/objects/nodes/a%20b")
+    assert json.loads(replaced.body)["metadata"]["revision"] == 4
+    anyhow = DIALECT.write("nodes/a", b"{}", ANY_VERSION)
+    assert "revision" not in json.loads(anyhow.body)["metadata"]
+    assert DIALECT.remove("nodes/a", 4).query == {"revision": "4"}
--- /dev/null
+++ b/tests/cover/test_request_story.py
@@ -0,0 +1,80 @@
+"""The story of a request out of the logs of several nodes."""
+
+import json
+
+from typer.testing import CliRunner
+
+from celeryfield.cli.main import app
+from celeryfield.internal.request_story import find_story, parse_line
+
+REQUEST = {
+    "message": "request ended",
+    "request": "a1",
+    "route": "lookup",
+    "service": "stock",
+    "status": 503,
+    "outcome": "not-run",
+    "reason": "overload",
+}
+
+
+def line(time, node="n1", **fields):
+    content = {"time": f"2026-01-01 00:00:{time:02},000", "node": node}
+    return json.dumps(content | fields)
+
+
+def test_lines_of_all_nodes_come_in_order_of_time():
+    """Guards against a cause that is shown after its effect."""
+    lines = [
+        line(9, **REQUEST),
+        line(4, "n3", message="call ended", request="a1.2.1"),
+        line(2, "n2", message="attempt ended", request="a1.2"),
+        line(3, "n2", message="attempt ended", request="a12"),
+        line(1, message="admission level changed", admission_level=128),
+        line(11, message="upstream changed", upstream="later"),
+        line(1, "n9", message="upstream changed", upstream="elsewhere"),
+    ]
+    story = find_story("a1", lines)
+    assert [(item.node, item.event) for item in story] == [
+        ("n1", "admission level changed"),
+        ("n2", "attempt ended"),
+        ("n3", "call ended"),
+        ("n1", "request ended"),
+    ]
+    assert "answered the lookup request for stock with 503" in story[-1].text()
+    assert "overload" in story[-1].text()
+
+
+def test_broken_and_foreign_lines_are_passed_over():
+    """Guards against a log that cannot be read because of one line."""
+    lines = [
+        "",
+        "plain text",
+        "{broken",
+        "[1]",
+        '{"message": 5, "node": "n", "time": "t"}',
+        '{"message": "request ended"}',
+        "{" * 100_000,
+        f" 12.5 host {line(1, **REQUEST)}",
+    ]
+    (found,) = find_story("a1", lines, context=0)
+    assert found.fields["status"] == 503
+    assert parse_line("\x00\xff") is None
+
+
+def test_command_reads_several_files(tmp_path):
+    """Guards against a command that stops at bytes that are not text."""
+    first, second = tmp_path / "n1.log", tmp_path / "n2.log"
+    first.write_text(line(2, **REQUEST) + "\n", encoding="utf-8")
+    second.write_bytes(
+        b"\xff\xfe\n" + line(1, "n2", **REQUEST).encode() + b"\n"
+    )
+    runner = CliRunner()
+    result = runner.invoke(app, ["trace", "a1", str(first), str(second)])
+    assert result.exit_code == 0
+    assert [text.split()[2] for text in result.output.splitlines()] == [
+        "n2",
+        "n1",
+    ]
+    missing = runner.invoke(app, ["trace", "zz", str(first)])
+    assert missing.exit_code == 1
--- a/tests/cover/test_routing_balancing.py
+++ b/tests/cover/test_routing_balancing.py
@@ -277,3 +277,18 @@
     for _ in range(4):
         balancer.change_overdue(near, -1)
     assert balancer.choose("s", NOBODY) is near
+
+
+def test_upstream_that_refuses_with_room_gets_less_for_a_while():
+    """Guards against one that fails a part of its calls whatever the load."""
+    clock = ManualClock()
+    candidates = candidates_of("s", 3)
+    balancer = balancer_for(candidates, clock)
+    for candidate in candidates:
+        for _ in range(10):
+            report(balancer, candidate, service_ms=20.0)
+    for _ in range(5):
+        fail(balancer, candidates[0], Outcome.NOT_RUN, Reason.UPSTREAM_SHED)
+    assert picked_ids(balancer)["s-0"] < 30
+    clock.advance(15_000)
+    assert picked_ids(balancer)["s-0"] > 30
--- a/tools/generate_reference.py
+++ b/tools/generate_reference.py
@@ -1,20 +1,25 @@
-"""Writes the reference tables of docs/operators.md.
+"""Writes the reference tables of docs/operators.md and docs/OPERATIONS.md.
 
-The tables come from the settings models, the exit codes and the table of
-operations. Each stands between two marks, so the rest of the page stays as it
+The tables come from the settings models, the exit codes, the table of
+operations and the events of the log. Each stands between two marks, so the
+rest of the page stays as it
 was written.
 """
 
 import argparse
+import inspect
+import logging
 import pathlib
 import re
 import sys
 
 ROOT = pathlib.Path(__file__).parents[1]
-PAGE = ROOT / "docs" / "operators.md"
+OPERATORS = ROOT / "docs" / "operators.md"
+ON_CALL = ROOT / "docs" / "OPERATIONS.md"
 sys.path.insert(0, str(ROOT / "src"))
 
 from celeryfield.cli.exits import ExitCode  # noqa: E402
+from celeryfield.internal import events  # noqa: E402
 from celeryfield.internal.admin.operations import OPERATIONS  # noqa: E402
 from celeryfield.internal.schema import fileset  # noqa: E402
 from celeryfield.internal.schema.settings import NodeSettings  # noqa: E402
@@ -108,23 +113,51 @@
     return table(["request", "what it does", "status"], rows)
 
 
-TABLES_BY_NAME = {
-    "settings": settings_lines,
-    "filesets": fileset_lines,
-    "exits": exit_lines,
-    "operations": operation_lines,
+def event_lines():
+    """Returns the table of the log's events."""
+    rows = [event_row(event) for event in events.all_events()]
+    return table(["event", "when", "level", "kept per second", "fields"], rows)
+
+
+def event_row(event):
+    """Returns the row of one event."""
+    text = inspect.cleandoc(event.__doc__)
+    summary, _, details = text.partition("\n\nAttributes:\n")
+    if not details and event.__base__ is not events.Event:
+        fields = f"those of *{event.__base__.message}*"
+    else:
+        joined = re.sub(r"\n {8,}", " ", details)
+        found = re.findall(r"^ {4}(\w+): (.+)$", joined, re.M)
+        fields = "; ".join(
+            f"`{name}`: {meaning.rstrip('.')}" for name, meaning in found
+        )
+    kept = "all" if event.per_second is None else str(event.per_second)
+    level = logging.getLevelName(event.level)
+    when = " ".join(summary.split())
+    return [f"`{event.message}`", when, level, kept, fields or "none"]
+
+
+TABLES_BY_PAGE = {
+    OPERATORS: {
+        "settings": settings_lines,
+        "filesets": fileset_lines,
+        "exits": exit_lines,
+        "operations": operation_lines,
+    },
+    ON_CALL: {"events": event_lines},
 }
 
 
-def render(text):
-    """Returns the page with current tables."""
-    for name, make_lines in TABLES_BY_NAME.items():
+def render(page):
+    """Returns a page with current tables."""
+    text = page.read_text(encoding="utf-8")
+    for name, make_lines in TABLES_BY_PAGE[page].items():
         start = f"<!-- generated: {name} -->"
         end = f"<!-- end: {name} -->"
         before, _, rest = text.partition(start)
         _, found_end, after = rest.partition(end)
         if not found_end:
-            sys.exit(f"{PAGE} lacks {start} or {end}")
+            sys.exit(f"{page} lacks {start} or {end}")
         body = "\n".join(make_lines())
         text = f"{before}{start}\n\n{body}\n\n{end}{after}"
     return text
@@ -135,12 +168,13 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--check", action="store_true")
     arguments = parser.parse_args()
-    text = PAGE.read_text(encoding="utf-8")
-    current = render(text)
-    if not arguments.check:
-        PAGE.write_text(current, encoding="utf-8")
-    elif text != current:
-        sys.exit(f"{PAGE} is stale; run tools/generate_reference.py")
+    for page in TABLES_BY_PAGE:
+        text = page.read_text(encoding="utf-8")
+        current = render(page)
+        if not arguments.check:
+            page.write_text(current, encoding="utf-8")
+        elif text != current:
+            sys.exit(f"{page} is stale; run tools/generate_reference.py")
 
 
 if __name__ == "__main__":
