--- a/src/celeryfield/internal/registry/catalog.py
+++ b/src/celeryfield/internal/registry/catalog.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 
+from celeryfield.internal import events
 from celeryfield.internal.calls import Candidate
 from celeryfield.internal.registry import records
 from celeryfield.internal.registry.records import NodeRecord
@@ -11,6 +12,8 @@
 
 logger = logging.getLogger(__name__)
 
+GONE = "gone"
+
 
 class Catalog:
     """Keeps the balancer's candidates in step with the records.
@@ -39,19 +42,22 @@
 
     def replace_all(self, objects: tuple[StoreObject, ...]) -> None:
         """Takes over a full listing; records that are not in it are gone."""
-        own = self.records_by_id.get(self._own_id)
+        before = dict(self.records_by_id)
+        own = before.get(self._own_id)
         self.records_by_id.clear()
         self.versions_by_id.clear()
         for found in objects:
             self._take(found)
         if own is not None:
             self.records_by_id[self._own_id] = own
+        self._emit_changes(before)
         self._refresh()
 
     def apply(
         self, objects: tuple[StoreObject, ...], deleted_keys: tuple[str, ...]
     ) -> None:
         """Takes over changes."""
+        before = dict(self.records_by_id)
         for found in objects:
             self._take(found)
         for key in deleted_keys:
@@ -59,19 +65,37 @@
             if node_id != self._own_id:
                 self.records_by_id.pop(node_id, None)
                 self.versions_by_id.pop(node_id, None)
+        self._emit_changes(before)
+        self._refresh()
+
+    def copy(self, objects: tuple[StoreObject, ...]) -> None:
+        """Takes over records of nodes that are not known yet.
+
+        A copy of a neighbour may be old. It says nothing about this node,
+        which learns of its own upstream from the store or from the upstream.
+        """
+        known = self.records_by_id.keys() | {self._own_id}
+        for found in objects:
+            if found.key.removeprefix(records.PREFIX) not in known:
+                self._take(found)
         self._refresh()
 
+    def known_objects(self) -> tuple[StoreObject, ...]:
+        """Returns the records as objects of the store."""
+        return tuple(
+            StoreObject(
+                record.key,
+                self.versions_by_id.get(node_id, 0),
+                record.encode(),
+            )
+            for node_id, record in self.records_by_id.items()
+        )
+
     def set_own(self, record: NodeRecord) -> None:
         """Takes over what this node says of itself."""
         self.records_by_id[self._own_id] = record
         self._refresh()
 
-    def merge(self, found: list[NodeRecord]) -> None:
-        """Takes over records that a neighbour knows, where none is known."""
-        for record in found:
-            self.records_by_id.setdefault(record.node_id, record)
-        self._refresh()
-
     def _take(self, found: StoreObject) -> None:
         decoded = records.decode(found.key, found.value)
         if decoded.is_error():
@@ -85,6 +109,23 @@
         if record.node_id != self._own_id:
             self.records_by_id[record.node_id] = record
 
+    def _emit_changes(self, before: dict[str, NodeRecord]) -> None:
+        """Notes which records of other nodes changed."""
+        after = self.records_by_id
+        for node_id in before.keys() | after.keys():
+            record = after.get(node_id)
+            if node_id == self._own_id or record == before.get(node_id):
+                continue
+            upstream = record.upstream if record else None
+            events.emit(
+                events.NeighbourChanged,
+                peer=node_id,
+                service=upstream.service if upstream else "",
+                state=upstream.state if upstream else GONE,
+                incarnation=record.incarnation if record else 0,
+                version=self.versions_by_id.get(node_id, 0),
+            )
+
     def _refresh(self) -> None:
         by_service: dict[str, list[Candidate]] = {}
         for record in self.records_by_id.values():
--- /dev/null
+++ b/src/celeryfield/internal/registry/neighbours.py
@@ -0,0 +1,132 @@
+"""Copies of what the store holds, from neighbours while it is away."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import mode
+import pydantic
+
+from celeryfield.internal.calls import Candidate
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.store.answers import StoreObject
+from celeryfield.internal.transport.errors import TransportError
+from celeryfield.internal.transport.frames import Frame, Kind
+from celeryfield.internal.transport.pool import PeerPool
+
+logger = logging.getLogger(__name__)
+
+# The store mostly answers within this time after the start.
+FIRST_ASK_MS = 400.0
+ASK_INTERVAL_MS = 500.0
+
+Read = Callable[[], tuple[StoreObject, ...]]
+Take = Callable[[tuple[StoreObject, ...]], None]
+
+
+class _Object(pydantic.BaseModel):
+    """One object; values are JSON texts."""
+
+    key: str
+    version: int = pydantic.Field(ge=0)
+    value: str
+
+
+class _Copy(pydantic.BaseModel):
+    """All objects that a node knows."""
+
+    objects: tuple[_Object, ...]
+
+
+def encode(objects: tuple[StoreObject, ...]) -> bytes:
+    """Returns the form in which a copy travels."""
+    copied = tuple(
+        _Object(
+            key=found.key, version=found.version, value=found.value.decode()
+        )
+        for found in objects
+    )
+    return _Copy(objects=copied).model_dump_json().encode()
+
+
+def decode(data: bytes) -> tuple[StoreObject, ...]:
+    """Returns the objects of a copy.
+
+    Raises:
+        pydantic.ValidationError: The data are something else.
+    """
+    copy = _Copy.model_validate_json(data)
+    return tuple(
+        StoreObject(found.key, found.version, found.value.encode())
+        for found in copy.objects
+    )
+
+
+def serve(read: Read) -> Callable[[Frame], object]:
+    """Returns a handler that answers neighbours.
+
+    Args:
+        read: Returns what this node knows.
+    """
+
+    async def answer(_frame: Frame) -> tuple[Kind, bytes]:
+        return Kind.CONFIG, encode(read())
+
+    return answer
+
+
+class NeighbourCopies(mode.Service):
+    """Asks neighbours until the store has answered or one of them has.
+
+    Args:
+        pool: Connections to other nodes.
+        clock: Time source.
+        neighbours: Nodes to ask; their ids need not be known.
+        is_needed: Tells whether the store has not answered yet.
+        take: Takes over the objects of a copy.
+    """
+
+    def __init__(
+        self,
+        pool: PeerPool,
+        clock: Clock,
+        neighbours: tuple[Candidate, ...],
+        is_needed: Callable[[], bool],
+        take: Take,
+    ) -> None:
+        super().__init__()
+        self._pool = pool
+        self._clock = clock
+        self._neighbours = neighbours
+        self._is_needed = is_needed
+        self._take = take
+
+    @mode.Service.task
+    async def _run(self) -> None:
+        await self._clock.sleep_ms(FIRST_ASK_MS)
+        while self._neighbours and self._is_needed() and not self.should_stop:
+            if await self._ask_all():
+                return
+            await self._clock.sleep_ms(ASK_INTERVAL_MS)
+
+    async def _ask_all(self) -> bool:
+        """Returns whether a neighbour knew anything."""
+        asked = [self._ask(neighbour) for neighbour in self._neighbours]
+        copies = await asyncio.gather(*asked)
+        found = [copy for copy in copies if copy]
+        if not self._is_needed():
+            return True
+        for copy in found:
+            self._take(copy)
+        return bool(found)
+
+    async def _ask(self, neighbour: Candidate) -> tuple[StoreObject, ...]:
+        try:
+            frame = await self._pool.request(neighbour, Kind.FETCH_CONFIG, b"")
+            return decode(frame.payload)
+        except (TransportError, pydantic.ValidationError) as error:
+            logger.info(
+                "neighbour gave no copy",
+                extra={"address": neighbour.address, "problem": str(error)},
+            )
+            return ()
--- a/src/celeryfield/internal/registry/publisher.py
+++ b/src/celeryfield/internal/registry/publisher.py
@@ -41,10 +41,17 @@
         if record != self._stored:
             self._changed.set()
 
-    def republish(self) -> None:
-        """Writes the record again after somebody else removed it."""
-        self._stored = None
-        self._changed.set()
+    def confirm(self, found: NodeRecord | None) -> None:
+        """Compares what the store shows with what was written.
+
+        Writes the record again if another writer removed or replaced it.
+
+        Args:
+            found: The own record in the store; none if it is missing.
+        """
+        if found != self._stored:
+            self._stored = None
+            self._changed.set()
 
     async def wait_stored(self, record: NodeRecord) -> None:
         """Waits until the store holds a record or a newer one."""
@@ -58,7 +65,7 @@
         while not self.should_stop:
             await self._changed.wait()
             self._changed.clear()
-            if self._wanted != self._stored:
+            if self._wanted is not None and self._wanted != self._stored:
                 await self._store(self._wanted)
 
     async def _store(self, record: NodeRecord) -> None:
--- a/src/celeryfield/internal/registry/records.py
+++ b/src/celeryfield/internal/registry/records.py
@@ -25,6 +25,16 @@
     state: str = DRAINING
 
 
+class _SuspectContent(pydantic.BaseModel):
+    """One suspect request in the stored form; the hash is hexadecimal."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+
+    hash: str = pydantic.Field(pattern=r"^([0-9a-f]{2}){1,32}$")
+    crashes: int = pydantic.Field(ge=1, le=1_000)
+    crash_ms: int = pydantic.Field(ge=0)
+
+
 class _NodeContent(pydantic.BaseModel):
     """The stored form of a record."""
 
@@ -35,6 +45,7 @@
     port: int = pydantic.Field(ge=1, le=65_535)
     zone: str
     upstream: _UpstreamContent | None = None
+    suspects: tuple[_SuspectContent, ...] | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -56,6 +67,21 @@
     state: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class SuspectRecord:
+    """A request that was running when an upstream crashed.
+
+    Attributes:
+        fingerprint: Hash of what was asked for and by whom.
+        crashes: Crashes that are known of it.
+        crash_ms: Time of the last one, in ms since the epoch.
+    """
+
+    fingerprint: bytes
+    crashes: int
+    crash_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class NodeRecord:
     """A node and the upstream beside it.
@@ -67,6 +93,7 @@
         port: TCP port for other nodes.
         zone: Availability zone.
         upstream: The upstream, if one was heard of.
+        suspects: Requests that other nodes should not run beside others.
     """
 
     node_id: str
@@ -75,6 +102,7 @@
     port: int
     zone: str
     upstream: UpstreamRecord | None = None
+    suspects: tuple[SuspectRecord, ...] = ()
 
     @property
     def key(self) -> str:
@@ -89,6 +117,15 @@
             port=self.port,
             zone=self.zone,
             upstream=_upstream_content(self.upstream),
+            suspects=tuple(
+                _SuspectContent(
+                    hash=suspect.fingerprint.hex(),
+                    crashes=suspect.crashes,
+                    crash_ms=suspect.crash_ms,
+                )
+                for suspect in self.suspects
+            )
+            or None,
         )
         return content.model_dump_json(exclude_none=True).encode()
 
@@ -125,6 +162,14 @@
             port=content.port,
             zone=content.zone,
             upstream=upstream and UpstreamRecord(**upstream.model_dump()),
+            suspects=tuple(
+                SuspectRecord(
+                    bytes.fromhex(suspect.hash),
+                    suspect.crashes,
+                    suspect.crash_ms,
+                )
+                for suspect in content.suspects or ()
+            ),
         )
     )
 
--- /dev/null
+++ b/src/celeryfield/internal/registry/suspects.py
@@ -0,0 +1,59 @@
+"""Exchange of suspect requests through the records of the nodes."""
+
+from collections.abc import Iterable
+
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.dispatch.suspects import SuspectEntry, SuspectTable
+from celeryfield.internal.registry.records import NodeRecord, SuspectRecord
+
+# Suspects in one record; the newest are kept.
+MAX_RECORDED = 16
+
+
+class SuspectRecorder:
+    """Keeps the suspects that the own record holds.
+
+    Args:
+        clock: Time source.
+        table: Suspects of this node.
+
+    Attributes:
+        recorded: What the own record should hold.
+    """
+
+    def __init__(self, clock: Clock, table: SuspectTable) -> None:
+        self._clock = clock
+        self._table = table
+        self.recorded: tuple[SuspectRecord, ...] = ()
+
+    def refresh(self) -> bool:
+        """Takes over new crashes; returns whether there are any."""
+        known = {(item.fingerprint, item.crashes) for item in self.recorded}
+        entries = self._table.entries(self._clock.now_ms(), 1)
+        if {(entry.fingerprint, entry.crashes) for entry in entries} <= known:
+            return False
+        newest = sorted(entries, key=lambda entry: entry.age_ms)[:MAX_RECORDED]
+        wall_ms = self._clock.wall_ms()
+        found = tuple(
+            SuspectRecord(
+                entry.fingerprint, entry.crashes, int(wall_ms - entry.age_ms)
+            )
+            for entry in newest
+        )
+        is_new = {(item.fingerprint, item.crashes) for item in found} != known
+        self.recorded = found
+        return is_new
+
+    def learn(self, records: Iterable[NodeRecord]) -> None:
+        """Takes over the suspects of other nodes."""
+        wall_ms = self._clock.wall_ms()
+        entries = [
+            SuspectEntry(
+                suspect.fingerprint,
+                suspect.crashes,
+                max(wall_ms - suspect.crash_ms, 0.0),
+            )
+            for record in records
+            for suspect in record.suspects
+        ]
+        self._table.merge(entries, self._clock.now_ms())
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -5,16 +5,21 @@
 
 from mode import Service
 
+from celeryfield import __version__
+from celeryfield.internal import events
 from celeryfield.internal.calls import Candidate
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.dispatch.admission import AdmissionController
 from celeryfield.internal.dispatch.chain_limits import ChainLimits
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
 from celeryfield.internal.gateway import Gateway
-from celeryfield.internal.registry import records
+from celeryfield.internal.metrics import Metrics
+from celeryfield.internal.registry import neighbours, records
 from celeryfield.internal.registry.catalog import Catalog
+from celeryfield.internal.registry.neighbours import NeighbourCopies
 from celeryfield.internal.registry.publisher import RecordPublisher
 from celeryfield.internal.registry.records import NodeRecord, UpstreamRecord
+from celeryfield.internal.registry.suspects import SuspectRecorder
 from celeryfield.internal.routes.entry import RouteEntry
 from celeryfield.internal.routes.manager import RouteManager
 from celeryfield.internal.routing.balancer import Balancer
@@ -22,10 +27,11 @@
 from celeryfield.internal.routing.executor import CallExecutor
 from celeryfield.internal.routing.levels import LevelTable
 from celeryfield.internal.schema import wire
-from celeryfield.internal.store.answers import StoreListing
+from celeryfield.internal.store.answers import StoreListing, StoreObject
 from celeryfield.internal.store.client import StoreClient
 from celeryfield.internal.store.prefix_watcher import PrefixWatcher
 from celeryfield.internal.transport import frames
+from celeryfield.internal.transport.frames import Kind
 from celeryfield.internal.transport.pool import PeerPool
 from celeryfield.internal.transport.server import PeerServer
 from celeryfield.internal.upstream import tracker as tracking
@@ -34,7 +40,7 @@
     UpstreamTracker,
     Verdict,
 )
-from celeryfield.platform import config, objects
+from celeryfield.platform import config, metrics, objects
 from celeryfield.platform.ingress import CallerListener
 from celeryfield.platform.reports import ReadyListener, ReportListener
 from celeryfield.platform.settings import PlatformSettings
@@ -43,7 +49,7 @@
 logger = logging.getLogger(__name__)
 
 DEFAULT_CONNECTIONS = 100
-EXPIRY_CHECK_MS = 500.0
+HOUSEKEEPING_MS = 250.0
 IDLE_CHECK_MS = 20.0
 # Two readiness checks a second apart have to fail before callers stop coming.
 LEAVE_NOTICE_MS = 2_300.0
@@ -65,6 +71,7 @@
         self.clock = clock
         self.is_leaving = False
         self._identity = settings.node.node
+        self._config_object: StoreObject | None = None
         self._incarnation = clock.wall_ms()
         self._build_calls()
         self._build_store()
@@ -74,11 +81,13 @@
         hello = wire.Hello(
             frames.PROTOCOL_VERSION, settings.node.id, self._incarnation
         )
+        self.metrics = Metrics(lambda _workspace: False)
         self.routes = RouteManager()
         self.levels = LevelTable(settings, clock)
         self.chains = ChainTable(clock, self.levels)
         self.balancer = Balancer(settings, clock)
         self.admission = AdmissionController(settings, clock)
+        self.suspects = SuspectRecorder(clock, self.admission.suspects)
         self.upstream = PlatformUpstream(clock)
         self.tracker = UpstreamTracker(clock, settings.dispatch.announce_ttl_ms)
         self.pool = PeerPool(settings, clock, hello)
@@ -108,7 +117,11 @@
         )
         self.gateway.set_executor(self.executor)
         self.peer_server = PeerServer(
-            settings, clock, hello, self.gateway.serve, {}
+            settings,
+            clock,
+            hello,
+            self.gateway.serve,
+            {Kind.FETCH_CONFIG: neighbours.serve(self._known_objects)},
         )
         self.entry = RouteEntry(
             settings.node.id,
@@ -117,7 +130,9 @@
             self.routes,
             self.chains,
             self.executor,
+            self.metrics,
         )
+        metrics.watch_node(self.metrics, self)
         self.callers = CallerListener(self.settings, clock, self.entry)
 
     def _build_store(self) -> None:
@@ -129,6 +144,9 @@
             objects.DIALECT,
         )
         self.catalog = Catalog(node_id, self.balancer)
+        self.catalog.subscribe(
+            lambda: self.suspects.learn(self.catalog.records_by_id.values())
+        )
         self.publisher = RecordPublisher(self.store, self.clock)
         self.config_watcher = PrefixWatcher(
             self.store,
@@ -144,6 +162,13 @@
             self._on_records,
             self._on_record_changes,
         )
+        self.copies = NeighbourCopies(
+            self.pool,
+            self.clock,
+            _seed_candidates(self.settings),
+            lambda: self._lacks_store,
+            self._on_copy,
+        )
         self.routes.subscribe(lambda _table: self._apply_upstream())
 
     @property
@@ -158,6 +183,7 @@
             self.config_watcher,
             self.record_watcher,
             self.publisher,
+            self.copies,
             self.callers,
             ReportListener(
                 self.settings.reports, self._on_report, self._on_leave
@@ -165,8 +191,28 @@
             ReadyListener(self.settings.ready, lambda: self.is_ready),
         ):
             await self.add_runtime_dependency(service)
+        await self._serve_metrics()
         self._publish()
-        logger.info("node started", extra={"incarnation": self._incarnation})
+        events.emit(
+            events.NodeStarted,
+            incarnation=self._incarnation,
+            version=__version__,
+        )
+
+    async def _serve_metrics(self) -> None:
+        listener = metrics.listener_of(self.settings.ready.host)
+        if listener is None:
+            return
+        try:
+            await self.add_runtime_dependency(
+                metrics.MetricsListener(listener, self.metrics)
+            )
+        except OSError as error:
+            # A node without metrics still serves.
+            logger.warning(
+                "metrics cannot be served",
+                extra={"port": listener.port, "problem": str(error)},
+            )
 
     async def on_shutdown(self) -> None:
         """Closes what the services use, after they have stopped."""
@@ -178,15 +224,19 @@
 
     async def drain(self) -> None:
         """Stops taking work and waits until everything in flight has ended."""
-        logger.info("node is leaving")
         started_ms = self.clock.now_ms()
+        events.emit(events.NodeLeaving, in_flight=self.callers.in_flight)
         self.is_leaving = True
         latest_ms = started_ms + self.settings.grace_ms - EXIT_MARGIN_MS
         await self.clock.sleep_ms(LEAVE_NOTICE_MS)
         self.admission.drain()
         while self._is_busy and self.clock.now_ms() < latest_ms:
             await self.clock.sleep_ms(IDLE_CHECK_MS)
-        logger.info("node has left", extra={"is_idle": not self._is_busy})
+        events.emit(
+            events.NodeStopped,
+            in_flight=self.callers.in_flight + self.peer_server.running_count,
+            took_ms=self.clock.now_ms() - started_ms,
+        )
 
     @property
     def _is_busy(self) -> bool:
@@ -198,37 +248,64 @@
                 continue
             decoded = config.decode(found.value)
             if decoded.is_error():
-                logger.error(
-                    "configuration cannot be used",
-                    extra={"problem": str(decoded.error)},
-                )
+                events.emit(events.ConfigRefused, problem=str(decoded.error))
                 continue
-            self.routes.offer(decoded.ok)
+            if self.routes.offer(decoded.ok):
+                self._config_object = found
 
-    def _on_records(self, listing: StoreListing) -> None:
-        own = next(
-            (item for item in listing.objects if item.key == self._own_key),
-            None,
+    @property
+    def _lacks_store(self) -> bool:
+        """Whether the store has not answered since the start."""
+        heard = (self.config_watcher.heard_ms, self.record_watcher.heard_ms)
+        return None in heard
+
+    def _known_objects(self) -> tuple[StoreObject, ...]:
+        """Returns what a neighbour needs while the store is away."""
+        known = self.catalog.known_objects()
+        if self._config_object is None:
+            return known
+        return (self._config_object, *known)
+
+    def _on_copy(self, objects: tuple[StoreObject, ...]) -> None:
+        """Takes over what a neighbour knows."""
+        copied = tuple(item for item in objects if item.key == config.KEY)
+        self._on_config(StoreListing(copied, 0))
+        self.catalog.copy(
+            tuple(
+                item for item in objects if item.key.startswith(records.PREFIX)
+            )
         )
+
+    def _on_records(self, listing: StoreListing) -> None:
+        own = self._own_record(listing)
         if own is not None:
-            self._restore(own.key, own.value)
+            self._restore(own)
+        self.publisher.confirm(own)
         self.catalog.replace_all(listing.objects)
 
     def _on_record_changes(self, listing: StoreListing) -> None:
-        if self._own_key in listing.deleted_keys:
-            self.publisher.republish()
+        own = self._own_record(listing)
+        if own is not None or self._own_key in listing.deleted_keys:
+            self.publisher.confirm(own)
         self.catalog.apply(listing.objects, listing.deleted_keys)
 
+    def _own_record(self, listing: StoreListing) -> NodeRecord | None:
+        for found in listing.objects:
+            if found.key == self._own_key:
+                return records.decode(found.key, found.value).default_value(
+                    None
+                )
+        return None
+
     @property
     def _own_key(self) -> str:
         return f"{records.PREFIX}{self._identity.id}"
 
-    def _restore(self, key: str, value: bytes) -> None:
+    def _restore(self, own: NodeRecord) -> None:
         """Learns of the upstream from the record of an earlier process."""
-        decoded = records.decode(key, value)
-        if decoded.is_error() or decoded.ok.upstream is None:
+        known = own.upstream
+        if known is None or self.tracker.report is not None:
             return
-        known = decoded.ok.upstream
         self.tracker.restore(
             UpstreamReport(
                 upstream_id=known.id,
@@ -240,20 +317,20 @@
                 state=known.state,
             )
         )
-        self._apply_upstream()
-        self._publish()
+        self._note_upstream("record")
 
     async def _on_report(self, report: UpstreamReport) -> bool:
         before = (self.tracker.report, self.tracker.state)
         verdict = self.tracker.accept(report)
         if verdict is not Verdict.ACCEPTED:
-            logger.info(
-                "status report ignored",
-                extra={"upstream": report.upstream_id, "verdict": verdict},
+            events.emit(
+                events.ReportIgnored,
+                upstream=report.upstream_id,
+                problem=str(verdict.value),
             )
             return verdict is Verdict.LATE
         if _has_changed(before, self.tracker):
-            self._note_upstream()
+            self._note_upstream("report")
         if self.tracker.state == tracking.DRAINING:
             await self._wait_recorded()
         return True
@@ -263,27 +340,33 @@
         if self.tracker.leave(
             upstream_id, settings.service, settings.upstream_address
         ):
-            self._note_upstream()
+            self._note_upstream("leave")
             await self._wait_recorded()
         return True
 
     async def _wait_recorded(self) -> None:
         await self.publisher.wait_stored(self._record())
 
-    def _note_upstream(self) -> None:
-        report = self.tracker.report
-        logger.info(
-            "upstream changed",
-            extra={
-                "upstream": report.upstream_id,
-                "state": self.tracker.state,
-                "slots": report.slots,
-                "born_ms": report.born_ms,
-            },
-        )
+    def _note_upstream(self, cause: str) -> None:
+        """Makes a new belief about the upstream known here and elsewhere."""
+        self._emit_upstream(cause)
         self._apply_upstream()
         self._publish()
 
+    def _emit_upstream(self, cause: str) -> None:
+        report = self.tracker.report
+        if report is None:
+            return
+        events.emit(
+            events.UpstreamChanged,
+            upstream=report.upstream_id,
+            service=report.service,
+            state=self.tracker.state,
+            slots=report.slots,
+            born_ms=report.born_ms,
+            cause=cause,
+        )
+
     def _apply_upstream(self) -> None:
         """Tells admission and the HTTP client about the upstream."""
         report = self.tracker.report
@@ -301,7 +384,7 @@
 
     def _on_crash(self) -> None:
         self.tracker.mark_gone()
-        logger.warning("upstream does not answer")
+        self._emit_upstream("refused connection")
         self._apply_upstream()
 
     def _record(self) -> NodeRecord:
@@ -323,6 +406,7 @@
             port=self.settings.node.listen.peer_port,
             zone=self._identity.zone,
             upstream=upstream,
+            suspects=self.suspects.recorded,
         )
 
     def _publish(self) -> None:
@@ -333,10 +417,20 @@
     @Service.task
     async def _run_housekeeping(self) -> None:
         while not self.should_stop:
-            await self.clock.sleep_ms(EXPIRY_CHECK_MS)
+            await self.clock.sleep_ms(HOUSEKEEPING_MS)
             if self.tracker.expire():
-                logger.warning("upstream stopped reporting")
+                self._emit_upstream("silence")
                 self._apply_upstream()
+            if self.suspects.refresh():
+                self._publish()
+
+
+def _seed_candidates(settings: PlatformSettings) -> tuple[Candidate, ...]:
+    """Returns where to ask neighbours whose ids are not known yet."""
+    return tuple(
+        Candidate("", number, seed.host, seed.port, "", "")
+        for number, seed in enumerate(settings.seeds)
+    )
 
 
 def _has_changed(
--- /dev/null
+++ b/tests/cover/platform_standins.py
@@ -0,0 +1,319 @@
+"""Stand-ins of the users' platform, served in the process of a test."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import socket
+
+from aiohttp import web
+
+from celeryfield.internal.clock import Clock
+from celeryfield.platform import settings as platform_settings
+from celeryfield.platform.node import PlatformNode
+
+HOST = "127.0.0.1"
+HISTORY_LENGTH = 200
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+def json_answer(content, status=200):
+    return web.json_response(content, status=status)
+
+
+class StoreStandin:
+    """A store of objects with revisions, watches and faults.
+
+    Attributes:
+        refusal: Status of all answers while the store is not available.
+        is_silent: Calls get no answer.
+        lose_answers: Number of writes that are done and answered by a reset.
+        counts_by_method: Number of calls.
+    """
+
+    def __init__(self):
+        self.port = free_port()
+        self.revision = 7
+        self.first_kept = 0
+        self.refusal = 0
+        self.is_silent = False
+        self.lose_answers = 0
+        self.counts_by_method = {}
+        self.objects = {}
+        self.events = []
+        self._changed = asyncio.Condition()
+
+    def put(self, kind, name, spec):
+        """Writes an object as another writer does; returns it."""
+        self.revision += 1
+        found = {
+            "metadata": {"name": name, "revision": self.revision},
+            "spec": spec,
+        }
+        self.objects[kind, name] = found
+        self._note(kind, found, False)
+        return found
+
+    def remove(self, kind, name):
+        found = self.objects.pop((kind, name))
+        self.revision += 1
+        self._note(kind, found, True)
+
+    def forget_history(self):
+        self.first_kept = self.revision
+        self.events.clear()
+
+    async def wake(self):
+        async with self._changed:
+            self._changed.notify_all()
+
+    def _note(self, kind, found, deleted):
+        event = {"object": found, "deleted": deleted}
+        self.events.append((self.revision, kind, event))
+        del self.events[:-HISTORY_LENGTH]
+
+    async def handle(self, request):
+        method = request.method
+        count = self.counts_by_method.get(method, 0)
+        self.counts_by_method[method] = count + 1
+        if self.is_silent:
+            await asyncio.Event().wait()
+        if self.refusal:
+            return web.Response(status=self.refusal)
+        _, _, kind, *names = request.path.split("/")
+        name = names[0] if names else ""
+        if method == "GET":
+            if "watch" in request.query:
+                return await self._watch(kind, request.query)
+            return self._get(kind, name)
+        body = await request.read()
+        answer = self._write(request, kind, name, body)
+        await self.wake()
+        if self.lose_answers:
+            self.lose_answers -= 1
+            request.transport.abort()
+        return answer
+
+    def _get(self, kind, name):
+        if name:
+            found = self.objects.get((kind, name))
+            return json_answer(found or {}, 200 if found else 404)
+        items = [
+            found
+            for key, found in sorted(self.objects.items())
+            if key[0] == kind
+        ]
+        return json_answer(
+            {"items": items, "hasMore": False, "currentRev": self.revision}
+        )
+
+    def _write(self, request, kind, name, body):
+        content = json.loads(body) if body else {}
+        metadata = content.get("metadata", {})
+        name = name or metadata.get("name")
+        found = self.objects.get((kind, name))
+        if request.method == "POST" and found:
+            return json_answer(found, 409)
+        if request.method != "POST" and not found:
+            return json_answer({}, 404)
+        expected = metadata.get("revision", request.query.get("revision"))
+        if (
+            expected is not None
+            and int(expected) != found["metadata"]["revision"]
+        ):
+            return json_answer(found, 409)
+        if request.method == "DELETE":
+            self.remove(kind, name)
+            return json_answer({})
+        return json_answer(self.put(kind, name, content["spec"]))
+
+    async def _watch(self, kind, query):
+        after = int(query["watch"])
+        deadline = (
+            asyncio.get_running_loop().time() + int(query["waitMs"]) / 1e3
+        )
+        while True:
+            if after < self.first_kept:
+                return json_answer({}, 410)
+            events = [
+                event
+                for revision, event_kind, event in self.events
+                if event_kind == kind and revision > after
+            ]
+            left = deadline - asyncio.get_running_loop().time()
+            if events or left <= 0:
+                return json_answer(
+                    {"events": events, "currentRev": self.revision}
+                )
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left), self._changed:
+                    await self._changed.wait()
+
+
+@dataclasses.dataclass
+class Received:
+    """One request that the upstream received."""
+
+    method: str
+    path: str
+    headers: dict
+    body: bytes
+
+
+class UpstreamStandin:
+    """An upstream that answers all requests in one way.
+
+    Attributes:
+        status: Status of the answers.
+        refuses: Answers say that the request did not run.
+        is_signed: Answers carry the upstream's signature.
+        delay_s: Time that a request takes.
+        cuts: The connection ends instead of an answer.
+        received: Requests so far.
+        cancelled: Requests whose connection closed before the answer.
+    """
+
+    def __init__(self, upstream_id="i-1", service="stock"):
+        self.id = upstream_id
+        self.service = service
+        self.port = free_port()
+        self.status = 200
+        self.refuses = False
+        self.is_signed = True
+        self.delay_s = 0.0
+        self.cuts = False
+        self.received = []
+        self.cancelled = 0
+        self.sequence = 0
+
+    def report(self, **fields):
+        """Returns the body of the next status report."""
+        self.sequence += 1
+        return {
+            "service": self.service,
+            "address": f"{HOST}:{self.port}",
+            "slots": 4,
+            "state": "ready",
+            "sequence": self.sequence,
+            "born": 1000,
+        } | fields
+
+    async def handle(self, request):
+        body = await request.read()
+        self.received.append(
+            Received(
+                request.method, request.raw_path, dict(request.headers), body
+            )
+        )
+        request_id = request.headers.get("X-Attempt-Id", "")
+        if request.headers.get("X-Target-Instance") != self.id:
+            return web.Response(status=421, headers={"X-Not-Executed": "1"})
+        try:
+            await asyncio.sleep(self.delay_s)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        if self.cuts:
+            request.transport.abort()
+        answer_headers = {"X-Attempt-Id": request_id}
+        if self.refuses:
+            answer_headers["X-Not-Executed"] = "1"
+            return web.Response(status=503, headers=answer_headers)
+        if self.is_signed:
+            answer_headers["X-Server-Signature"] = f"proof-{request_id}"
+        return web.Response(
+            status=self.status, body=b"answer", headers=answer_headers
+        )
+
+
+def config_spec(version=1, **route_fields):
+    """Returns a configuration with one route for the service ``stock``."""
+    route = {
+        "host": "shop.example",
+        "pathPrefix": "/stock/",
+        "routeType": "safe",
+        "timeoutMs": 2000,
+        "maxAttempts": 2,
+        "priority": 1,
+        "service": "stock",
+    } | route_fields
+    return {
+        "version": f"{version:08x}",
+        "resources": [
+            {
+                "resourceType": "routes",
+                "metadata": {"name": "lookup"},
+                "spec": route,
+            },
+            {
+                "resourceType": "services",
+                "metadata": {"name": "stock"},
+                "spec": {"healthPath": "/health", "maxConnections": 20},
+            },
+        ],
+    }
+
+
+def settings_text(number, store_port, upstream_port, zone="z1", seeds=()):
+    """Returns the settings file of a node; its ports follow from a free one."""
+    outbound, ready, control, first = (free_port() for _ in range(4))
+    return f"""
+[self]
+nodeName = "node-{number}"
+ip = "{HOST}"
+zone = "{zone}"
+service = "stock"
+appAddr = "{HOST}:{upstream_port}"
+[network]
+internalPorts = [{first}, {first}]
+seeds = {list(seeds)}
+[network.listen]
+outbound = "{HOST}:{outbound}"
+ready = "{HOST}:{ready}"
+control = "{HOST}:{control}"
+[platform]
+heartbeatMs = 500
+[platform.platform]
+address = "{HOST}:{store_port}"
+[terms.bounds]
+drainMs = 1000
+graceS = 5
+configMs = 1000
+"""
+
+
+@contextlib.asynccontextmanager
+async def served(standin):
+    """Serves a stand-in on its port."""
+    server = web.Server(standin.handle, handler_cancellation=True)
+    runner = web.ServerRunner(server, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, HOST, standin.port).start()
+    try:
+        yield standin
+    finally:
+        await runner.cleanup()
+
+
+@contextlib.asynccontextmanager
+async def running_node(number, store, upstream, zone="z1"):
+    """Runs a node beside an upstream."""
+    text = settings_text(number, store.port, upstream.port, zone)
+    node = PlatformNode(platform_settings.parse(text).ok, Clock())
+    await node.start()
+    try:
+        yield node
+    finally:
+        await node.stop()
+
+
+async def until(condition, timeout_s=5.0):
+    """Waits until a condition holds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/cover/test_platform_node.py
@@ -0,0 +1,366 @@
+"""Nodes on the platform, with stand-ins of the store and the upstreams."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+
+import aiohttp
+from platform_standins import (
+    HOST,
+    StoreStandin,
+    UpstreamStandin,
+    config_spec,
+    running_node,
+    served,
+    settings_text,
+    until,
+)
+
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.store.answers import StoreObject
+from celeryfield.internal.upstream import tracker as tracking
+from celeryfield.platform import settings as platform_settings
+from celeryfield.platform.node import PlatformNode
+from celeryfield.platform.settings import Seed
+
+
+class Fleet:
+    """A store and nodes with their upstreams."""
+
+    def __init__(self, stack, client):
+        self.stack = stack
+        self.client = client
+        self.store = StoreStandin()
+        self.nodes = []
+        self.upstreams = []
+
+    async def add_node(self, **fields):
+        number = len(self.nodes) + 1
+        upstream = UpstreamStandin(f"i-{number}", **fields)
+        await self.stack.enter_async_context(served(upstream))
+        node = await self.stack.enter_async_context(
+            running_node(number, self.store, upstream)
+        )
+        self.nodes.append(node)
+        self.upstreams.append(upstream)
+        return node, upstream
+
+    async def configure(self, **fields):
+        self.store.put("config", "main", config_spec(**fields))
+        await self.store.wake()
+
+    async def report(self, node, upstream, **fields):
+        url = f"http://{HOST}:{node.settings.reports.port}"
+        path = f"{url}/instances/{upstream.id}"
+        async with self.client.put(
+            path, json=upstream.report(**fields)
+        ) as answer:
+            return answer.status
+
+    async def leave(self, node, upstream):
+        url = f"http://{HOST}:{node.settings.reports.port}"
+        async with self.client.delete(
+            f"{url}/instances/{upstream.id}"
+        ) as answer:
+            return answer.status
+
+    async def ready_status(self, node):
+        url = f"http://{HOST}:{node.settings.ready.port}/ready"
+        async with self.client.get(url) as answer:
+            return answer.status
+
+    async def request(self, node, path="/stock/7", **fields):
+        url = f"http://{HOST}:{node.settings.callers.port}{path}"
+        headers = {
+            "Host": "shop.example",
+            "X-Attempt-Id": "a1",
+            "X-Deadline-Ms": "2000",
+        }
+        headers |= fields.pop("headers", {})
+        async with self.client.request(
+            fields.pop("method", "GET"), url, headers=headers, **fields
+        ) as answer:
+            return answer.status, answer.headers, await answer.read()
+
+
+@contextlib.asynccontextmanager
+async def fleet_of(count, configured=True, **route_fields):
+    """Runs nodes whose upstreams have reported and that know each other."""
+    async with contextlib.AsyncExitStack() as stack:
+        client = await stack.enter_async_context(aiohttp.ClientSession())
+        fleet = Fleet(stack, client)
+        await stack.enter_async_context(served(fleet.store))
+        if configured:
+            await fleet.configure(**route_fields)
+        for _ in range(count):
+            node, upstream = await fleet.add_node()
+            assert await fleet.report(node, upstream) == 200
+        if configured:
+            await until(lambda: all(knows(node, count) for node in fleet.nodes))
+        yield fleet
+
+
+def knows(node, count):
+    found = node.catalog.candidates_by_service.get("stock", [])
+    return node.routes.current is not None and len(found) == count
+
+
+async def test_node_without_configuration_refuses_and_is_not_ready():
+    """Guards against 404 for what the operator allows."""
+    async with fleet_of(1, configured=False) as fleet:
+        (node,) = fleet.nodes
+        assert await fleet.ready_status(node) == 503
+        status, headers, _ = await fleet.request(node)
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        await fleet.configure()
+        await until(lambda: node.is_ready)
+        assert await fleet.ready_status(node) == 200
+        assert (await fleet.request(node))[0] == 200
+
+
+async def test_request_reaches_an_upstream_beside_another_node():
+    """Guards against an answer or a request that changes on its way."""
+    async with fleet_of(2) as fleet:
+        await fleet.report(fleet.nodes[0], fleet.upstreams[0], state="draining")
+        away = fleet.upstreams[1]
+        await until(lambda: fleet.nodes[0].tracker.state == tracking.DRAINING)
+        status, headers, body = await fleet.request(
+            fleet.nodes[0],
+            "/stock/7?q=%20a",
+            method="POST",
+            data=b"body",
+            headers={"X-Custom": "kept", "X-Caller-Service": "forged"},
+        )
+        assert (status, body) == (200, b"answer")
+        assert headers["X-Server-Signature"] == "proof-a1"
+        assert headers["X-Attempt-Id"] == "a1"
+        (received,) = away.received
+        assert (received.method, received.path, received.body) == (
+            "POST",
+            "/stock/7?q=%20a",
+            b"body",
+        )
+        assert received.headers["X-Custom"] == "kept"
+        assert received.headers["X-Caller-Service"] == "stock"
+        assert received.headers["X-Target-Instance"] == "i-2"
+        assert 0 < int(received.headers["X-Deadline-Ms"]) <= 2000
+
+
+async def test_unknown_path_is_404():
+    """Guards against a refusal that callers would repeat."""
+    async with fleet_of(1) as fleet:
+        assert (await fleet.request(fleet.nodes[0], "/other/7"))[0] == 404
+
+
+async def test_only_what_did_not_run_is_answered_503():
+    """Guards against a false promise that a request has not run."""
+    async with fleet_of(1, routeType="unsafe", maxAttempts=1) as fleet:
+        (node,), (upstream,) = fleet.nodes, fleet.upstreams
+        upstream.refuses = True
+        status, headers, _ = await fleet.request(node)
+        assert status == 503
+        assert "Retry-After" in headers
+        upstream.refuses = False
+        upstream.cuts = True
+        assert (await fleet.request(node))[0] == 502
+        upstream.cuts = False
+        upstream.is_signed = False
+        upstream.status = 503
+        assert (await fleet.request(node))[0] == 502
+
+
+async def test_failure_of_the_upstream_is_passed_on_as_it_is():
+    """Guards against a signed failure that looks like one of the node."""
+    async with fleet_of(1, maxAttempts=1) as fleet:
+        fleet.upstreams[0].status = 500
+        status, headers, body = await fleet.request(fleet.nodes[0])
+        assert (status, body) == (500, b"answer")
+        assert headers["X-Server-Signature"] == "proof-a1"
+
+
+async def test_time_limit_of_the_route_is_answered_in_time():
+    """Guards against callers that are held past the route's time limit."""
+    async with fleet_of(1, timeoutMs=200, maxAttempts=1) as fleet:
+        fleet.upstreams[0].delay_s = 3.0
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        status, _, _ = await fleet.request(fleet.nodes[0])
+        assert status == 504
+        assert loop.time() - started < 1.0
+
+
+async def test_caller_that_leaves_cancels_at_the_remote_upstream():
+    """Guards against work for nobody behind two hops."""
+    async with fleet_of(2) as fleet:
+        await fleet.report(fleet.nodes[0], fleet.upstreams[0], state="draining")
+        away = fleet.upstreams[1]
+        away.delay_s = 5.0
+        task = asyncio.ensure_future(fleet.request(fleet.nodes[0]))
+        await until(lambda: away.received)
+        task.cancel()
+        await until(lambda: away.cancelled == 1, timeout_s=0.5)
+
+
+async def test_acknowledged_leave_binds_the_other_nodes():
+    """Guards against requests to an upstream that was told it may go."""
+    async with fleet_of(2) as fleet:
+        first, second = fleet.nodes
+        assert await fleet.leave(second, fleet.upstreams[1]) == 200
+        await until(
+            lambda: all(
+                candidate.state == "draining"
+                for candidate in first.catalog.candidates_by_service["stock"]
+                if candidate.node_id == "node-2"
+            ),
+            timeout_s=1.0,
+        )
+        for _ in range(20):
+            await fleet.request(first)
+        assert not fleet.upstreams[1].received
+        # A report that was sent before the leave arrives after it.
+        await fleet.report(second, fleet.upstreams[1])
+        await fleet.request(second)
+        assert not fleet.upstreams[1].received
+
+
+async def test_leave_is_not_acknowledged_before_the_store_has_it():
+    """Guards against a leave that dies with the node that took it."""
+    async with fleet_of(1) as fleet:
+        (node,), (upstream,) = fleet.nodes, fleet.upstreams
+        fleet.store.refusal = 503
+        leaving = asyncio.ensure_future(fleet.leave(node, upstream))
+        await asyncio.sleep(0.3)
+        assert not leaving.done()
+        fleet.store.refusal = 0
+        assert await asyncio.wait_for(leaving, 5) == 200
+        stored = fleet.store.objects["nodes", "node-1"]["spec"]["upstream"]
+        assert stored["state"] == "draining"
+
+
+async def test_malformed_entries_and_reports_are_passed_over():
+    """Guards against another writer that breaks a node."""
+    async with fleet_of(1) as fleet:
+        (node,), (upstream,) = fleet.nodes, fleet.upstreams
+        for number, spec in enumerate(
+            ("text", None, 5, {"upstream": []}, {"address": 1, "port": "x"})
+        ):
+            fleet.store.put("nodes", f"foreign-{number}", spec)
+        fleet.store.put("config", "main", {"version": "zz", "resources": 3})
+        await fleet.store.wake()
+        url = f"http://{HOST}:{node.settings.reports.port}/instances/i-1"
+        for body in (b"", b"\xff", b"[]", b'{"slots":"many"}'):
+            async with fleet.client.put(url, data=body) as answer:
+                assert answer.status == 400
+        assert await fleet.report(node, upstream, state="odd") == 400
+        await asyncio.sleep(0.2)
+        assert (await fleet.request(node))[0] == 200
+
+
+async def test_configuration_never_goes_back():
+    """Guards against an old version that a late or lost watch delivers."""
+    async with fleet_of(1, version=9) as fleet:
+        (node,) = fleet.nodes
+        await fleet.configure(version=3, service="other")
+        fleet.store.forget_history()
+        await fleet.store.wake()
+        await asyncio.sleep(0.3)
+        assert node.routes.current.version == 9
+        await fleet.configure(version=10, pathPrefix="/goods/")
+        await until(lambda: node.routes.current.version == 10)
+        assert (await fleet.request(node, "/goods/1"))[0] == 200
+        assert (await fleet.request(node))[0] == 404
+
+
+async def test_lost_history_and_lost_answers_of_the_store_heal():
+    """Guards against a record that is missing after the store misbehaved."""
+    async with fleet_of(2) as fleet:
+        fleet.store.lose_answers = 2
+        await fleet.report(fleet.nodes[0], fleet.upstreams[0], slots=9)
+        fleet.store.forget_history()
+        await fleet.store.wake()
+        await until(
+            lambda: any(
+                candidate.slots == 9
+                for candidate in fleet.nodes[1].catalog.candidates_by_service[
+                    "stock"
+                ]
+            )
+        )
+
+
+async def test_record_that_was_removed_is_written_again():
+    """Guards against an upstream that a stray delete takes out for good."""
+    async with fleet_of(2) as fleet:
+        fleet.store.remove("nodes", "node-1")
+        await fleet.store.wake()
+        await until(lambda: ("nodes", "node-1") in fleet.store.objects)
+        fleet.store.remove("nodes", "node-1")
+        # The event is lost with the history, so only a listing can show it.
+        fleet.store.forget_history()
+        await fleet.store.wake()
+        await until(lambda: ("nodes", "node-1") in fleet.store.objects)
+
+
+async def test_calls_go_on_while_the_store_is_away():
+    """Guards against an outage of the store that stops traffic."""
+    async with fleet_of(2) as fleet:
+        fleet.store.is_silent = True
+        for node in fleet.nodes:
+            for _ in range(5):
+                assert (await fleet.request(node))[0] == 200
+        await fleet.report(fleet.nodes[0], fleet.upstreams[0])
+        assert fleet.nodes[0].is_ready
+
+
+async def test_upstream_under_a_new_id_at_the_same_address_is_used():
+    """Guards against requests that name the boot before the last."""
+    async with fleet_of(1) as fleet:
+        (node,), (upstream,) = fleet.nodes, fleet.upstreams
+        upstream.id = "i-new"
+        upstream.sequence = 0
+        assert (await fleet.request(node))[0] == 503
+        await fleet.report(node, upstream, born=2000)
+        assert (await fleet.request(node))[0] == 200
+
+
+async def test_node_that_starts_without_the_store_learns_from_a_neighbour():
+    """Guards against a fleet that stays down until the store is back."""
+    async with fleet_of(1) as fleet:
+        (known,) = fleet.nodes
+        fleet.store.refusal = 503
+        peer_port = known.settings.node.listen.peer_port
+        late = UpstreamStandin("i-late")
+        text = settings_text(9, fleet.store.port, late.port)
+        settings = dataclasses.replace(
+            platform_settings.parse(text).ok, seeds=(Seed(HOST, peer_port),)
+        )
+        node = PlatformNode(settings, Clock())
+        await node.start()
+        try:
+            await until(lambda: node.is_ready, timeout_s=2.0)
+            assert (await fleet.request(node))[0] == 200
+            # What a neighbour says of this node's own upstream is not used.
+            assert node.tracker.report is None
+        finally:
+            await node.stop()
+
+
+async def test_copy_of_a_neighbour_replaces_nothing_that_is_known():
+    """Guards against an old copy that undoes what the store said."""
+    async with fleet_of(2, version=5) as fleet:
+        first, second = fleet.nodes
+        objects = second._known_objects()
+        old = config_spec(version=2)
+        stale = [StoreObject("config/main", 1, json.dumps(old).encode())]
+        for item in objects:
+            changed = item.value.replace(b"ready", b"draining")
+            stale.append(StoreObject(item.key, 1, changed))
+        first._on_copy(tuple(stale))
+        assert first.routes.current.version == 5
+        states = {
+            candidate.state
+            for candidate in first.catalog.candidates_by_service["stock"]
+        }
+        assert states == {"ready"}
--- /dev/null
+++ b/tests/cover/test_registry.py
@@ -0,0 +1,201 @@
+"""Records of nodes: their stored form, the catalog and the publisher."""
+
+import asyncio
+import dataclasses
+
+from expression import Error, Ok
+from hypothesis import given
+from hypothesis import strategies as st
+
+from celeryfield.internal.clock import Clock, ManualClock
+from celeryfield.internal.dispatch.permits import Permit
+from celeryfield.internal.dispatch.suspects import SuspectTable, Verdict
+from celeryfield.internal.registry import records
+from celeryfield.internal.registry.catalog import Catalog
+from celeryfield.internal.registry.publisher import RecordPublisher
+from celeryfield.internal.registry.records import (
+    NodeRecord,
+    SuspectRecord,
+    UpstreamRecord,
+)
+from celeryfield.internal.registry.suspects import (
+    MAX_RECORDED,
+    SuspectRecorder,
+)
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.settings import DispatchSettings
+from celeryfield.internal.store.answers import StoreObject
+from celeryfield.internal.store.errors import StoreUnavailableError
+
+UPSTREAM = UpstreamRecord("i-1", 5, "stock", 8, records.READY)
+
+
+SUSPECTS = st.lists(
+    st.builds(
+        SuspectRecord,
+        fingerprint=st.binary(min_size=1, max_size=16),
+        crashes=st.integers(1, 9),
+        crash_ms=st.integers(0, 2**53),
+    ),
+    max_size=3,
+).map(tuple)
+
+
+def record(name, upstream=UPSTREAM, incarnation=1):
+    return NodeRecord(name, incarnation, "10.0.0.1", 7301, "z1", upstream)
+
+
+def stored(found, version=1):
+    return StoreObject(found.key, version, found.encode())
+
+
+class Balancer:
+    """Keeps what the catalog sets."""
+
+    def __init__(self):
+        self.ids_by_service = {}
+
+    def set_candidates(self, service, candidates):
+        self.ids_by_service[service] = [item.node_id for item in candidates]
+
+
+class NoDelay:
+    def next_delay_ms(self):
+        return 0.0
+
+    def reset(self):
+        pass
+
+
+class Store:
+    """Fails the first writes."""
+
+    def __init__(self, failures=0):
+        self.failures = failures
+        self.values = []
+
+    def new_backoff(self):
+        return NoDelay()
+
+    async def replace(self, key, value):
+        self.values.append(value)
+        if len(self.values) <= self.failures:
+            return Error(StoreUnavailableError("away"))
+        return Ok(StoreObject(key, len(self.values), value))
+
+
+@given(
+    st.builds(
+        UpstreamRecord,
+        id=st.text(min_size=1, max_size=20),
+        born_ms=st.integers(0, 2**53),
+        service=st.text(min_size=1, max_size=20),
+        slots=st.integers(0, 1000),
+        state=st.sampled_from((records.READY, records.DRAINING)),
+    )
+    | st.none(),
+    SUSPECTS,
+)
+def test_stored_form_keeps_every_field(upstream, suspects):
+    """Guards against a restarted node that forgets a part of its record."""
+    found = dataclasses.replace(record("n1", upstream), suspects=suspects)
+    assert records.decode(found.key, found.encode()) == Ok(found)
+
+
+@given(st.binary(max_size=60) | st.sampled_from((b"{}", b"[]", b"null")))
+def test_any_bytes_decode_to_an_error(value):
+    """Guards against a foreign object that breaks all nodes."""
+    assert records.decode("nodes/x", value).is_error()
+
+
+def test_listing_replaces_all_but_the_own_record():
+    """Guards against upstreams that stay after their record was removed."""
+    balancer = Balancer()
+    catalog = Catalog("own", balancer)
+    catalog.set_own(record("own"))
+    catalog.replace_all((stored(record("a")), stored(record("b"))))
+    assert sorted(balancer.ids_by_service["stock"]) == ["a", "b", "own"]
+    catalog.replace_all((stored(record("b")), stored(record("own", None))))
+    assert sorted(balancer.ids_by_service["stock"]) == ["b", "own"]
+    catalog.apply((), ("nodes/b", "nodes/own"))
+    assert balancer.ids_by_service["stock"] == ["own"]
+
+
+def test_unreadable_record_does_not_hide_the_others():
+    """Guards against one bad entry in a listing."""
+    balancer = Balancer()
+    catalog = Catalog("own", balancer)
+    bad = StoreObject("nodes/x", 1, b"[1]")
+    catalog.replace_all((bad, stored(record("a"))))
+    assert balancer.ids_by_service["stock"] == ["a"]
+
+
+async def test_publisher_writes_until_the_store_has_the_newest_record():
+    """Guards against an acknowledgement before anything is stored."""
+    store = Store(failures=3)
+    publisher = RecordPublisher(store, Clock())
+    await publisher.start()
+    publisher.publish(record("a"))
+    newest = record("a", None)
+    publisher.publish(newest)
+    await asyncio.wait_for(publisher.wait_stored(newest), 5)
+    await publisher.stop()
+    assert store.values == [newest.encode()] * 4
+
+
+async def test_publisher_writes_again_what_another_writer_replaced():
+    """Guards against a foreign write that stands until the next change."""
+    store = Store()
+    publisher = RecordPublisher(store, Clock())
+    await publisher.start()
+    own = record("a")
+    publisher.publish(own)
+    await asyncio.wait_for(publisher.wait_stored(own), 5)
+    publisher.confirm(own)
+    await asyncio.sleep(0)
+    assert len(store.values) == 1
+    publisher.confirm(record("a", None))
+    await asyncio.wait_for(publisher.wait_stored(own), 5)
+    publisher.confirm(None)
+    await asyncio.wait_for(publisher.wait_stored(own), 5)
+    await publisher.stop()
+    assert store.values == [own.encode()] * 3
+
+
+def make_recorder():
+    clock = ManualClock()
+    table = SuspectTable(DispatchSettings())
+    return SuspectRecorder(clock, table), table, clock
+
+
+def crash(table, clock, *fingerprints):
+    permits = [
+        Permit(wire.Call(fingerprint=item), 0.0) for item in fingerprints
+    ]
+    table.record_crash(permits, clock.now_ms())
+
+
+def test_request_that_crashed_one_upstream_runs_alone_at_other_nodes():
+    """Guards against a request that takes down one upstream after another."""
+    first, table, clock = make_recorder()
+    second, other_table, _ = make_recorder()
+    assert not first.refresh()
+    crash(table, clock, b"poison")
+    assert first.refresh()
+    assert not first.refresh()
+    told = dataclasses.replace(record("a"), suspects=first.recorded)
+    second.learn([told])
+    assert other_table.verdict(b"poison", 0.0) is Verdict.ALONE
+    crash(other_table, clock, b"poison")
+    second.refresh()
+    first.learn([dataclasses.replace(record("b"), suspects=second.recorded)])
+    assert table.verdict(b"poison", 0.0) is Verdict.REFUSE
+
+
+def test_record_holds_a_bounded_number_of_suspects():
+    """Guards against a record that outgrows the values of the store."""
+    recorder, table, clock = make_recorder()
+    crash(table, clock, *(bytes([number]) for number in range(60)))
+    assert recorder.refresh()
+    assert len(recorder.recorded) == MAX_RECORDED
+    assert not recorder.refresh()
--- /dev/null
+++ b/tests/cover/test_routes.py
@@ -0,0 +1,126 @@
+"""Routes by host and path, shares of a split, and versions in force."""
+
+import collections
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from celeryfield.internal.clock import ManualClock
+from celeryfield.internal.routes.manager import RouteManager
+from celeryfield.internal.routes.returning import (
+    HALF_LIFE_MS,
+    MAX_PAUSE_S,
+    MIN_PAUSE_S,
+    ReturnPlanner,
+)
+from celeryfield.internal.routes.splits import TrafficSplitter
+from celeryfield.internal.routes.table import (
+    Route,
+    RouteTable,
+    WeightedService,
+)
+
+PREFIXES = ("/", "/a/", "/a/b/", "/a/b/c/", "/ab/")
+
+
+def route(name, prefix="/", host="h", parts=(("s", 1.0),)):
+    weighted = tuple(WeightedService(*part) for part in parts)
+    return Route(name, host, prefix, weighted)
+
+
+@given(
+    st.sets(st.sampled_from(PREFIXES)),
+    st.text(alphabet="ab/c", max_size=10),
+)
+def test_longest_prefix_wins(prefixes, rest):
+    """Guards against a match that stops at another path segment."""
+    path = "/" + rest
+    table = RouteTable(1, [route(prefix, prefix) for prefix in prefixes])
+    matching = [prefix for prefix in prefixes if path.startswith(prefix)]
+    expected = max(matching, key=len, default=None)
+    found = table.match("h", path)
+    assert (found and found.name) == expected
+    assert table.match("other", path) is None
+
+
+@given(
+    st.lists(st.integers(1, 50), min_size=1, max_size=6),
+    st.integers(1, 300),
+)
+def test_each_part_is_less_than_one_request_from_its_share(weights, count):
+    """Guards against shares that hold only with much traffic."""
+    parts = [(f"s{index}", float(w)) for index, w in enumerate(weights)]
+    splitter = TrafficSplitter()
+    split = route("r", parts=parts)
+    counts = collections.Counter(splitter.choose(split) for _ in range(count))
+    for name, weight in parts:
+        share = count * weight / sum(weights)
+        assert abs(counts[name] - share) < len(parts)
+
+
+def test_part_without_weight_gets_nothing():
+    """Guards against traffic to a service that the operator emptied."""
+    splitter = TrafficSplitter()
+    split = route("r", parts=(("old", 0.0), ("new", 3.0)))
+    assert {splitter.choose(split) for _ in range(50)} == {"new"}
+
+
+def test_new_version_keeps_the_position_of_an_unchanged_split():
+    """Guards against shares that drift when configurations come often."""
+    splitter = TrafficSplitter()
+    split = route("r", parts=(("a", 9.0), ("b", 1.0)))
+    counts = collections.Counter()
+    for version in range(100):
+        splitter.set_table(RouteTable(version, [split]))
+        counts[splitter.choose(split)] += 1
+    assert counts == {"a": 90, "b": 10}
+
+
+@given(st.lists(st.integers(1, 20), max_size=30))
+def test_version_in_force_only_rises(versions):
+    """Guards against a late version that undoes a newer one."""
+    manager = RouteManager()
+    seen = []
+    manager.subscribe(lambda table: seen.append(table.version))
+    for version in versions:
+        manager.offer(RouteTable(version, [route("r")]))
+        assert manager.current.version == max(versions[: len(seen)] + seen)
+    assert seen == sorted(set(seen))
+    if versions:
+        assert manager.current.version == max(versions)
+
+
+def pauses_of(refusals, total, left_ms):
+    clock = ManualClock()
+    planner = ReturnPlanner(clock)
+    for number in range(total):
+        planner.note("k", number < refusals)
+    return [planner.pause_s("k", left_ms) for _ in range(200)]
+
+
+def test_refused_callers_return_later_the_more_are_refused():
+    """Guards against callers that are refused again and again."""
+    calm = pauses_of(1, 100, 6_000.0)
+    flooded = pauses_of(95, 100, 6_000.0)
+    assert max(calm) < min(flooded)
+    assert max(flooded) - min(flooded) > 0.3
+
+
+@given(st.integers(0, 100), st.floats(0, 60_000))
+def test_callers_are_not_told_to_return_after_their_patience(refusals, left_ms):
+    """Guards against a pause that no caller would wait for."""
+    for pause_s in pauses_of(refusals, 100, left_ms):
+        assert MIN_PAUSE_S <= pause_s <= MAX_PAUSE_S
+        assert pause_s <= max(left_ms / 3_000.0, MIN_PAUSE_S)
+
+
+def test_refusals_of_the_past_fade():
+    """Guards against callers that stay away after a burst."""
+    clock = ManualClock()
+    planner = ReturnPlanner(clock)
+    for _ in range(50):
+        planner.note("k", True)
+    clock.advance(10 * HALF_LIFE_MS)
+    for _ in range(3):
+        planner.note("k", False)
+    assert planner.pause_s("k", 6_000.0) < 0.8
