Probe connections to the store

A watch waits up to 20 s for its answer. If its connection goes silent without a reset, as the platform's pages say connections may, a new configuration came into force up to 20 s late. TCP keep-alive probes now end such a connection within about 3 s, and the watcher lists again. Ruled out: shorter watches, which would triple the calls to the store.

The test checks the options on the sockets in use; a peer that drops packets cannot be played on loopback without privileges.

--- a/src/celeryfield/internal/store/client.py
+++ b/src/celeryfield/internal/store/client.py
@@ -8,6 +8,7 @@
 import aiohttp
 from expression import Error, Ok, Result
 
+from celeryfield.internal import sockets
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.schema import wire
 from celeryfield.internal.schema.settings import StoreSettings
@@ -274,7 +275,14 @@
         if self._is_closed:
             raise aiohttp.ClientConnectionError("the client is closed")
         if self._session is None:
-            self._session = aiohttp.ClientSession(raise_for_status=False)
+            # Watches wait long for changes; one on a connection that went
+            # silent would hold back new configurations.
+            self._session = aiohttp.ClientSession(
+                raise_for_status=False,
+                connector=aiohttp.TCPConnector(
+                    socket_factory=sockets.open_probed
+                ),
+            )
         url = f"{self._settings.url.rstrip('/')}{request.path}"
         if request.query:
             url = f"{url}?{urllib.parse.urlencode(request.query)}"
--- a/src/celeryfield/internal/upstream/pool.py
+++ b/src/celeryfield/internal/upstream/pool.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import collections
-import socket
 
 from celeryfield.internal.clock import Clock
+from celeryfield.internal.sockets import set_user_timeout
 from celeryfield.internal.upstream.connection import (
     AnswerCheck,
     HttpAnswer,
@@ -144,15 +144,6 @@
             self._idle.remove(connection)
 
 
-def set_user_timeout(transport: asyncio.BaseTransport, timeout_ms: int) -> None:
-    """Ends a connection whose sent bytes are not confirmed in time."""
-    found = transport.get_extra_info("socket")
-    if found is not None:
-        found.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
-        )
-
-
 def _longest_ms(connection: UpstreamConnection) -> float:
     """Returns how long a connection may have been idle to be used again."""
     kept_s = connection.keep_alive_s
--- a/tests/cover/test_platform_node.py
+++ b/tests/cover/test_platform_node.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import json
+import socket
 
 import aiohttp
 from platform_standins import (
@@ -17,6 +18,7 @@
     until,
 )
 
+from celeryfield.internal import sockets
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.store.answers import StoreObject
 from celeryfield.internal.upstream import tracker as tracking
@@ -364,3 +366,23 @@
             for candidate in first.catalog.candidates_by_service["stock"]
         }
         assert states == {"ready"}
+
+
+async def test_connections_to_the_store_are_probed():
+    """Guards against a watch that waits on a connection that went silent."""
+    async with fleet_of(1) as fleet:
+        (node,) = fleet.nodes
+        waiting = node.store._session.connector._acquired
+        assert len(waiting) == 2
+        for protocol in waiting:
+            found = protocol.transport.get_extra_info("socket")
+            options = (
+                found.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+                found.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE),
+                found.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+            )
+            assert options == (
+                1,
+                sockets.KEEPALIVE_IDLE_S,
+                sockets.USER_TIMEOUT_MS,
+            )
