Report the limit of a class only to those it concerns

The limit now shows in answers to root calls.

Lines of the log hold no infinite numbers, which JSON lacks, and a request whose caller went away is logged with status 499 instead of 200.

--- a/src/celeryfield/internal/dispatch/dispatcher.py
+++ b/src/celeryfield/internal/dispatch/dispatcher.py
@@ -235,8 +235,9 @@
     def _with_load(self, call: wire.Call, result: CallResult) -> CallResult:
         report = self._admission.load_report(call.class_name)
         headroom = self._chain_limits.headroom(call.class_name)
-        if headroom is not None:
-            # Senders compare the load with the limit.
+        if headroom is not None and call.depth == 0:
+            # Senders compare the load with the limit. Sub-calls pass the
+            # limit of their class, so it says nothing to their senders.
             total = report.in_flight + report.queued
             report.limit = max(min(report.limit, total + headroom), 1)
         deeper = self._chains.deeper_levels(call.service, call.class_name)
--- a/src/celeryfield/internal/events.py
+++ b/src/celeryfield/internal/events.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import logging
+import math
 import time
 import zlib
 from typing import ClassVar
@@ -544,4 +545,7 @@
 
 
 def _shortened(value: object) -> object:
-    return round(value, 2) if isinstance(value, float) else value
+    """Rounds a number; JSON has none that are not finite."""
+    if not isinstance(value, float):
+        return value
+    return round(value, 2) if math.isfinite(value) else -1.0
--- a/src/celeryfield/internal/routes/entry.py
+++ b/src/celeryfield/internal/routes/entry.py
@@ -19,6 +19,8 @@
 
 # Deadline of requests that name none on routes without a timeout.
 DEFAULT_DEADLINE_MS = 30_000.0
+# Status in the log of requests whose caller went away; nothing is answered.
+CLIENT_CLOSED_REQUEST = 499
 
 
 @dataclasses.dataclass(slots=True)
@@ -137,7 +139,9 @@
     async def run(self, entered: EnteredCall, body: bytes) -> CallResult:
         """Runs a call; settles the allowance of its chain at the end."""
         started_ms = self._clock.now_ms()
-        result = CallResult(Outcome.UNKNOWN, Reason.CANCELLED)
+        result = CallResult(
+            Outcome.UNKNOWN, Reason.CANCELLED, CLIENT_CLOSED_REQUEST
+        )
         try:
             result = await self._executor.execute(entered.call, body)
             if entered.chain is not None:
--- a/tests/cover/test_events.py
+++ b/tests/cover/test_events.py
@@ -79,6 +79,16 @@
     )
 
 
+def test_numbers_without_a_finite_value_are_valid_json(pipe):
+    """Guards against lines that other programs cannot parse."""
+    reader, _ = pipe
+    events.emit(
+        events.AdmissionRefused, **(REFUSAL | {"level_age_ms": float("inf")})
+    )
+    (line,) = read_lines(reader)
+    assert line["level_age_ms"] == -1.0
+
+
 def test_storm_of_refusals_is_bounded_and_counted(pipe):
     """Guards against a log that costs more than the requests."""
     reader, _ = pipe
