Do the work of log lines only when they are kept, and merge twins

Hot path: each attempt, each call at a node and each refusal worked out the fields of its log line (a second load report, the belief about the candidate, the levels on the way) before the bound on the volume left the line out. They now ask first.

Twins: three HTTP listeners of the adapter shared start and stop (`platform/listeners.py`); three modules had their own answer for a call that may have run (`calls.unknown`); the store client and the platform's dialect spelled out the same error path ten times; the key of a suspect stood three times, the set-up of a test twice.

Split: the bound on the volume of the log moves to `log_volume.py`, so that `events.py` is the list of events.

--- a/src/celeryfield/internal/calls.py
+++ b/src/celeryfield/internal/calls.py
@@ -35,7 +35,6 @@
     UPSTREAM_SHED = "upstream-shed"
     UPSTREAM_CRASHED = "upstream-crashed"
     TRUNCATED = "truncated"
-    MISMATCH = "mismatch"
     SUSPECT = "suspect"
     REPEAT_BUDGET = "repeat-budget"
     CANCELLED = "cancelled"
@@ -130,6 +129,11 @@
     )
 
 
+def unknown(reason: Reason, status: int) -> CallResult:
+    """Returns the answer to a call that may have run."""
+    return CallResult(Outcome.UNKNOWN, reason, status, started=True)
+
+
 RANKS_PER_PRIORITY = 128
 
 
--- a/src/celeryfield/internal/dispatch/admission.py
+++ b/src/celeryfield/internal/dispatch/admission.py
@@ -140,6 +140,11 @@
             self._solo.end(now_ms)
         self._advance(now_ms)
 
+    @property
+    def level(self) -> int:
+        """Lowest rank that is admitted; 0 admits all."""
+        return self._control.level.level
+
     def load_report(self, class_name: str = "") -> wire.LoadReport:
         """Returns the load for answers to other nodes.
 
--- a/src/celeryfield/internal/dispatch/dispatcher.py
+++ b/src/celeryfield/internal/dispatch/dispatcher.py
@@ -210,11 +210,12 @@
         end: ChainEnd,
         deadline_left_ms: float,
     ) -> None:
+        outcome = str(result.outcome if result else Outcome.UNKNOWN)
+        if not events.permits(events.CallEnded, outcome, call.request_id):
+            return
         report = self._admission.load_report()
-        level = report.levels[0].level if report.levels else 0
         room = self._chain_limits.headroom(call.class_name)
-        events.emit(
-            events.CallEnded,
+        event = events.CallEnded(
             request=call.request_id,
             call=call.call_id,
             service=call.service,
@@ -222,15 +223,16 @@
             deadline_left_ms=deadline_left_ms,
             waited_ms=end.slot_wait_ms,
             service_ms=end.service_ms,
-            outcome=str(result.outcome if result else Outcome.UNKNOWN),
+            outcome=outcome,
             reason=str(result.reason if result else Reason.CANCELLED),
             status=result.status if result else 0,
             running=report.in_flight,
             queued=report.queued,
             limit=report.limit,
-            admission_level=level,
+            admission_level=self._admission.level,
             class_room=-1 if room is None else room,
         )
+        events.write(event)
 
     def _with_load(self, call: wire.Call, result: CallResult) -> CallResult:
         report = self._admission.load_report(call.class_name)
--- a/src/celeryfield/internal/events.py
+++ b/src/celeryfield/internal/events.py
@@ -8,20 +8,11 @@
 import dataclasses
 import logging
 import math
-import time
-import zlib
 from typing import ClassVar
 
-_logger = logging.getLogger(__name__)
+from celeryfield.internal.log_volume import VolumeLimit
 
-WINDOW_S = 1.0
-# Lines per second of each event about something that went well.
-KEPT_WHEN_OK = 1
-# One in so many requests is followed: all nodes choose the same ones by their
-# ids, so that whole stories are left when much is left out.
-FOLLOWED_ONE_IN = 16
-# Lines per second about followed requests.
-KEPT_OF_FOLLOWED = 30
+_logger = logging.getLogger(__name__)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -452,59 +443,22 @@
     return list(by_message.values())
 
 
-class VolumeLimit:
-    """Bounds the lines per second of each event and outcome.
+_volume = VolumeLimit()
 
-    The first ones of each second are kept, and those of followed requests.
 
-    Attributes:
-        left_out_by_key: Lines left out since the last report.
-    """
-
-    def __init__(self) -> None:
-        self.left_out_by_key: dict[str, int] = {}
-        self._window_start_s = float("-inf")
-        self._kept_by_key: dict[str, int] = {}
-        self._kept_of_followed = 0
-
-    def permits(self, event: type[Event], outcome: str, request: str) -> bool:
-        """Counts a line and returns whether it is kept.
-
-        Args:
-            event: Kind of the event.
-            outcome: Outcome in the line, if it has one.
-            request: Request in the line, if it has one.
-        """
-        if event.per_second is None:
-            return True
-        now_s = time.monotonic()
-        if now_s - self._window_start_s >= WINDOW_S:
-            self._window_start_s = now_s
-            self._kept_by_key.clear()
-            self._kept_of_followed = 0
-        key = f"{event.message}: {outcome}" if outcome else event.message
-        kept = self._kept_by_key.get(key, 0)
-        most = KEPT_WHEN_OK if outcome == "ok" else event.per_second
-        if kept >= most and not self._follows(request):
-            left_out = self.left_out_by_key.get(key, 0)
-            self.left_out_by_key[key] = left_out + 1
-            return False
-        self._kept_by_key[key] = kept + 1
-        return True
-
-    def _follows(self, request: str) -> bool:
-        """Returns whether a line is kept for the request that it is about."""
-        if not request or self._kept_of_followed >= KEPT_OF_FOLLOWED:
-            return False
-        # Requests that a run makes have its id in front.
-        first = request.partition(".")[0]
-        if zlib.crc32(first.encode()) % FOLLOWED_ONE_IN:
-            return False
-        self._kept_of_followed += 1
-        return True
+def permits(event: type[Event], outcome: str = "", request: str = "") -> bool:
+    """Counts a line and returns whether it is to be written.
 
+    Where the fields cost time, callers ask first and then use ``write``.
 
-_volume = VolumeLimit()
+    Args:
+        event: Kind of the event.
+        outcome: Outcome in the line, if it has one.
+        request: Request in the line, if it has one.
+    """
+    if not _logger.isEnabledFor(event.level):
+        return False
+    return _volume.permits(event.message, event.per_second, outcome, request)
 
 
 def emit(event: type[Event], **fields: object) -> None:
@@ -514,13 +468,10 @@
         event: Kind of the event.
         **fields: Its fields.
     """
-    if not _logger.isEnabledFor(event.level):
-        return
     outcome = str(fields.get("outcome", ""))
     request = str(fields.get("request", ""))
-    if not _volume.permits(event, outcome, request):
-        return
-    _write(event(**fields))
+    if permits(event, outcome, request):
+        write(event(**fields))
 
 
 def report_left_out(unwritten: int = 0) -> None:
@@ -533,10 +484,11 @@
     if not counts and not unwritten:
         return
     _volume.left_out_by_key = {}
-    _write(LinesLeftOut(counts, unwritten))
+    write(LinesLeftOut(counts, unwritten))
 
 
-def _write(event: Event) -> None:
+def write(event: Event) -> None:
+    """Writes an event that ``permits`` has let pass."""
     fields = {
         field.name: _shortened(getattr(event, field.name))
         for field in dataclasses.fields(event)
--- a/src/celeryfield/internal/registry/suspects.py
+++ b/src/celeryfield/internal/registry/suspects.py
@@ -28,9 +28,9 @@
 
     def refresh(self) -> bool:
         """Takes over new crashes; returns whether there are any."""
-        known = {(item.fingerprint, item.crashes) for item in self.recorded}
+        known = _crashes(self.recorded)
         entries = self._table.entries(self._clock.now_ms(), 1)
-        if {(entry.fingerprint, entry.crashes) for entry in entries} <= known:
+        if _crashes(entries) <= known:
             return False
         newest = sorted(entries, key=lambda entry: entry.age_ms)[:MAX_RECORDED]
         wall_ms = self._clock.wall_ms()
@@ -40,9 +40,8 @@
             )
             for entry in newest
         )
-        is_new = {(item.fingerprint, item.crashes) for item in found} != known
         self.recorded = found
-        return is_new
+        return _crashes(found) != known
 
     def learn(self, records: Iterable[NodeRecord]) -> None:
         """Takes over the suspects of other nodes."""
@@ -57,3 +56,10 @@
             for suspect in record.suspects
         ]
         self._table.merge(entries, self._clock.now_ms())
+
+
+def _crashes(
+    suspects: Iterable[SuspectRecord | SuspectEntry],
+) -> set[tuple[bytes, int]]:
+    """Returns what tells two lists of suspects apart."""
+    return {(suspect.fingerprint, suspect.crashes) for suspect in suspects}
--- a/src/celeryfield/internal/routing/attempts.py
+++ b/src/celeryfield/internal/routing/attempts.py
@@ -14,6 +14,7 @@
     Outcome,
     Reason,
     not_run,
+    unknown,
 )
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.routing.alarms import Alarms
@@ -165,8 +166,8 @@
                     alarm.cancel()
         except (CeleryfieldError, OSError):
             if scope.expired():
-                return _unknown(Reason.DEADLINE, GATEWAY_TIMEOUT)
-            return _unknown(Reason.INTERNAL, BAD_GATEWAY)
+                return unknown(Reason.DEADLINE, GATEWAY_TIMEOUT)
+            return unknown(Reason.INTERNAL, BAD_GATEWAY)
 
     def _emit_end(
         self,
@@ -175,12 +176,15 @@
         result: CallResult | None,
         latency_ms: float,
     ) -> None:
+        outcome = str(result.outcome if result else Outcome.UNKNOWN)
+        request_id = run.call.request_id
+        if not events.permits(events.AttemptEnded, outcome, request_id):
+            return
         belief = self._balancer.belief(candidate)
         number = run.attempts - 1
         call_id = run.call.call_id
-        events.emit(
-            events.AttemptEnded,
-            request=run.call.request_id,
+        event = events.AttemptEnded(
+            request=request_id,
             call=f"{call_id}.{number}" if number else call_id,
             service=run.call.service,
             peer=candidate.node_id,
@@ -189,9 +193,10 @@
             load=belief.load,
             load_age_ms=belief.age_ms,
             took_ms=latency_ms,
-            outcome=str(result.outcome if result else Outcome.UNKNOWN),
+            outcome=outcome,
             reason=str(result.reason if result else Reason.CANCELLED),
         )
+        events.write(event)
 
     def _record_end(
         self,
@@ -235,8 +240,3 @@
 def expire(scope: asyncio.Timeout) -> None:
     """Makes a timeout scope expire now, by the clock of the node."""
     scope.reschedule(asyncio.get_running_loop().time())
-
-
-def _unknown(reason: Reason, status: int) -> CallResult:
-    """Returns the answer to a call of which nothing more is known."""
-    return CallResult(Outcome.UNKNOWN, reason, status, started=True)
--- a/src/celeryfield/internal/routing/executor.py
+++ b/src/celeryfield/internal/routing/executor.py
@@ -170,10 +170,12 @@
             result = await self._attempt(run, candidate)
 
     def _emit_refusal(self, call: wire.Call) -> None:
+        request_id = call.request_id
+        if not events.permits(events.AdmissionRefused, request=request_id):
+            return
         refusal = self._levels.refusal(call)
-        events.emit(
-            events.AdmissionRefused,
-            request=call.request_id,
+        event = events.AdmissionRefused(
+            request=request_id,
             call=call.call_id,
             service=call.service,
             rank=admission_rank(call),
@@ -181,6 +183,7 @@
             level_of=refusal.service if refusal else "",
             level_age_ms=refusal.age_ms if refusal else 0.0,
         )
+        events.write(event)
 
     def close(self) -> None:
         """Stops the timers; calls that still run lose their deadline."""
--- a/src/celeryfield/internal/store/client.py
+++ b/src/celeryfield/internal/store/client.py
@@ -1,6 +1,7 @@
 """Typed client of the platform's object API."""
 
 import asyncio
+import functools
 import random
 import urllib.parse
 from collections.abc import Callable, Sequence
@@ -82,11 +83,8 @@
 
     async def get(self, key: str) -> Result[StoreObject | None, StoreError]:
         """Reads one object; none if it does not exist."""
-        match await self._read(self._dialect.read(key), 0.0):
-            case Result(tag="ok", ok=answer):
-                return self._dialect.decode_object(key, answer)
-            case Result(error=error):
-                return Error(error)
+        answer = await self._read(self._dialect.read(key), 0.0)
+        return answer.bind(functools.partial(self._dialect.decode_object, key))
 
     async def list(self, prefix: str) -> Result[StoreObjects, StoreError]:
         """Reads all objects whose keys start with a prefix."""
@@ -98,12 +96,10 @@
         revision = 0
         after = ""
         while True:
-            match await self._read(self._dialect.listing(prefix, after), 0.0):
-                case Result(tag="ok", ok=answer):
-                    pass
-                case Result(error=error):
-                    return Error(error)
-            match self._dialect.decode_listing(prefix, answer):
+            answer = await self._read(self._dialect.listing(prefix, after), 0.0)
+            match answer.bind(
+                functools.partial(self._dialect.decode_listing, prefix)
+            ):
                 case Result(tag="ok", ok=page):
                     pass
                 case Result(error=error):
@@ -138,11 +134,10 @@
         """
         wait_ms = self._settings.watch_seconds * 1000.0
         request = self._dialect.watching(prefix, after_revision, int(wait_ms))
-        match await self._read(request, wait_ms):
-            case Result(tag="ok", ok=answer):
-                return self._dialect.decode_changes(prefix, answer)
-            case Result(error=error):
-                return Error(error)
+        answer = await self._read(request, wait_ms)
+        return answer.bind(
+            functools.partial(self._dialect.decode_changes, prefix)
+        )
 
     async def put(
         self, key: str, value: bytes, expected_version: int
@@ -153,13 +148,12 @@
         ``put_recognised`` to find it out.
         """
         request = self._dialect.write(key, value, expected_version)
-        match await self._write(request):
-            case Result(tag="ok", ok=answer):
-                return self._dialect.decode_written(
-                    key, value, expected_version, answer
-                )
-            case Result(error=error):
-                return Error(error)
+        answer = await self._write(request)
+        return answer.bind(
+            functools.partial(
+                self._dialect.decode_written, key, value, expected_version
+            )
+        )
 
     async def replace(
         self, key: str, value: bytes
@@ -182,13 +176,12 @@
         An object that does not exist counts as deleted.
         """
         request = self._dialect.remove(key, expected_version)
-        match await self._write(request):
-            case Result(tag="ok", ok=answer):
-                return self._dialect.decode_removed(
-                    key, expected_version, answer
-                )
-            case Result(error=error):
-                return Error(error)
+        answer = await self._write(request)
+        return answer.bind(
+            functools.partial(
+                self._dialect.decode_removed, key, expected_version
+            )
+        )
 
     async def put_recognised(
         self,
--- a/src/celeryfield/internal/transport/pool.py
+++ b/src/celeryfield/internal/transport/pool.py
@@ -11,6 +11,7 @@
     Outcome,
     Reason,
     not_run,
+    unknown,
 )
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.schema import settings as settings_schema
@@ -157,9 +158,9 @@
             frame = await self.request(candidate, Kind.CANCEL, cancel.encode())
             result = wire.CancelResult.decode(frame.header)
         except (TransportError, MessageError):
-            return CallResult(Outcome.UNKNOWN, reason, status, started=True)
+            return unknown(reason, status)
         if result.started or not is_same:
-            return CallResult(Outcome.UNKNOWN, reason, status, started=True)
+            return unknown(reason, status)
         return not_run(reason, status, unused=call.retry_allowance)
 
     def _cancel_in_background(
@@ -300,7 +301,7 @@
 def _read_reply(frame: Frame) -> CallResult:
     reply = wire.Reply.decode(frame.header)
     if reply.body_length != len(frame.payload):
-        return CallResult(Outcome.UNKNOWN, Reason.TRUNCATED, 502, started=True)
+        return unknown(Reason.TRUNCATED, 502)
     return CallResult(
         outcome=Outcome(reply.outcome),
         reason=Reason(reply.reason),
--- a/src/celeryfield/internal/upstream/client.py
+++ b/src/celeryfield/internal/upstream/client.py
@@ -5,7 +5,13 @@
 import aiohttp
 
 from celeryfield.internal.bodies import read_bounded
-from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
+from celeryfield.internal.calls import (
+    CallResult,
+    Outcome,
+    Reason,
+    not_run,
+    unknown,
+)
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.schema import settings as settings_schema
 from celeryfield.internal.schema import wire
@@ -89,13 +95,13 @@
             async with asyncio.timeout(timeout_ms / 1000.0):
                 return await self._exchange(call, body, request_headers)
         except TimeoutError:
-            return _started(Reason.DEADLINE, 504)
+            return unknown(Reason.DEADLINE, 504)
         except aiohttp.ClientConnectorError:
             return not_run(Reason.NO_UPSTREAM)
         except (aiohttp.ClientPayloadError, aiohttp.ClientResponseError):
-            return _started(Reason.TRUNCATED, 502)
+            return unknown(Reason.TRUNCATED, 502)
         except (aiohttp.ClientError, OSError, ValueError):
-            return _started(Reason.CONNECTION_LOST, 502)
+            return unknown(Reason.CONNECTION_LOST, 502)
 
     async def _exchange(
         self,
@@ -113,11 +119,11 @@
         ) as response:
             if _ends_with_connection(call.method, response):
                 response.close()
-                return _started(Reason.TRUNCATED, 502)
+                return unknown(Reason.TRUNCATED, 502)
             body = await _read_body(response, limit)
             if body is None:
                 response.close()
-                return _started(Reason.TOO_LARGE, 502)
+                return unknown(Reason.TOO_LARGE, 502)
             return _result_of(response, body)
 
 
@@ -146,10 +152,6 @@
     return await response.read() if length <= limit else None
 
 
-def _started(reason: Reason, status: int) -> CallResult:
-    return CallResult(Outcome.UNKNOWN, reason, status, started=True)
-
-
 def _result_of(response: aiohttp.ClientResponse, body: bytes) -> CallResult:
     status = response.status
     answer_headers = headers.forwarded(response.headers)
--- a/src/celeryfield/internal/upstream/tracker.py
+++ b/src/celeryfield/internal/upstream/tracker.py
@@ -3,12 +3,9 @@
 import collections
 import dataclasses
 import enum
-import logging
 
 from celeryfield.internal.clock import Clock
 
-logger = logging.getLogger(__name__)
-
 READY = "ready"
 DRAINING = "draining"
 GONE = "gone"
--- a/src/celeryfield/platform/fields.py
+++ b/src/celeryfield/platform/fields.py
@@ -1,7 +1,5 @@
 """Base of the models that decode bodies of the platform."""
 
-from collections.abc import Mapping
-
 import pydantic
 
 
@@ -21,8 +19,3 @@
     detail = error.errors(include_url=False, include_input=False)[0]
     place = ".".join(str(part) for part in detail["loc"])
     return f"{place or 'body'}: {detail['msg']}"
-
-
-def is_mapping(value: object) -> bool:
-    """Returns whether a decoded value is a table."""
-    return isinstance(value, Mapping)
--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -38,7 +38,6 @@
         self._clock = clock
         self._entry = entry
         self._limits = CallerLimits()
-        self._is_closing = False
         self._runner: web.ServerRunner | None = None
 
     async def on_start(self) -> None:
@@ -118,9 +117,6 @@
             answer_headers[headers.RETRY_AFTER] = f"{pause_s:.2f}"
         if request_id:
             answer_headers[headers.REQUEST_ID] = request_id
-        response = web.Response(
+        return web.Response(
             status=status, body=result.body, headers=answer_headers
         )
-        if self._is_closing:
-            response.force_close()
-        return response
--- /dev/null
+++ b/src/celeryfield/platform/listeners.py
@@ -0,0 +1,34 @@
+"""Small HTTP listeners, without routing or access log."""
+
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from mode import Service
+
+from celeryfield.platform.settings import Listener
+
+Handle = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class HttpListener(Service):
+    """Answers the requests to one address.
+
+    Args:
+        listener: Where to listen.
+        handle: Answers one request.
+    """
+
+    def __init__(self, listener: Listener, handle: Handle) -> None:
+        super().__init__()
+        self._listener = listener
+        self._runner = web.ServerRunner(web.Server(handle, access_log=None))
+
+    async def on_start(self) -> None:
+        """Opens the listener."""
+        await self._runner.setup()
+        listener = self._listener
+        await web.TCPSite(self._runner, listener.host, listener.port).start()
+
+    async def on_stop(self) -> None:
+        """Closes the listener."""
+        await self._runner.cleanup()
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -42,7 +42,7 @@
 )
 from celeryfield.platform import config, metrics, objects
 from celeryfield.platform.ingress import CallerListener
-from celeryfield.platform.reports import ReadyListener, ReportListener
+from celeryfield.platform.reports import ReportListener, ready_listener
 from celeryfield.platform.settings import PlatformSettings
 from celeryfield.platform.upstream import PlatformUpstream
 
@@ -188,7 +188,7 @@
             ReportListener(
                 self.settings.reports, self._on_report, self._on_leave
             ),
-            ReadyListener(self.settings.ready, lambda: self.is_ready),
+            ready_listener(self.settings.ready, lambda: self.is_ready),
         ):
             await self.add_runtime_dependency(service)
         await self._serve_metrics()
@@ -205,7 +205,7 @@
             return
         try:
             await self.add_runtime_dependency(
-                metrics.MetricsListener(listener, self.metrics)
+                metrics.metrics_listener(listener, self.metrics)
             )
         except OSError as error:
             # A node without metrics still serves.
@@ -447,12 +447,3 @@
         or report.service != current.service
         or report.address != current.address
     )
-
-
-def candidates(node: PlatformNode) -> list[Candidate]:
-    """Returns all candidates that a node knows."""
-    return [
-        candidate
-        for group in node.catalog.candidates_by_service.values()
-        for candidate in group
-    ]
--- a/src/celeryfield/platform/objects.py
+++ b/src/celeryfield/platform/objects.py
@@ -8,6 +8,7 @@
 import json
 import logging
 import urllib.parse
+from typing import TypeVar
 
 import pydantic
 from expression import Error, Ok, Result
@@ -78,6 +79,9 @@
     revision: int = pydantic.Field(alias="currentRev", ge=0)
 
 
+_Body = TypeVar("_Body", bound=PlatformModel)
+
+
 def _path(kind: str, name: str = "") -> str:
     path = f"/objects/{urllib.parse.quote(kind, safe='')}"
     return f"{path}/{urllib.parse.quote(name, safe='')}" if name else path
@@ -121,6 +125,16 @@
     return StoreRequest("DELETE", _path(*_split(key)), query)
 
 
+def _decode(
+    model: type[_Body], answer: StoreAnswer
+) -> Result[_Body, StoreError]:
+    """Decodes the body of an answer."""
+    try:
+        return Ok(model.model_validate_json(answer.body))
+    except pydantic.ValidationError as error:
+        return Error(StoreUnavailableError(first_problem(error)))
+
+
 def _decode_object(
     key: str, answer: StoreAnswer
 ) -> Result[StoreObject | None, StoreError]:
@@ -128,11 +142,8 @@
         return Ok(None)
     if answer.status != 200:
         return Error(unexpected_answer(answer))
-    try:
-        found = _Object.model_validate_json(answer.body)
-    except pydantic.ValidationError as error:
-        return Error(StoreUnavailableError(first_problem(error)))
-    return Ok(_convert(_split(key)[0], found))
+    kind = _split(key)[0]
+    return _decode(_Object, answer).map(lambda found: _convert(kind, found))
 
 
 def _decode_listing(
@@ -140,17 +151,17 @@
 ) -> Result[StoreListing, StoreError]:
     if answer.status != 200:
         return Error(unexpected_answer(answer))
-    try:
-        page = _Page.model_validate_json(answer.body)
-    except pydantic.ValidationError as error:
-        return Error(StoreUnavailableError(first_problem(error)))
     kind = _split(prefix)[0]
+    return _decode(_Page, answer).map(lambda page: _listing_of(kind, page))
+
+
+def _listing_of(kind: str, page: _Page) -> StoreListing:
     found = [_parse(kind, item) for item in page.items]
     objects = tuple(item for item in found if item is not None)
     next_name = ""
     if page.has_more and page.items:
         next_name = _name_of(page.items[-1])
-    return Ok(StoreListing(objects, page.revision, (), next_name))
+    return StoreListing(objects, page.revision, (), next_name)
 
 
 def _decode_changes(
@@ -160,11 +171,14 @@
         return Error(StoreHistoryLostError("the store dropped its history"))
     if answer.status != 200:
         return Error(unexpected_answer(answer))
-    try:
-        changes = _Changes.model_validate_json(answer.body)
-    except pydantic.ValidationError as error:
-        return Error(StoreUnavailableError(first_problem(error)))
     kind = _split(prefix)[0]
+    return _decode(_Changes, answer).map(
+        lambda changes: _last_changes(kind, changes)
+    )
+
+
+def _last_changes(kind: str, changes: _Changes) -> StoreListing:
+    """Returns the last change of each object."""
     objects_by_key: dict[str, StoreObject] = {}
     deleted_keys: dict[str, None] = {}
     for event in changes.events:
@@ -177,12 +191,10 @@
             deleted_keys[found.key] = None
         else:
             objects_by_key[found.key] = found
-    return Ok(
-        StoreListing(
-            tuple(objects_by_key.values()),
-            changes.revision,
-            tuple(deleted_keys),
-        )
+    return StoreListing(
+        tuple(objects_by_key.values()),
+        changes.revision,
+        tuple(deleted_keys),
     )
 
 
@@ -195,11 +207,9 @@
         return Error(_conflict(key, expected_version, answer))
     if answer.status not in (200, 201):
         return Error(_write_error(key, expected_version, answer))
-    try:
-        found = _Object.model_validate_json(answer.body)
-    except pydantic.ValidationError as error:
-        return Error(StoreUnavailableError(first_problem(error)))
-    return Ok(StoreObject(key, found.metadata.version, value))
+    return _decode(_Object, answer).map(
+        lambda found: StoreObject(key, found.metadata.version, value)
+    )
 
 
 def _decode_removed(
@@ -216,10 +226,8 @@
     key: str, expected_version: int, answer: StoreAnswer
 ) -> StoreConflictError:
     """Returns the error of a write that met another version."""
-    try:
-        version = _Object.model_validate_json(answer.body).metadata.version
-    except pydantic.ValidationError:
-        version = 0
+    found = _decode(_Object, answer)
+    version = found.map(lambda item: item.metadata.version).default_value(0)
     return StoreConflictError(key, expected_version, version)
 
 
--- a/src/celeryfield/platform/reports.py
+++ b/src/celeryfield/platform/reports.py
@@ -5,11 +5,11 @@
 
 import pydantic
 from aiohttp import web
-from mode import Service
 
 from celeryfield.internal.bodies import read_bounded
 from celeryfield.internal.upstream.tracker import UpstreamReport
 from celeryfield.platform.fields import PlatformModel, first_problem
+from celeryfield.platform.listeners import HttpListener
 from celeryfield.platform.settings import Listener
 
 logger = logging.getLogger(__name__)
@@ -35,7 +35,7 @@
     born_ms: int = pydantic.Field(alias="born", default=0, ge=0)
 
 
-class ReportListener(Service):
+class ReportListener(HttpListener):
     """Takes status reports.
 
     Args:
@@ -50,20 +50,9 @@
         on_report: Callable[[UpstreamReport], Awaitable[bool]],
         on_leave: Callable[[str], Awaitable[bool]],
     ) -> None:
-        super().__init__()
-        self._listener = listener
+        super().__init__(listener, self._handle)
         self._on_report = on_report
         self._on_leave = on_leave
-        self._runner: web.ServerRunner | None = None
-
-    async def on_start(self) -> None:
-        """Opens the listener."""
-        self._runner = await open_server(self._handle, self._listener)
-
-    async def on_stop(self) -> None:
-        """Closes the listener."""
-        if self._runner is not None:
-            await self._runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         upstream_id = request.path.removeprefix(_REPORT_PATH)
@@ -112,46 +101,22 @@
         )
 
 
-class ReadyListener(Service):
-    """Answers readiness checks.
+def ready_listener(
+    listener: Listener, is_ready: Callable[[], bool]
+) -> HttpListener:
+    """Returns a listener that answers readiness checks.
 
     Args:
         listener: Where to listen.
         is_ready: Tells whether the node can serve callers.
     """
 
-    def __init__(
-        self, listener: Listener, is_ready: Callable[[], bool]
-    ) -> None:
-        super().__init__()
-        self._listener = listener
-        self._is_ready = is_ready
-        self._runner: web.ServerRunner | None = None
-
-    async def on_start(self) -> None:
-        """Opens the listener."""
-        self._runner = await open_server(self._handle, self._listener)
-
-    async def on_stop(self) -> None:
-        """Closes the listener."""
-        if self._runner is not None:
-            await self._runner.cleanup()
-
-    async def _handle(self, request: web.BaseRequest) -> web.Response:
+    async def handle(request: web.BaseRequest) -> web.Response:
         if request.path != _READY_PATH:
             return web.Response(status=404)
-        return web.Response(status=200 if self._is_ready() else 503)
-
-
-async def open_server(
-    handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
-    listener: Listener,
-) -> web.ServerRunner:
-    """Opens a small HTTP listener without routing or access log."""
-    runner = web.ServerRunner(web.Server(handle, access_log=None))
-    await runner.setup()
-    await web.TCPSite(runner, listener.host, listener.port).start()
-    return runner
+        return web.Response(status=200 if is_ready() else 503)
+
+    return HttpListener(listener, handle)
 
 
 def _acknowledge(is_acknowledged: bool) -> web.Response:
--- a/src/celeryfield/platform/upstream.py
+++ b/src/celeryfield/platform/upstream.py
@@ -3,9 +3,14 @@
 import asyncio
 import dataclasses
 import functools
-import logging
 
-from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
+from celeryfield.internal.calls import (
+    CallResult,
+    Outcome,
+    Reason,
+    not_run,
+    unknown,
+)
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.schema import wire
 from celeryfield.internal.upstream.connection import HttpAnswer, HttpRequest
@@ -18,8 +23,6 @@
 from celeryfield.internal.upstream.pool import UpstreamPool
 from celeryfield.platform import headers
 
-logger = logging.getLogger(__name__)
-
 MISDIRECTED_STATUS = 421
 FIRST_FAILURE_STATUS = 400
 
@@ -88,15 +91,15 @@
                     request, belongs, call.repeatable
                 )
         except TimeoutError:
-            return _unknown(Reason.DEADLINE, 504)
+            return unknown(Reason.DEADLINE, 504)
         except UpstreamConnectError:
             return not_run(Reason.NO_UPSTREAM)
         except AnswerLostError:
-            return _unknown(Reason.CONNECTION_LOST, 502)
+            return unknown(Reason.CONNECTION_LOST, 502)
         except AnswerBrokenError:
-            return _unknown(Reason.TRUNCATED, 502)
+            return unknown(Reason.TRUNCATED, 502)
         except AnswerTooLargeError:
-            return _unknown(Reason.TOO_LARGE, 502)
+            return unknown(Reason.TOO_LARGE, 502)
         self._note_load(answer.headers.get(headers.LOAD, ""))
         return _classify(answer)
 
@@ -121,10 +124,6 @@
     return answer.headers.get(headers.REQUEST_ID, request_id) == request_id
 
 
-def _unknown(reason: Reason, status: int) -> CallResult:
-    return CallResult(Outcome.UNKNOWN, reason, status, started=True)
-
-
 def _classify(answer: HttpAnswer) -> CallResult:
     """Says what an answer means for the call."""
     status = answer.status
@@ -133,7 +132,7 @@
     if headers.NOT_EXECUTED in answer.headers:
         return not_run(Reason.UPSTREAM_SHED)
     if headers.SIGNATURE not in answer.headers:
-        return _unknown(Reason.UPSTREAM_ERROR, 502)
+        return unknown(Reason.UPSTREAM_ERROR, 502)
     answer_headers = headers.returned(answer.headers)
     if status < FIRST_FAILURE_STATUS:
         return CallResult(
--- a/tests/cover/test_dispatch_chain_limits.py
+++ b/tests/cover/test_dispatch_chain_limits.py
@@ -111,8 +111,8 @@
     assert await limits.enter(make_call(depth=1)) is None
 
 
-async def test_held_call_goes_on_when_another_ends():
-    """Guards against a held call that misses a free place."""
+async def full_limit_with_held_call():
+    """Returns limits, the calls that run, and one that is held."""
     limits = ChainLimits(ManualClock())
     calls = [make_call() for _ in range(FIRST_LIMIT)]
     for call in calls:
@@ -121,6 +121,12 @@
     await limits.enter(calls[0])
     held = asyncio.ensure_future(limits.enter(make_call()))
     await asyncio.sleep(0)
+    return limits, calls, held
+
+
+async def test_held_call_goes_on_when_another_ends():
+    """Guards against a held call that misses a free place."""
+    limits, calls, held = await full_limit_with_held_call()
     assert not held.done()
     limits.leave(calls[1], ChainEnd())
     assert await asyncio.wait_for(held, 1) is None
@@ -129,14 +135,7 @@
 @pytest.mark.parametrize("is_woken", [True, False])
 async def test_cancelled_held_call_takes_no_place(is_woken):
     """Guards against places lost when a caller gives up."""
-    limits = ChainLimits(ManualClock())
-    calls = [make_call() for _ in range(FIRST_LIMIT)]
-    for call in calls:
-        await limits.enter(call)
-    limits.leave(calls[0], end_with(0.0))
-    await limits.enter(calls[0])
-    held = asyncio.ensure_future(limits.enter(make_call()))
-    await asyncio.sleep(0)
+    limits, calls, held = await full_limit_with_held_call()
     if is_woken:
         limits.leave(calls[0], ChainEnd())
     held.cancel()
