Note requests that a stop cuts and connections that end with calls

Change: three events. A node that ends names each request that it cuts, with the time between SIGTERM and its arrival. A node whose connection ends with calls outstanding names the peer, its incarnation and their number. A node whose peer opens a newer connection says so. No decision changes.

Conclusion: a late request shows a positive leaving_ms, a replaced connection shows the same instant on both nodes.

--- a/src/celeryfield/internal/events.py
+++ b/src/celeryfield/internal/events.py
@@ -75,6 +75,26 @@
     took_ms: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestAbandoned(Event):
+    """The process ends while a request still runs; it gets no server's answer.
+
+    Attributes:
+        request: Id that the caller gave the request.
+        age_ms: Time since the request was read.
+        leaving_ms: Time between the request to end the process and the
+            moment at which this request was read; negative if it was read
+            before.
+    """
+
+    message: ClassVar[str] = "request abandoned"
+    level: ClassVar[int] = logging.WARNING
+    per_second: ClassVar[int | None] = 100
+    request: str
+    age_ms: float
+    leaving_ms: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReloadRequested(Event):
     """SIGHUP was received; settings are read at the start only."""
@@ -197,6 +217,39 @@
     away_ms: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class PeerConnectionLost(Event):
+    """A connection to another node ended while calls waited for answers.
+
+    Attributes:
+        peer: Id of the node.
+        incarnation: Start of its process, in ms since the epoch.
+        outstanding: Calls that waited.
+    """
+
+    message: ClassVar[str] = "connection to a node lost"
+    level: ClassVar[int] = logging.WARNING
+    peer: str
+    incarnation: int
+    outstanding: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PeerConnectionReplaced(Event):
+    """A newer connection of another node ended an older one.
+
+    Attributes:
+        peer: Id of the node.
+        incarnation: Start of its process, in ms since the epoch.
+        running: Calls of all nodes that run here.
+    """
+
+    message: ClassVar[str] = "connection of a node replaced"
+    peer: str
+    incarnation: int
+    running: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class CandidateEjected(Event):
     """A candidate gets no calls for a while.
--- a/src/celeryfield/internal/transport/connection.py
+++ b/src/celeryfield/internal/transport/connection.py
@@ -124,9 +124,9 @@
         )
 
     @property
-    def has_outstanding(self) -> bool:
-        """Whether a request waits for its answer."""
-        return bool(self._answers_by_stream)
+    def outstanding_count(self) -> int:
+        """Number of requests that wait for their answers."""
+        return len(self._answers_by_stream)
 
     def check_progress(self, now_ms: float) -> None:
         """Closes the connection when it stays silent with work outstanding.
--- a/src/celeryfield/internal/transport/pool.py
+++ b/src/celeryfield/internal/transport/pool.py
@@ -249,7 +249,7 @@
             await self._clock.sleep_ms(interval_ms)
             now_ms = self._clock.now_ms()
             for connection in list(self._connections_by_peer.values()):
-                if connection.has_outstanding:
+                if connection.outstanding_count:
                     connection.check_progress(now_ms)
                 elif now_ms - connection.last_used_ms > IDLE_CLOSE_MS:
                     connection.close()
@@ -268,6 +268,7 @@
             peer = candidate.peer
             if self._connections_by_peer.get(peer) is connection:
                 del self._connections_by_peer[peer]
+            _emit_lost(connection)
             if not greeting.done():
                 greeting.set_exception(ConnectionLostError("no greeting"))
 
@@ -298,6 +299,19 @@
         return connection
 
 
+def _emit_lost(connection: PeerConnection) -> None:
+    """Notes the end of a connection with calls outstanding."""
+    if connection.outstanding_count == 0:
+        return
+    node_id, incarnation = connection.peer
+    events.emit(
+        events.PeerConnectionLost,
+        peer=node_id,
+        incarnation=incarnation,
+        outstanding=connection.outstanding_count,
+    )
+
+
 def _read_reply(frame: Frame) -> CallResult:
     reply = wire.Reply.decode(frame.header)
     if reply.body_length != len(frame.payload):
--- a/src/celeryfield/internal/transport/server.py
+++ b/src/celeryfield/internal/transport/server.py
@@ -8,6 +8,7 @@
 import ssl
 from collections.abc import Awaitable, Callable
 
+from celeryfield.internal import events
 from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.schema import settings as settings_schema
@@ -160,6 +161,12 @@
                 return
             # Calls stuck in the older connection must not start once the
             # peer has given them up.
+            events.emit(
+                events.PeerConnectionReplaced,
+                peer=hello.node_id,
+                incarnation=hello.incarnation,
+                running=self.running_count,
+            )
             older.close()
         self._connections_by_peer[peer] = connection
         answer = wire.Hello(
--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -1,11 +1,13 @@
 """HTTP listener for callers and for calls of the local upstream."""
 
+import dataclasses
 import logging
 
 from aiohttp import web
 from mode import Service
 from multidict import CIMultiDict
 
+from celeryfield.internal import events
 from celeryfield.internal.bodies import read_bounded
 from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
 from celeryfield.internal.clock import Clock
@@ -20,6 +22,19 @@
 RETRY_AFTER_S = 0.5
 
 
+@dataclasses.dataclass(slots=True, frozen=True, eq=False)
+class _RunningRequest:
+    """A request that was read and is not answered yet.
+
+    Attributes:
+        request_id: Id that the caller gave it.
+        read_ms: When it was read.
+    """
+
+    request_id: str
+    read_ms: float
+
+
 class CallerListener(Service):
     """Serves callers.
 
@@ -33,13 +48,33 @@
         self, settings: PlatformSettings, clock: Clock, entry: RouteEntry
     ) -> None:
         super().__init__()
-        self.in_flight = 0
+        self._running: set[_RunningRequest] = set()
         self._settings = settings
         self._clock = clock
         self._entry = entry
         self._limits = CallerLimits()
         self._runner: web.ServerRunner | None = None
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that were read and are not answered yet."""
+        return len(self._running)
+
+    def emit_abandoned(self, leaving_since_ms: float) -> None:
+        """Notes each request that the end of the process cuts.
+
+        Args:
+            leaving_since_ms: When the process was asked to end.
+        """
+        now_ms = self._clock.now_ms()
+        for running in self._running:
+            events.emit(
+                events.RequestAbandoned,
+                request=running.request_id,
+                age_ms=now_ms - running.read_ms,
+                leaving_ms=running.read_ms - leaving_since_ms,
+            )
+
     async def on_start(self) -> None:
         """Opens the listener."""
         limits = self._limits
@@ -81,14 +116,15 @@
             return self._answer(not_run(Reason.NO_ROUTE, status))
         routed = self._translate(request)
         entered = self._entry.accept(route, routed, body)
-        self.in_flight += 1
+        running = _RunningRequest(routed.request_id, self._clock.now_ms())
+        self._running.add(running)
         try:
             result = await self._entry.run(entered, body)
         except Exception:
             logger.exception("call failed", extra={"id": routed.request_id})
             result = CallResult(Outcome.UNKNOWN, Reason.INTERNAL, 502)
         finally:
-            self.in_flight -= 1
+            self._running.discard(running)
         return self._answer(result, routed.request_id)
 
     def _translate(self, request: web.BaseRequest) -> RoutedRequest:
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -232,6 +232,7 @@
         self.admission.drain()
         while self._is_busy and self.clock.now_ms() < latest_ms:
             await self.clock.sleep_ms(IDLE_CHECK_MS)
+        self.callers.emit_abandoned(started_ms)
         events.emit(
             events.NodeStopped,
             in_flight=self.callers.in_flight + self.peer_server.running_count,
