--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 import pathlib
 
 import hypothesis
+import pytest
 from hypothesis.internal.conjecture import providers
 
 hypothesis.settings.register_profile(
@@ -17,8 +18,25 @@
 providers._get_local_constants = providers.Constants
 
 # Node processes that tests start run the code under test.
-_SOURCE = pathlib.Path(__file__).resolve().parent.parent / "src"
-os.environ["PYTHONPATH"] = str(_SOURCE)
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+os.environ["PYTHONPATH"] = str(_ROOT / "src")
+
+# Tests that fail for a fault that is still open; each is named on a line of
+# its own that begins with this mark.
+_KNOWN_RED = _ROOT / "KNOWN-RED.txt"
+_TEST_MARK = "test: "
+
+
+def known_red_tests():
+    """Returns the ids of the tests whose failures are known."""
+    if not _KNOWN_RED.exists():
+        return []
+    lines = _KNOWN_RED.read_text().splitlines()
+    return [
+        line.removeprefix(_TEST_MARK).strip()
+        for line in lines
+        if line.startswith(_TEST_MARK)
+    ]
 
 
 def pytest_addoption(parser):
@@ -30,9 +48,25 @@
 
 
 def pytest_collection_modifyitems(config, items):
-    """Leaves out the long runs, whose seeds are new each time."""
+    """Marks known failures; leaves out runs whose seeds are new each time."""
+    known = known_red_tests()
+    for item in items:
+        if item.nodeid in known:
+            item.add_marker(
+                pytest.mark.xfail(reason="KNOWN-RED.txt", strict=False)
+            )
     if config.getoption("--soak"):
         return
     long_runs = [item for item in items if item.get_closest_marker("soak")]
     config.hook.pytest_deselected(items=long_runs)
     items[:] = [item for item in items if item not in long_runs]
+
+
+def pytest_terminal_summary(terminalreporter):
+    """Prints the known failures, which do not fail the run."""
+    known = known_red_tests()
+    if not known:
+        return
+    terminalreporter.section("known failures (KNOWN-RED.txt)")
+    for nodeid in known:
+        terminalreporter.line(nodeid)
--- a/tests/cover/test_platform_node.py
+++ b/tests/cover/test_platform_node.py
@@ -1,19 +1,15 @@
 """Nodes on the platform, with stand-ins of the store and the upstreams."""
 
 import asyncio
-import contextlib
 import dataclasses
 import json
 import socket
 
-import aiohttp
+from platform_fleet import fleet_of
 from platform_standins import (
     HOST,
-    StoreStandin,
     UpstreamStandin,
     config_spec,
-    running_node,
-    served,
     settings_text,
     until,
 )
@@ -27,87 +23,6 @@
 from celeryfield.platform.settings import Seed
 
 
-class Fleet:
-    """A store and nodes with their upstreams."""
-
-    def __init__(self, stack, client):
-        self.stack = stack
-        self.client = client
-        self.store = StoreStandin()
-        self.nodes = []
-        self.upstreams = []
-
-    async def add_node(self, **fields):
-        number = len(self.nodes) + 1
-        upstream = UpstreamStandin(f"i-{number}", **fields)
-        await self.stack.enter_async_context(served(upstream))
-        node = await self.stack.enter_async_context(
-            running_node(number, self.store, upstream)
-        )
-        self.nodes.append(node)
-        self.upstreams.append(upstream)
-        return node, upstream
-
-    async def configure(self, **fields):
-        self.store.put("config", "main", config_spec(**fields))
-        await self.store.wake()
-
-    async def report(self, node, upstream, **fields):
-        url = f"http://{HOST}:{node.settings.reports.port}"
-        path = f"{url}/instances/{upstream.id}"
-        async with self.client.put(
-            path, json=upstream.report(**fields)
-        ) as answer:
-            return answer.status
-
-    async def leave(self, node, upstream):
-        url = f"http://{HOST}:{node.settings.reports.port}"
-        async with self.client.delete(
-            f"{url}/instances/{upstream.id}"
-        ) as answer:
-            return answer.status
-
-    async def ready_status(self, node):
-        url = f"http://{HOST}:{node.settings.ready.port}/ready"
-        async with self.client.get(url) as answer:
-            return answer.status
-
-    async def request(self, node, path="/stock/7", **fields):
-        url = f"http://{HOST}:{node.settings.callers.port}{path}"
-        headers = {
-            "Host": "shop.example",
-            "X-Attempt-Id": "a1",
-            "X-Deadline-Ms": "2000",
-        }
-        headers |= fields.pop("headers", {})
-        async with self.client.request(
-            fields.pop("method", "GET"), url, headers=headers, **fields
-        ) as answer:
-            return answer.status, answer.headers, await answer.read()
-
-
-@contextlib.asynccontextmanager
-async def fleet_of(count, configured=True, **route_fields):
-    """Runs nodes whose upstreams have reported and that know each other."""
-    async with contextlib.AsyncExitStack() as stack:
-        client = await stack.enter_async_context(aiohttp.ClientSession())
-        fleet = Fleet(stack, client)
-        await stack.enter_async_context(served(fleet.store))
-        if configured:
-            await fleet.configure(**route_fields)
-        for _ in range(count):
-            node, upstream = await fleet.add_node()
-            assert await fleet.report(node, upstream) == 200
-        if configured:
-            await until(lambda: all(knows(node, count) for node in fleet.nodes))
-        yield fleet
-
-
-def knows(node, count):
-    found = node.catalog.candidates_by_service.get("stock", [])
-    return node.routes.current is not None and len(found) == count
-
-
 async def test_node_without_configuration_refuses_and_is_not_ready():
     """Guards against 404 for what the operator allows."""
     async with fleet_of(1, configured=False) as fleet:
--- a/tests/cover/test_transport.py
+++ b/tests/cover/test_transport.py
@@ -387,3 +387,33 @@
     gc.collect()
     pool.close()
     assert problems == []
+
+
+async def call_beside(pool, candidate, other):
+    """Returns how a call ends while ``other`` is used for the same node."""
+    call = asyncio.ensure_future(pool.send(candidate, make_call("c1"), b""))
+    await asyncio.sleep(0.05)
+    await pool.reach(other)
+    return await call
+
+
+async def slow_handler(_call, _body, state):
+    state.started = True
+    await asyncio.sleep(0.3)
+    return CallResult(Outcome.OK, Reason.NONE, 200, started=True)
+
+
+async def test_new_record_of_a_connected_node_cuts_no_calls():
+    """Guards against calls lost when the record of a restart comes late."""
+    async with serving(slow_handler) as (pool, candidate):
+        stale = dataclasses.replace(candidate, incarnation=INCARNATION - 1)
+        result = await call_beside(pool, stale, candidate)
+        assert result.outcome is Outcome.OK
+
+
+async def test_neighbour_asked_without_its_id_keeps_the_calls_in_flight():
+    """Guards against calls lost when a seed turns out to be a known node."""
+    async with serving(slow_handler) as (pool, candidate):
+        seed = Candidate("", 0, candidate.address, candidate.port, "", "")
+        result = await call_beside(pool, candidate, seed)
+        assert result.outcome is Outcome.OK
