Open one connection to each place, whatever record led there

Cause: the pool kept connections by the node id and incarnation of the record. A node that restarted while the store was away was called under its old record; when the new record came, the pool opened a second connection to the same process, and the receiver, which accepts one connection of each peer, ended the first one with its calls. An unnamed seed of a known node did the same.

Ruled out: a fault of the server or the network; sidecar-sohar-4 logs its own cancel of both runs, and sidecar-shinas-3 got the new record 19 ms before.

Change: connections are kept by address and port, and the greeting tells which process is behind them. Only a record that is newer than anything known of that process opens a new connection, once, since it proves that the process ended. retain() compares incarnations in the same way, so that a greeting ahead of gossip does not cost the connection in the product's own mesh either.

Class of fault: identity taken from a copy of the state instead of from the other end itself.

--- a/src/celeryfield/internal/transport/pool.py
+++ b/src/celeryfield/internal/transport/pool.py
@@ -1,6 +1,15 @@
-"""Outgoing connections to other nodes, one per node incarnation."""
+"""Outgoing connections to other nodes, one per place.
+
+A node accepts one connection of each peer: a newer one ends the older one with
+its calls, so that a call which its sender has given up can never start. So
+this end must not open a second connection to a process that it is connected
+to. The record by which a node was found does not tell the process apart: after
+a restart the record may come late, and a seed names no node at all. What tells
+it apart is the greeting, and one address leads to one process at a time.
+"""
 
 import asyncio
+import dataclasses
 import logging
 import ssl
 
@@ -39,6 +48,24 @@
 DEADLINE_GRACE_MS = 100.0
 
 
+Place = tuple[str, int]
+"""Address and TCP port of a node."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Link:
+    """An open connection and what is known of the process behind it.
+
+    Attributes:
+        connection: The connection.
+        known_incarnation: Newest incarnation of the node for which this
+            connection was found to lead to the running process.
+    """
+
+    connection: PeerConnection
+    known_incarnation: int
+
+
 class PeerPool:
     """Sends messages to other nodes.
 
@@ -62,10 +89,8 @@
         self._hello = hello
         self._ssl_context = ssl_context
         self._lost_ms_by_id: dict[str, float] = {}
-        self._connections_by_peer: dict[tuple[str, int], PeerConnection] = {}
-        self._opening_by_peer: dict[
-            tuple[str, int], asyncio.Task[PeerConnection]
-        ] = {}
+        self._links_by_place: dict[Place, _Link] = {}
+        self._opening_by_place: dict[Place, asyncio.Task[_Link]] = {}
         self._connection_number = 0
         self._background: set[asyncio.Task[None]] = set()
         self._checker: asyncio.Task[None] | None = None
@@ -125,10 +150,17 @@
             ) from error
 
     def retain(self, peers: set[tuple[str, int]]) -> None:
-        """Closes connections to node incarnations that are gone."""
-        for peer in list(self._connections_by_peer):
-            if peer not in peers:
-                self._connections_by_peer[peer].close()
+        """Closes connections to nodes that are gone or have restarted.
+
+        Args:
+            peers: Ids and incarnations of the nodes that are there. The
+                greeting may have told of a newer incarnation already.
+        """
+        incarnations_by_id = dict(peers)
+        for link in list(self._links_by_place.values()):
+            incarnation = incarnations_by_id.get(link.connection.peer_id)
+            if incarnation is None or link.known_incarnation < incarnation:
+                link.connection.close()
 
     def close(self) -> None:
         """Closes all connections."""
@@ -181,30 +213,55 @@
         task.add_done_callback(self._background.discard)
 
     async def _connect(self, candidate: Candidate) -> PeerConnection:
-        peer = candidate.peer
-        connection = self._connections_by_peer.get(peer)
-        if connection is not None and not connection.is_closed:
-            return connection
-        opening = self._opening_by_peer.get(peer)
+        """Returns a connection to the process of a candidate.
+
+        Raises:
+            UnreachableError: There is none, or another node answers there.
+        """
+        place = (candidate.address, candidate.port)
+        link = self._links_by_place.get(place)
+        if link is None or self._is_outdated(link, candidate):
+            link = await self._opened(candidate, place)
+        # A seed names no node, so any node will do.
+        is_named = bool(candidate.node_id)
+        if is_named and link.connection.peer_id != candidate.node_id:
+            raise UnreachableError(
+                f"node {link.connection.peer_id} answers in place of "
+                f"{candidate.node_id}"
+            )
+        return link.connection
+
+    def _is_outdated(self, link: _Link, candidate: Candidate) -> bool:
+        """Returns whether the process behind a connection has ended.
+
+        A record of another node at the same place, or of a newer process,
+        than the one that greeted this node proves it.
+        """
+        if link.connection.is_closed:
+            return True
+        if not candidate.node_id:
+            return False
+        return link.known_incarnation < candidate.incarnation
+
+    async def _opened(self, candidate: Candidate, place: Place) -> _Link:
+        opening = self._opening_by_place.get(place)
         if opening is None:
-            opening = asyncio.ensure_future(self._open(candidate))
-            self._opening_by_peer[peer] = opening
+            opening = asyncio.ensure_future(self._open(candidate, place))
+            self._opening_by_place[place] = opening
             opening.add_done_callback(
-                lambda task: self._end_opening(peer, task)
+                lambda task: self._end_opening(place, task)
             )
         return await asyncio.shield(opening)
 
-    def _end_opening(
-        self, peer: tuple[str, int], task: asyncio.Task[PeerConnection]
-    ) -> None:
-        self._opening_by_peer.pop(peer, None)
+    def _end_opening(self, place: Place, task: asyncio.Task[_Link]) -> None:
+        self._opening_by_place.pop(place, None)
         if not task.cancelled():
             # If all callers have given up, nobody else retrieves the error.
             task.exception()
 
-    async def _open(self, candidate: Candidate) -> PeerConnection:
-        peer = candidate.peer
+    async def _open(self, candidate: Candidate, place: Place) -> _Link:
         self._connection_number += 1
+        previous = self._links_by_place.get(place)
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 connection = await self._handshake(
@@ -215,11 +272,15 @@
             raise UnreachableError(
                 f"cannot reach node {candidate.node_id}: {error}"
             ) from error
-        self._connections_by_peer[peer] = connection
+        _, incarnation = connection.peer
+        link = _Link(connection, max(incarnation, candidate.incarnation))
+        self._links_by_place[place] = link
+        if previous is not None:
+            previous.connection.close()
         self._note_regained(candidate.node_id)
         if self._checker is None or self._checker.done():
             self._checker = asyncio.ensure_future(self._check_connections())
-        return connection
+        return link
 
     def _note_lost(self, node_id: str, error: Exception) -> None:
         if node_id in self._lost_ms_by_id:
@@ -248,7 +309,8 @@
         while True:
             await self._clock.sleep_ms(interval_ms)
             now_ms = self._clock.now_ms()
-            for connection in list(self._connections_by_peer.values()):
+            for link in list(self._links_by_place.values()):
+                connection = link.connection
                 if connection.outstanding_count:
                     connection.check_progress(now_ms)
                 elif now_ms - connection.last_used_ms > IDLE_CLOSE_MS:
@@ -265,9 +327,10 @@
                 greeting.set_result(wire.Hello.decode(frame.header))
 
         def forget(connection: PeerConnection) -> None:
-            peer = candidate.peer
-            if self._connections_by_peer.get(peer) is connection:
-                del self._connections_by_peer[peer]
+            place = (candidate.address, candidate.port)
+            link = self._links_by_place.get(place)
+            if link is not None and link.connection is connection:
+                del self._links_by_place[place]
             _emit_lost(connection)
             if not greeting.done():
                 greeting.set_exception(ConnectionLostError("no greeting"))
@@ -291,11 +354,6 @@
         )
         connection.send_hello(hello)
         connection.hello = await greeting
-        # A restarted node answers here before its new record is known.
-        is_named = bool(candidate.node_id)
-        if is_named and connection.peer_id != candidate.node_id:
-            connection.close()
-            raise UnreachableError("another node answered")
         return connection
 
 
