Refuse new requests of callers at the end of the notice of a stop

Cause: drain() closed the door of the peers, but not the one of the callers. Callers keep coming to a node that is not ready while fewer than half of the nodes of their availability zone are, so work never ceased, the drain lasted until the grace period ended, and the listener then waited up to a minute for what it had taken last, past SIGKILL. The product's own frontend refuses chains that begin while it drains; the listener of the platform did not.

Change: from SIGTERM on answers ask callers to close their connections. After the notice, requests that begin a chain get a truthful 503 with Retry-After; sub-calls of running calls are served until a second before the end. A request that still runs at the end gets its final 502 then, rather than a closed connection. The notice takes half of a short grace period at most.

Class of fault: a stop that waits for idleness without closing every way in.

--- a/src/celeryfield/internal/routes/entry.py
+++ b/src/celeryfield/internal/routes/entry.py
@@ -6,7 +6,7 @@
 import xxhash
 
 from celeryfield.internal import events
-from celeryfield.internal.calls import CallResult, Outcome, Reason
+from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.metrics import Metrics
 from celeryfield.internal.routes.manager import RouteManager
@@ -144,16 +144,39 @@
         )
         try:
             result = await self._executor.execute(entered.call, body)
-            if entered.chain is not None:
-                self._chains.end_sub_call(entered.chain, entered.call, result)
+            self._settle(entered, result)
             self._plan_return(entered.call, result, started_ms)
         finally:
-            took_ms = self._clock.now_ms() - started_ms
-            self._emit_end(entered, result, took_ms)
-            if self._metrics is not None:
-                self._metrics.finished(entered.call, result, took_ms)
+            self._finish(entered, result, self._clock.now_ms() - started_ms)
+        return result
+
+    def refuse(
+        self, entered: EnteredCall, reason: Reason, retry_after_s: float
+    ) -> CallResult:
+        """Ends a call that is not to run at all.
+
+        Args:
+            entered: The call.
+            reason: Why it is refused.
+            retry_after_s: When the caller may return, in seconds.
+        """
+        result = not_run(reason, unused=entered.call.retry_allowance)
+        result.retry_after_s = retry_after_s
+        self._settle(entered, result)
+        self._finish(entered, result, took_ms=0.0)
         return result
 
+    def _settle(self, entered: EnteredCall, result: CallResult) -> None:
+        if entered.chain is not None:
+            self._chains.end_sub_call(entered.chain, entered.call, result)
+
+    def _finish(
+        self, entered: EnteredCall, result: CallResult, took_ms: float
+    ) -> None:
+        self._emit_end(entered, result, took_ms)
+        if self._metrics is not None:
+            self._metrics.finished(entered.call, result, took_ms)
+
     def _plan_return(
         self, call: wire.Call, result: CallResult, started_ms: float
     ) -> None:
--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -1,7 +1,9 @@
 """HTTP listener for callers and for calls of the local upstream."""
 
+import asyncio
 import dataclasses
 import logging
+import math
 
 from aiohttp import web
 from mode import Service
@@ -9,9 +11,19 @@
 
 from celeryfield.internal import events
 from celeryfield.internal.bodies import read_bounded
-from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
+from celeryfield.internal.calls import (
+    CallResult,
+    Outcome,
+    Reason,
+    not_run,
+    unknown,
+)
 from celeryfield.internal.clock import Clock
-from celeryfield.internal.routes.entry import RoutedRequest, RouteEntry
+from celeryfield.internal.routes.entry import (
+    EnteredCall,
+    RoutedRequest,
+    RouteEntry,
+)
 from celeryfield.internal.routes.table import CallerLimits
 from celeryfield.platform import headers
 from celeryfield.platform.settings import PlatformSettings
@@ -20,19 +32,30 @@
 
 # Told to callers that no route decided about.
 RETRY_AFTER_S = 0.5
+# Told to callers of a node that is about to end; it is back after about this.
+RESTART_S = 1.0
+# Sub-calls that come later than this before the end of the process would be
+# cut by it.
+SUB_CALL_MARGIN_MS = 1_000.0
+# Time to write the last answers after the listener has closed.
+SHUTDOWN_TIMEOUT_S = 0.2
 
 
-@dataclasses.dataclass(slots=True, frozen=True, eq=False)
+@dataclasses.dataclass(slots=True, eq=False)
 class _RunningRequest:
     """A request that was read and is not answered yet.
 
     Attributes:
         request_id: Id that the caller gave it.
         read_ms: When it was read.
+        task: The task that serves it.
+        is_abandoned: The process ends before the request does.
     """
 
     request_id: str
     read_ms: float
+    task: asyncio.Task[None]
+    is_abandoned: bool = False
 
 
 class CallerListener(Service):
@@ -49,6 +72,9 @@
     ) -> None:
         super().__init__()
         self._running: set[_RunningRequest] = set()
+        self._is_leaving = False
+        self._entry_closed_ms = math.inf
+        self._sub_calls_until_ms = math.inf
         self._settings = settings
         self._clock = clock
         self._entry = entry
@@ -60,8 +86,24 @@
         """Number of requests that were read and are not answered yet."""
         return len(self._running)
 
-    def emit_abandoned(self, leaving_since_ms: float) -> None:
-        """Notes each request that the end of the process cuts.
+    def leave(self) -> None:
+        """Asks callers to open no more requests on their connections."""
+        self._is_leaving = True
+
+    def close_entry(self, end_ms: float) -> None:
+        """Refuses requests from now on, except for sub-calls of running ones.
+
+        Callers may keep coming although the node is not ready, and work that
+        never ceases would be cut by the end of the process.
+
+        Args:
+            end_ms: When the process ends at the latest.
+        """
+        self._entry_closed_ms = self._clock.now_ms()
+        self._sub_calls_until_ms = end_ms - SUB_CALL_MARGIN_MS
+
+    def abandon(self, leaving_since_ms: float) -> None:
+        """Answers each request that the end of the process cuts.
 
         Args:
             leaving_since_ms: When the process was asked to end.
@@ -74,6 +116,8 @@
                 age_ms=now_ms - running.read_ms,
                 leaving_ms=running.read_ms - leaving_since_ms,
             )
+            running.is_abandoned = True
+            running.task.cancel()
 
     async def on_start(self) -> None:
         """Opens the listener."""
@@ -87,7 +131,9 @@
             max_field_size=limits.max_header_bytes,
             auto_decompress=False,
         )
-        self._runner = web.ServerRunner(server)
+        self._runner = web.ServerRunner(
+            server, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        )
         await self._runner.setup()
         listener = self._settings.callers
         site = web.TCPSite(
@@ -116,16 +162,37 @@
             return self._answer(not_run(Reason.NO_ROUTE, status))
         routed = self._translate(request)
         entered = self._entry.accept(route, routed, body)
-        running = _RunningRequest(routed.request_id, self._clock.now_ms())
+        if not self._admits(entered):
+            result = self._entry.refuse(entered, Reason.DRAINING, RESTART_S)
+        else:
+            result = await self._run(entered, routed.request_id, body)
+        return self._answer(result, routed.request_id)
+
+    def _admits(self, entered: EnteredCall) -> bool:
+        """Returns whether a request may still run before the process ends."""
+        closed_ms = self._entry_closed_ms
+        if entered.chain is not None:
+            closed_ms = self._sub_calls_until_ms
+        return self._clock.now_ms() < closed_ms
+
+    async def _run(
+        self, entered: EnteredCall, request_id: str, body: bytes
+    ) -> CallResult:
+        task = asyncio.current_task()
+        running = _RunningRequest(request_id, self._clock.now_ms(), task)
         self._running.add(running)
         try:
-            result = await self._entry.run(entered, body)
+            return await self._entry.run(entered, body)
+        except asyncio.CancelledError:
+            if not running.is_abandoned:
+                raise
+            task.uncancel()
+            return unknown(Reason.DRAINING, 502)
         except Exception:
-            logger.exception("call failed", extra={"id": routed.request_id})
-            result = CallResult(Outcome.UNKNOWN, Reason.INTERNAL, 502)
+            logger.exception("call failed", extra={"id": request_id})
+            return unknown(Reason.INTERNAL, 502)
         finally:
             self._running.discard(running)
-        return self._answer(result, routed.request_id)
 
     def _translate(self, request: web.BaseRequest) -> RoutedRequest:
         request_id = request.headers.get(headers.REQUEST_ID, "")
@@ -153,6 +220,9 @@
             answer_headers[headers.RETRY_AFTER] = f"{pause_s:.2f}"
         if request_id:
             answer_headers[headers.REQUEST_ID] = request_id
-        return web.Response(
+        response = web.Response(
             status=status, body=result.body, headers=answer_headers
         )
+        if self._is_leaving:
+            response.force_close()
+        return response
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -227,17 +227,20 @@
         started_ms = self.clock.now_ms()
         events.emit(events.NodeLeaving, in_flight=self.callers.in_flight)
         self.is_leaving = True
-        latest_ms = started_ms + self.settings.grace_ms - EXIT_MARGIN_MS
-        await self.clock.sleep_ms(LEAVE_NOTICE_MS)
+        self.callers.leave()
+        end_ms = started_ms + self.settings.grace_ms - EXIT_MARGIN_MS
+        notice_ms = min(LEAVE_NOTICE_MS, self.settings.grace_ms / 2)
+        await self.clock.sleep_ms(notice_ms)
+        self.callers.close_entry(end_ms)
         self.admission.drain()
-        while self._is_busy and self.clock.now_ms() < latest_ms:
+        while self._is_busy and self.clock.now_ms() < end_ms:
             await self.clock.sleep_ms(IDLE_CHECK_MS)
-        self.callers.emit_abandoned(started_ms)
         events.emit(
             events.NodeStopped,
             in_flight=self.callers.in_flight + self.peer_server.running_count,
             took_ms=self.clock.now_ms() - started_ms,
         )
+        self.callers.abandon(started_ms)
 
     @property
     def _is_busy(self) -> bool:
--- a/tests/cover/test_platform_drain.py
+++ b/tests/cover/test_platform_drain.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import logging
 
 from platform_fleet import fleet_of
+from platform_standins import until
 
 from celeryfield.platform import node as platform_node
 
@@ -65,3 +68,49 @@
         refused = [fields for status, fields, _ in answers if status == 503]
         assert all(float(fields["Retry-After"]) > 0 for fields in refused)
         assert all(fields["Connection"] == "close" for fields in refused)
+
+
+async def test_sub_calls_of_running_work_are_served_while_leaving(monkeypatch):
+    """Guards against work in flight that fails because its node leaves."""
+    monkeypatch.setattr(platform_node, "LEAVE_NOTICE_MS", NOTICE_MS)
+    patience = {"X-Deadline-Ms": "20000"}
+    async with fleet_of(4, timeoutMs=20_000) as fleet:
+        node, own = fleet.nodes[0], fleet.upstreams[0]
+        for upstream in fleet.upstreams:
+            upstream.delay_s = 3.0
+        async with running(keep_reporting(fleet)):
+            parents = [
+                asyncio.ensure_future(
+                    fleet.request(
+                        node, headers=patience | {"X-Attempt-Id": f"p{number}"}
+                    )
+                )
+                for number in range(4)
+            ]
+            await until(lambda: own.received)
+            drained = asyncio.ensure_future(node.drain())
+            await asyncio.sleep(2 * NOTICE_MS / 1000)
+            for upstream in fleet.upstreams[1:]:
+                upstream.delay_s = 0.0
+            parent_id = own.received[0].headers["X-Attempt-Id"]
+            sub_call = {"X-Attempt-Id": f"{parent_id}.c"}
+            assert (await fleet.request(node, headers=sub_call))[0] == 200
+            assert (await fleet.request(node))[0] == 503
+            await drained
+        for parent in parents:
+            assert (await parent)[0] == 200
+
+
+async def test_request_beyond_the_grace_period_gets_a_final_answer(caplog):
+    """Guards against connections that end without an answer."""
+    caplog.set_level(logging.INFO)
+    async with fleet_of(1, timeoutMs=20_000) as fleet:
+        (node,) = fleet.nodes
+        node.settings = dataclasses.replace(node.settings, grace_ms=1_000.0)
+        fleet.upstreams[0].delay_s = 10.0
+        headers = {"X-Deadline-Ms": "20000"}
+        request = asyncio.ensure_future(fleet.request(node, headers=headers))
+        await until(lambda: node.callers.in_flight == 1)
+        await node.drain()
+        assert (await request)[0] == 502
+    assert "request abandoned" in caplog.messages
