Show that a stop cuts answers that callers read slowly

A request leaves in_flight when its run ends, not when its answer is sent. The node then ends while up to the whole answer waits in the write buffer.

--- a/tests/cover/platform_standins.py
+++ b/tests/cover/platform_standins.py
@@ -170,6 +170,7 @@
 
     Attributes:
         status: Status of the answers.
+        body: Body of the answers.
         refuses: Answers say that the request did not run.
         is_signed: Answers carry the upstream's signature.
         delay_s: Time that a request takes.
@@ -183,6 +184,7 @@
         self.service = service
         self.port = free_port()
         self.status = 200
+        self.body = b"answer"
         self.refuses = False
         self.is_signed = True
         self.delay_s = 0.0
@@ -227,7 +229,7 @@
         if self.is_signed:
             answer_headers["X-Server-Signature"] = f"proof-{request_id}"
         return web.Response(
-            status=self.status, body=b"answer", headers=answer_headers
+            status=self.status, body=self.body, headers=answer_headers
         )
 
 
--- a/tests/cover/test_platform_drain.py
+++ b/tests/cover/test_platform_drain.py
@@ -6,7 +6,7 @@
 import logging
 
 from platform_fleet import fleet_of
-from platform_standins import until
+from platform_standins import HOST, until
 
 from celeryfield.platform import node as platform_node
 
@@ -114,3 +114,30 @@
         await node.drain()
         assert (await request)[0] == 502
     assert "request abandoned" in caplog.messages
+
+
+async def test_answer_that_a_caller_reads_slowly_is_complete(monkeypatch):
+    """Guards against a stop that cuts answers while they are written."""
+    monkeypatch.setattr(platform_node, "LEAVE_NOTICE_MS", NOTICE_MS)
+    body = b"x" * 8_000_000
+    async with fleet_of(1) as fleet:
+        node, own = fleet.nodes[0], fleet.upstreams[0]
+        own.body = body
+        reader, writer = await asyncio.open_connection(
+            HOST, node.settings.callers.port, limit=1_024
+        )
+        writer.write(
+            b"GET /stock/7 HTTP/1.1\r\nHost: shop.example\r\n"
+            b"X-Attempt-Id: a1\r\nX-Deadline-Ms: 2000\r\n\r\n"
+        )
+        await reader.readuntil(b"\r\n\r\n")
+
+        drained = asyncio.ensure_future(node.drain())
+        await asyncio.sleep(5 * NOTICE_MS / 1000)
+        was_early = drained.done()
+        received = await reader.readexactly(len(body))
+        writer.close()
+        await drained
+    # The process ends after the drain, and unsent bytes end with it.
+    assert not was_early
+    assert received == body
