--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -86,6 +86,20 @@
         """Number of requests that were read and are not answered yet."""
         return len(self._running)
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether any answer has not gone out in full.
+
+        Bytes that wait for a slow caller are lost when the process ends.
+        """
+        if self._runner is None or self._runner.server is None:
+            return False
+        return any(
+            connection.transport is not None
+            and connection.transport.get_write_buffer_size() > 0
+            for connection in self._runner.server.connections
+        )
+
     def leave(self) -> None:
         """Asks callers to open no more requests on their connections."""
         self._is_leaving = True
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -244,7 +244,11 @@
 
     @property
     def _is_busy(self) -> bool:
-        return bool(self.callers.in_flight or self.peer_server.running_count)
+        return bool(
+            self.callers.in_flight
+            or self.callers.is_sending
+            or self.peer_server.running_count
+        )
 
     def _on_config(self, listing: StoreListing) -> None:
         for found in listing.objects:
