Show that a stop cuts replies that peers read slowly

A call leaves running_count before its reply is sent, and stop() aborts the connection with what is in its buffer. The sender reports connection-lost for a call that has run.

--- a/tests/cover/test_transport.py
+++ b/tests/cover/test_transport.py
@@ -417,3 +417,30 @@
         seed = Candidate("", 0, candidate.address, candidate.port, "", "")
         result = await call_beside(pool, candidate, seed)
         assert result.outcome is Outcome.OK
+
+
+async def test_reply_that_a_peer_reads_slowly_is_work_in_flight():
+    """Guards against a stop that cuts replies while they are sent."""
+    size = 16_000_000
+
+    async def handle(call, body, state):
+        return CallResult(Outcome.OK, body=b"y" * size)
+
+    server = make_server(make_settings(), handle)
+    port = await server.start()
+    reader, writer = await asyncio.open_connection(
+        "127.0.0.1", port, limit=1_024
+    )
+    hello = wire.Hello(1, "client", 1).encode()
+    writer.write(frames.encode_frame(frames.Kind.HELLO, 0, hello))
+    call = make_call().encode()
+    writer.write(frames.encode_frame(frames.Kind.CALL, 1, call))
+    await asyncio.sleep(0.3)
+    assert server.running_count == 1
+    received = 0
+    while received < size:
+        received += len(await reader.read(65_536))
+    await asyncio.sleep(0.05)
+    assert server.running_count == 0
+    writer.close()
+    await server.stop()
