--- a/src/celeryfield/internal/transport/connection.py
+++ b/src/celeryfield/internal/transport/connection.py
@@ -128,6 +128,16 @@
         """Number of requests that wait for their answers."""
         return len(self._answers_by_stream)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether bytes wait for the other end to read."""
+        if self._transport is None or self.is_closed:
+            return False
+        return (
+            not self._writable.is_set()
+            or self._transport.get_write_buffer_size() > 0
+        )
+
     def check_progress(self, now_ms: float) -> None:
         """Closes the connection when it stays silent with work outstanding.
 
--- a/src/celeryfield/internal/transport/server.py
+++ b/src/celeryfield/internal/transport/server.py
@@ -117,8 +117,13 @@
 
     @property
     def running_count(self) -> int:
-        """Number of calls being served."""
-        return len(self._running_by_call)
+        """Number of calls being served, plus peers whose replies are unsent.
+
+        Stopping the server drops unsent bytes, and with them the answer of a
+        call that has run.
+        """
+        unsent = sum(connection.has_unsent for connection in self._connections)
+        return len(self._running_by_call) + unsent
 
     def _accept(self) -> PeerConnection:
         connection = PeerConnection(
