Show that a waiting status report keeps a drained node alive

A leave that waits for the store holds the report listener for the default of 60 s at its close; the node has drained and is killed at the end of the grace period. Listeners close in reverse order of their start, so the listener of callers stays open meanwhile. The test fails: stop() takes over 2 s.

--- a/tests/cover/test_platform_drain.py
+++ b/tests/cover/test_platform_drain.py
@@ -141,3 +141,21 @@
     # The process ends after the drain, and unsent bytes end with it.
     assert not was_early
     assert received == body
+
+
+async def test_report_that_waits_for_the_store_does_not_hold_up_the_end(
+    monkeypatch,
+):
+    """Guards against a process that has to be killed after it has drained."""
+    monkeypatch.setattr(platform_node, "LEAVE_NOTICE_MS", NOTICE_MS)
+    async with fleet_of(1) as fleet:
+        node, own = fleet.nodes[0], fleet.upstreams[0]
+        fleet.store.refusal = 503
+        leaving = asyncio.ensure_future(fleet.leave(node, own))
+        await until(lambda: node.tracker.state != "ready")
+        await node.drain()
+        stopping = asyncio.ensure_future(node.stop())
+        done, _ = await asyncio.wait([stopping], timeout=2.0)
+        fleet.store.refusal = 0
+        await asyncio.gather(leaving, stopping, return_exceptions=True)
+    assert done
