--- a/src/celeryfield/platform/listeners.py
+++ b/src/celeryfield/platform/listeners.py
@@ -7,6 +7,10 @@
 
 from celeryfield.platform.settings import Listener
 
+# A status report may wait for the store for as long as it is away; without an
+# acknowledgement its sender asks the next node.
+SHUTDOWN_TIMEOUT_S = 0.1
+
 Handle = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -21,7 +25,10 @@
     def __init__(self, listener: Listener, handle: Handle) -> None:
         super().__init__()
         self._listener = listener
-        self._runner = web.ServerRunner(web.Server(handle, access_log=None))
+        self._runner = web.ServerRunner(
+            web.Server(handle, access_log=None),
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
 
     async def on_start(self) -> None:
         """Opens the listener."""
