Show that an old record of a reused address cuts calls

Incarnations are wall clocks of different machines, so that of a node that is gone may be above that of the node which has its address now.

--- a/tests/cover/test_transport.py
+++ b/tests/cover/test_transport.py
@@ -444,3 +444,13 @@
     assert server.running_count == 0
     writer.close()
     await server.stop()
+
+
+async def test_old_record_of_a_reused_address_cuts_no_calls():
+    """Guards against clocks of two machines that are compared as one."""
+    async with serving(slow_handler) as (pool, candidate):
+        gone = dataclasses.replace(
+            candidate, node_id="gone", incarnation=INCARNATION + 1
+        )
+        result = await call_beside(pool, candidate, gone)
+        assert result.outcome is Outcome.OK
