Show that a half-open connection bars a reused address

After a power loss, a successor of another node id whose clock is behind is unreachable: nothing is sent on the idle connection, so it is closed only after IDLE_CLOSE_MS, two minutes. The test fails: reach() returns False.

--- a/tests/cover/test_transport.py
+++ b/tests/cover/test_transport.py
@@ -454,3 +454,25 @@
         )
         result = await call_beside(pool, candidate, gone)
         assert result.outcome is Outcome.OK
+
+
+async def test_node_at_a_reused_address_is_reached_despite_a_late_clock():
+    """Guards against a half-open connection that bars an address."""
+    async with serving(slow_handler) as (pool, candidate):
+        relay = SilentRelay(candidate.port)
+        port = await relay.start()
+        old = dataclasses.replace(candidate, port=port)
+        assert await pool.reach(old)
+        # The old machine loses power: its connection stays open and silent.
+        relay.is_holding = True
+        settings = make_settings()
+        hello = wire.Hello(1, "successor", INCARNATION - 1)
+        successor = PeerServer(settings, Clock(), hello, slow_handler, {})
+        relay.target_port = await successor.start()
+        new = dataclasses.replace(
+            old, node_id="successor", incarnation=INCARNATION - 1
+        )
+        is_reached = await pool.reach(new)
+        await relay.stop()
+        await successor.stop()
+    assert is_reached
