Compare incarnations of one node only

A record of another node at the same address replaces a connection only while no call waits on it, and calls wait for a replacement that is under way.

--- a/src/celeryfield/internal/transport/pool.py
+++ b/src/celeryfield/internal/transport/pool.py
@@ -220,7 +220,10 @@
         """
         place = (candidate.address, candidate.port)
         link = self._links_by_place.get(place)
-        if link is None or self._is_outdated(link, candidate):
+        # A connection that is being replaced takes no more calls: the other
+        # end drops it at the greeting.
+        is_opening = place in self._opening_by_place
+        if link is None or is_opening or self._is_outdated(link, candidate):
             link = await self._opened(candidate, place)
         # A seed names no node, so any node will do.
         is_named = bool(candidate.node_id)
@@ -234,13 +237,18 @@
     def _is_outdated(self, link: _Link, candidate: Candidate) -> bool:
         """Returns whether the process behind a connection has ended.
 
-        A record of another node at the same place, or of a newer process,
-        than the one that greeted this node proves it.
+        A record of a newer process than the one that greeted this node proves
+        it. A record of another node at the same place proves nothing: either
+        may be the older one, and incarnations of two nodes come from two
+        clocks. Then only a connection without calls may be replaced; one with
+        calls is closed by ``check_progress`` if its process has ended.
         """
         if link.connection.is_closed:
             return True
         if not candidate.node_id:
             return False
+        if link.connection.peer_id != candidate.node_id:
+            return link.connection.outstanding_count == 0
         return link.known_incarnation < candidate.incarnation
 
     async def _opened(self, candidate: Candidate, place: Place) -> _Link:
@@ -272,8 +280,10 @@
             raise UnreachableError(
                 f"cannot reach node {candidate.node_id}: {error}"
             ) from error
-        _, incarnation = connection.peer
-        link = _Link(connection, max(incarnation, candidate.incarnation))
+        node_id, incarnation = connection.peer
+        if node_id == candidate.node_id:
+            incarnation = max(incarnation, candidate.incarnation)
+        link = _Link(connection, incarnation)
         self._links_by_place[place] = link
         if previous is not None:
             previous.connection.close()
