--- a/tests/cover/test_transport.py
+++ b/tests/cover/test_transport.py
@@ -476,3 +476,15 @@
         await relay.stop()
         await successor.stop()
     assert is_reached
+
+
+async def test_call_that_begins_while_a_connection_is_replaced_ends():
+    """Guards against calls sent on a connection that is about to be cut."""
+    async with serving(slow_handler) as (pool, candidate):
+        assert await pool.reach(candidate)
+        newer = dataclasses.replace(candidate, incarnation=INCARNATION + 1)
+        opening = asyncio.ensure_future(pool.reach(newer))
+        await asyncio.sleep(0)
+        result = await pool.send(candidate, make_call("c1"), b"")
+        assert await opening
+    assert result.outcome is Outcome.OK
