--- a/src/celeryfield/platform/listeners.py
+++ b/src/celeryfield/platform/listeners.py
@@ -9,7 +9,7 @@
 
 # A status report may wait for the store for as long as it is away; without an
 # acknowledgement its sender asks the next node.
-SHUTDOWN_TIMEOUT_S = 0.1
+SHUTDOWN_TIMEOUT_S = 0.05
 
 Handle = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
