Show that a raised incarnation cuts the calls of a running process

Membership raises the incarnation of a running node when others remember a higher one. retain() takes that for a restart.

--- a/tests/cover/test_transport.py
+++ b/tests/cover/test_transport.py
@@ -488,3 +488,16 @@
         result = await pool.send(candidate, make_call("c1"), b"")
         assert await opening
     assert result.outcome is Outcome.OK
+
+
+async def test_raised_incarnation_of_a_running_process_cuts_no_calls():
+    """Guards against a raised incarnation that is taken for a restart.
+
+    A member that starts with a clock behind the one of its earlier process
+    raises its incarnation above the one that others remember.
+    """
+    async with serving(slow_handler) as (pool, candidate):
+        call = asyncio.ensure_future(pool.send(candidate, make_call(), b""))
+        await asyncio.sleep(0.05)
+        pool.retain({("server", INCARNATION + 1)})
+        assert (await call).outcome is Outcome.OK
