--- a/tests/cover/test_transport.py
+++ b/tests/cover/test_transport.py
@@ -417,3 +417,87 @@
         seed = Candidate("", 0, candidate.address, candidate.port, "", "")
         result = await call_beside(pool, candidate, seed)
         assert result.outcome is Outcome.OK
+
+
+async def test_reply_that_a_peer_reads_slowly_is_work_in_flight():
+    """Guards against a stop that cuts replies while they are sent."""
+    size = 16_000_000
+
+    async def handle(call, body, state):
+        return CallResult(Outcome.OK, body=b"y" * size)
+
+    server = make_server(make_settings(), handle)
+    port = await server.start()
+    reader, writer = await asyncio.open_connection(
+        "127.0.0.1", port, limit=1_024
+    )
+    hello = wire.Hello(1, "client", 1).encode()
+    writer.write(frames.encode_frame(frames.Kind.HELLO, 0, hello))
+    call = make_call().encode()
+    writer.write(frames.encode_frame(frames.Kind.CALL, 1, call))
+    await asyncio.sleep(0.3)
+    assert server.running_count == 1
+    received = 0
+    while received < size:
+        received += len(await reader.read(65_536))
+    await asyncio.sleep(0.05)
+    assert server.running_count == 0
+    writer.close()
+    await server.stop()
+
+
+async def test_old_record_of_a_reused_address_cuts_no_calls():
+    """Guards against clocks of two machines that are compared as one."""
+    async with serving(slow_handler) as (pool, candidate):
+        gone = dataclasses.replace(
+            candidate, node_id="gone", incarnation=INCARNATION + 1
+        )
+        result = await call_beside(pool, candidate, gone)
+        assert result.outcome is Outcome.OK
+
+
+async def test_node_at_a_reused_address_is_reached_despite_a_late_clock():
+    """Guards against a half-open connection that bars an address."""
+    async with serving(slow_handler) as (pool, candidate):
+        relay = SilentRelay(candidate.port)
+        port = await relay.start()
+        old = dataclasses.replace(candidate, port=port)
+        assert await pool.reach(old)
+        # The old machine loses power: its connection stays open and silent.
+        relay.is_holding = True
+        settings = make_settings()
+        hello = wire.Hello(1, "successor", INCARNATION - 1)
+        successor = PeerServer(settings, Clock(), hello, slow_handler, {})
+        relay.target_port = await successor.start()
+        new = dataclasses.replace(
+            old, node_id="successor", incarnation=INCARNATION - 1
+        )
+        is_reached = await pool.reach(new)
+        await relay.stop()
+        await successor.stop()
+    assert is_reached
+
+
+async def test_call_that_begins_while_a_connection_is_replaced_ends():
+    """Guards against calls sent on a connection that is about to be cut."""
+    async with serving(slow_handler) as (pool, candidate):
+        assert await pool.reach(candidate)
+        newer = dataclasses.replace(candidate, incarnation=INCARNATION + 1)
+        opening = asyncio.ensure_future(pool.reach(newer))
+        await asyncio.sleep(0)
+        result = await pool.send(candidate, make_call("c1"), b"")
+        assert await opening
+    assert result.outcome is Outcome.OK
+
+
+async def test_raised_incarnation_of_a_running_process_cuts_no_calls():
+    """Guards against a raised incarnation that is taken for a restart.
+
+    A member that starts with a clock behind the one of its earlier process
+    raises its incarnation above the one that others remember.
+    """
+    async with serving(slow_handler) as (pool, candidate):
+        call = asyncio.ensure_future(pool.send(candidate, make_call(), b""))
+        await asyncio.sleep(0.05)
+        pool.retain({("server", INCARNATION + 1)})
+        assert (await call).outcome is Outcome.OK
