Ask the process itself before a connection is given up

Cause: a record with a newer incarnation, or of another node at the same place, was taken for proof that the process behind a connection has ended. It is none: a running member raises its incarnation when its clock steps back, the record may be the older one, and a reused address compares two clocks.

Change: such a record only raises doubt. The pool pings the other end on the connection that is open; if it answers, the connection stays and calls in flight go on, else a new one is opened. retain() does the same in the background.

The other tests of the pool pass without the rule that spared only connections with calls, which is removed.

--- a/src/celeryfield/internal/transport/connection.py
+++ b/src/celeryfield/internal/transport/connection.py
@@ -156,6 +156,15 @@
             self._ping_sent_ms = now_ms
             self.send_frame(Kind.PING, 0, b"")
 
+    async def is_answering(self, timeout_ms: float) -> bool:
+        """Returns whether the process at the other end answers a ping."""
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                await self.request(Kind.PING, b"", b"")
+        except (ConnectionLostError, TimeoutError):
+            return False
+        return True
+
     async def request(self, kind: Kind, header: bytes, body: bytes) -> Frame:
         """Sends a request and waits for its answer.
 
@@ -231,7 +240,7 @@
         elif frame.kind is Kind.PING:
             self.send_frame(Kind.PONG, frame.stream_id, b"")
         elif frame.kind is Kind.PONG:
-            return
+            self._answer(frame)
         elif len(frame.payload) == frames.MAX_PAYLOAD_BYTES:
             key = (frame.stream_id, frame.kind in frames.ANSWERS)
             self._assemblies_by_key[key] = _Assembly(frame)
@@ -254,9 +263,12 @@
         self._deliver(assembly.frame)
 
     def _deliver(self, frame: Frame) -> None:
-        if frame.kind not in frames.ANSWERS:
+        if frame.kind in frames.ANSWERS:
+            self._answer(frame)
+        else:
             self._receive(self, frame)
-            return
+
+    def _answer(self, frame: Frame) -> None:
         answer = self._answers_by_stream.get(frame.stream_id)
         if answer is not None and not answer.done():
             answer.set_result(frame)
--- a/src/celeryfield/internal/transport/pool.py
+++ b/src/celeryfield/internal/transport/pool.py
@@ -12,6 +12,7 @@
 import dataclasses
 import logging
 import ssl
+from collections.abc import Coroutine
 
 from celeryfield.internal import events
 from celeryfield.internal.calls import (
@@ -38,10 +39,13 @@
 logger = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 1.0
-# A node that is seldom used again costs both ends memory; opening a connection
-# takes about a millisecond.
+# Time in which a process answers a ping on an open connection, also if it is
+# slowed by its neighbours.
+ALIVE_TIMEOUT_MS = 500.0
 # Nodes that are remembered as lost, so that each loss is noted once.
 MAX_LOST_NOTED = 4_096
+# A node that is seldom used again costs both ends memory; opening a connection
+# takes about a millisecond.
 IDLE_CLOSE_MS = 120_000.0
 # The dispatching node answers at the deadline itself; its answer tells more
 # than a timeout here would, so it gets this much time to arrive.
@@ -59,7 +63,7 @@
     Attributes:
         connection: The connection.
         known_incarnation: Newest incarnation of the node for which this
-            connection was found to lead to the running process.
+            connection is known to lead to the running process.
     """
 
     connection: PeerConnection
@@ -153,14 +157,15 @@
         """Closes connections to nodes that are gone or have restarted.
 
         Args:
-            peers: Ids and incarnations of the nodes that are there. The
-                greeting may have told of a newer incarnation already.
+            peers: Ids and incarnations of the nodes that are there.
         """
         incarnations_by_id = dict(peers)
-        for link in list(self._links_by_place.values()):
+        for place, link in list(self._links_by_place.items()):
             incarnation = incarnations_by_id.get(link.connection.peer_id)
-            if incarnation is None or link.known_incarnation < incarnation:
+            if incarnation is None:
                 link.connection.close()
+            elif link.known_incarnation < incarnation:
+                self._spawn(self._check_restarted(place, link, incarnation))
 
     def close(self) -> None:
         """Closes all connections."""
@@ -208,7 +213,10 @@
             except (TransportError, TimeoutError):
                 logger.debug("cancel was not confirmed")
 
-        task = asyncio.ensure_future(notify())
+        self._spawn(notify())
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
         self._background.add(task)
         task.add_done_callback(self._background.discard)
 
@@ -223,7 +231,7 @@
         # A connection that is being replaced takes no more calls: the other
         # end drops it at the greeting.
         is_opening = place in self._opening_by_place
-        if link is None or is_opening or self._is_outdated(link, candidate):
+        if link is None or is_opening or self._is_doubtful(link, candidate):
             link = await self._opened(candidate, place)
         # A seed names no node, so any node will do.
         is_named = bool(candidate.node_id)
@@ -234,22 +242,39 @@
             )
         return link.connection
 
-    def _is_outdated(self, link: _Link, candidate: Candidate) -> bool:
-        """Returns whether the process behind a connection has ended.
+    def _is_doubtful(self, link: _Link, candidate: Candidate) -> bool:
+        """Returns whether the process behind a connection may have ended.
 
-        A record of a newer process than the one that greeted this node proves
-        it. A record of another node at the same place proves nothing: either
-        may be the older one, and incarnations of two nodes come from two
-        clocks. Then only a connection without calls may be replaced; one with
-        calls is closed by ``check_progress`` if its process has ended.
+        A record of another node at the same place, or of a newer process, is
+        a hint only: the record may be the older one, incarnations of two nodes
+        come from two clocks, and a running process may raise its incarnation.
         """
         if link.connection.is_closed:
             return True
         if not candidate.node_id:
             return False
-        if link.connection.peer_id != candidate.node_id:
-            return link.connection.outstanding_count == 0
-        return link.known_incarnation < candidate.incarnation
+        is_same = link.connection.peer_id == candidate.node_id
+        return not is_same or link.known_incarnation < candidate.incarnation
+
+    async def _is_running(self, link: _Link, candidate: Candidate) -> bool:
+        """Asks the process behind a connection whether it is there."""
+        connection = link.connection
+        if not await connection.is_answering(ALIVE_TIMEOUT_MS):
+            return False
+        if connection.peer_id == candidate.node_id:
+            link.known_incarnation = max(
+                link.known_incarnation, candidate.incarnation
+            )
+        return True
+
+    async def _check_restarted(
+        self, place: Place, link: _Link, incarnation: int
+    ) -> None:
+        """Closes a connection whose process does not answer any more."""
+        if await link.connection.is_answering(ALIVE_TIMEOUT_MS):
+            link.known_incarnation = max(link.known_incarnation, incarnation)
+        elif self._links_by_place.get(place) is link:
+            link.connection.close()
 
     async def _opened(self, candidate: Candidate, place: Place) -> _Link:
         opening = self._opening_by_place.get(place)
@@ -268,8 +293,10 @@
             task.exception()
 
     async def _open(self, candidate: Candidate, place: Place) -> _Link:
-        self._connection_number += 1
         previous = self._links_by_place.get(place)
+        if previous is not None and await self._is_running(previous, candidate):
+            return previous
+        self._connection_number += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 connection = await self._handshake(
