Count requests whose body is still read as work in flight

It was never passed on, so no rule was broken, but a caller cannot know that.

Cause: a request counted only once its body was whole; the listener then closed with the request half read. Change: it counts from its head on, and gets the 503 of the closed entry when its body is in, or its 502 at the end of the grace period. The test failed before (no answer) and passes now.

The 503 of a closed entry now names the time until the node is back: what is left of the drain, a second at most, and a second for the start. Before it named the start alone, so callers with one retry came back to a node that was still ending.

--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -32,7 +32,9 @@
 
 # Told to callers that no route decided about.
 RETRY_AFTER_S = 0.5
-# Told to callers of a node that is about to end; it is back after about this.
+# Most work in flight ends within this time after a node refuses new requests.
+DRAIN_MS = 1_000.0
+# A process that has ended serves again after about this time.
 RESTART_S = 1.0
 # Sub-calls that come later than this before the end of the process would be
 # cut by it.
@@ -43,11 +45,11 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _RunningRequest:
-    """A request that was read and is not answered yet.
+    """A request that is not answered yet.
 
     Attributes:
         request_id: Id that the caller gave it.
-        read_ms: When it was read.
+        read_ms: When its head was read.
         task: The task that serves it.
         is_abandoned: The process ends before the request does.
     """
@@ -75,6 +77,7 @@
         self._is_leaving = False
         self._entry_closed_ms = math.inf
         self._sub_calls_until_ms = math.inf
+        self._end_ms = math.inf
         self._settings = settings
         self._clock = clock
         self._entry = entry
@@ -83,7 +86,7 @@
 
     @property
     def in_flight(self) -> int:
-        """Number of requests that were read and are not answered yet."""
+        """Number of requests whose head was read and that have no answer."""
         return len(self._running)
 
     @property
@@ -115,6 +118,7 @@
         """
         self._entry_closed_ms = self._clock.now_ms()
         self._sub_calls_until_ms = end_ms - SUB_CALL_MARGIN_MS
+        self._end_ms = end_ms
 
     def abandon(self, leaving_since_ms: float) -> None:
         """Answers each request that the end of the process cuts.
@@ -161,6 +165,21 @@
             await self._runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        task = asyncio.current_task()
+        request_id = request.headers.get(headers.REQUEST_ID, "")
+        running = _RunningRequest(request_id, self._clock.now_ms(), task)
+        self._running.add(running)
+        try:
+            return await self._serve(request)
+        except asyncio.CancelledError:
+            if not running.is_abandoned:
+                raise
+            task.uncancel()
+            return self._answer(unknown(Reason.DRAINING, 502), request_id)
+        finally:
+            self._running.discard(running)
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         body = b""
         if request.body_exists:
             content = await read_bounded(
@@ -177,7 +196,8 @@
         routed = self._translate(request)
         entered = self._entry.accept(route, routed, body)
         if not self._admits(entered):
-            result = self._entry.refuse(entered, Reason.DRAINING, RESTART_S)
+            pause_s = self._restart_pause_s()
+            result = self._entry.refuse(entered, Reason.DRAINING, pause_s)
         else:
             result = await self._run(entered, routed.request_id, body)
         return self._answer(result, routed.request_id)
@@ -189,24 +209,20 @@
             closed_ms = self._sub_calls_until_ms
         return self._clock.now_ms() < closed_ms
 
+    def _restart_pause_s(self) -> float:
+        """Returns when the node is expected to be back, in seconds."""
+        left_ms = self._end_ms - self._clock.now_ms()
+        drain_ms = min(max(left_ms, 0.0), DRAIN_MS)
+        return drain_ms / 1000.0 + RESTART_S
+
     async def _run(
         self, entered: EnteredCall, request_id: str, body: bytes
     ) -> CallResult:
-        task = asyncio.current_task()
-        running = _RunningRequest(request_id, self._clock.now_ms(), task)
-        self._running.add(running)
         try:
             return await self._entry.run(entered, body)
-        except asyncio.CancelledError:
-            if not running.is_abandoned:
-                raise
-            task.uncancel()
-            return unknown(Reason.DRAINING, 502)
         except Exception:
             logger.exception("call failed", extra={"id": request_id})
             return unknown(Reason.INTERNAL, 502)
-        finally:
-            self._running.discard(running)
 
     def _translate(self, request: web.BaseRequest) -> RoutedRequest:
         request_id = request.headers.get(headers.REQUEST_ID, "")
--- a/tests/cover/test_platform_drain.py
+++ b/tests/cover/test_platform_drain.py
@@ -159,3 +159,29 @@
         fleet.store.refusal = 0
         await asyncio.gather(leaving, stopping, return_exceptions=True)
     assert done
+
+
+async def test_body_that_arrives_during_a_stop_is_refused_truthfully(
+    monkeypatch,
+):
+    """Guards against connections that close on a request half read."""
+    monkeypatch.setattr(platform_node, "LEAVE_NOTICE_MS", NOTICE_MS)
+    async with fleet_of(1) as fleet:
+        node = fleet.nodes[0]
+        reader, writer = await asyncio.open_connection(
+            HOST, node.settings.callers.port
+        )
+        writer.write(
+            b"POST /stock/7 HTTP/1.1\r\nHost: shop.example\r\n"
+            b"X-Attempt-Id: a1\r\nContent-Length: 4\r\n\r\nbo"
+        )
+        await until(lambda: node.callers.in_flight == 1)
+        drained = asyncio.ensure_future(node.drain())
+        await asyncio.sleep(3 * NOTICE_MS / 1000)
+        was_early = drained.done()
+        writer.write(b"dy")
+        status = await reader.readline()
+        writer.close()
+        await drained
+    assert not was_early
+    assert b" 503 " in status
