End a node on the platform when one of its tasks fails

Cause: the program waited for SIGTERM only.

Change: a failed task ends the node as SIGTERM does, with the requests in flight answered, a line that names the error, and exit status 1; the platform starts it again. test_node_whose_task_fails_ends_in_order fails without it.

--- a/src/celeryfield/internal/events.py
+++ b/src/celeryfield/internal/events.py
@@ -60,6 +60,20 @@
     in_flight: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class NodeCrashed(Event):
+    """A task of the process failed; the process ends as it does on SIGTERM.
+
+    Attributes:
+        problem: The error.
+    """
+
+    message: ClassVar[str] = "node crashed"
+    level: ClassVar[int] = logging.ERROR
+    per_second: ClassVar[int | None] = None
+    problem: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class NodeStopped(Event):
     """The process ends.
--- a/src/celeryfield/platform/__main__.py
+++ b/src/celeryfield/platform/__main__.py
@@ -14,6 +14,7 @@
 # Collections walk all tracked objects. Calls leave few cycles behind, so
 # collecting rarely costs little memory and keeps pauses out of the p99.
 GC_THRESHOLDS = (50_000, 20, 50)
+CRASHED = 1
 INVALID_SETTINGS = 2
 # Lines that tell how many others were left out come this often at most.
 LEFT_OUT_INTERVAL_S = 5.0
@@ -26,11 +27,10 @@
         sys.stderr.write(f"settings cannot be used: {loaded.error}\n")
         return INVALID_SETTINGS
     writer = logs.configure(loaded.ok.node)
-    asyncio.run(_run(loaded.ok, writer))
-    return 0
+    return asyncio.run(_run(loaded.ok, writer))
 
 
-async def _run(settings: PlatformSettings, writer: logs.LogWriter) -> None:
+async def _run(settings: PlatformSettings, writer: logs.LogWriter) -> int:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -42,11 +42,31 @@
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
     reporting = asyncio.ensure_future(_report_left_out(writer))
-    await stop.wait()
-    await node.drain()
-    await node.stop()
+    status = await serve(node, stop)
     reporting.cancel()
     events.report_left_out(writer.take_dropped())
+    return status
+
+
+async def serve(node: PlatformNode, stop: asyncio.Event) -> int:
+    """Runs a started node until it is asked to end or one of its tasks fails.
+
+    A node without one of its tasks would go on with beliefs that grow old, so
+    it ends, in order, and the platform starts it again.
+
+    Returns:
+        The exit status of the process.
+    """
+    asked = asyncio.ensure_future(stop.wait())
+    crashed = asyncio.ensure_future(node.wait_until_stopped())
+    await asyncio.wait((asked, crashed), return_when=asyncio.FIRST_COMPLETED)
+    asked.cancel()
+    crashed.cancel()
+    if node.crashed:
+        events.emit(events.NodeCrashed, problem=repr(node.crash_reason))
+    await node.drain()
+    await node.stop()
+    return CRASHED if node.crashed else 0
 
 
 async def _report_left_out(writer: logs.LogWriter) -> None:
--- a/tests/cover/test_platform_drain.py
+++ b/tests/cover/test_platform_drain.py
@@ -9,6 +9,7 @@
 from platform_standins import HOST, until
 
 from celeryfield.platform import node as platform_node
+from celeryfield.platform.__main__ import serve
 
 NOTICE_MS = 200.0
 REPORT_INTERVAL_S = 0.5
@@ -185,3 +186,18 @@
         await drained
     assert not was_early
     assert b" 503 " in status
+
+
+async def test_node_whose_task_fails_ends_in_order(monkeypatch, caplog):
+    """Guards against a node that serves on without following the store."""
+    monkeypatch.setattr(platform_node, "LEAVE_NOTICE_MS", NOTICE_MS)
+    async with fleet_of(1) as fleet:
+        (node,) = fleet.nodes
+        fleet.upstreams[0].delay_s = 2 * NOTICE_MS / 1000
+        request = asyncio.ensure_future(fleet.request(node))
+        await until(lambda: fleet.upstreams[0].received)
+        monkeypatch.setattr(node.tracker, "expire", lambda: 1 / 0)
+        status = await asyncio.wait_for(serve(node, asyncio.Event()), 20)
+        assert (await request)[0] == 200
+    assert status != 0
+    assert "node crashed" in caplog.messages
