--- a/bench/callers.py
+++ b/bench/callers.py
@@ -115,7 +115,7 @@
         self._number += 1
         path = f"/{request.flow.path}/{self._part.id}-{self._number}"
         headers = {
-            "x-tenant": request.flow.tenant,
+            "x-workspace": request.flow.workspace,
             "x-request-timeout-ms": str(request.flow.timeout_ms),
         }
         while not request.whole and request.attempts < ATTEMPTS:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -71,7 +71,7 @@
 async def time_in_force(cluster: Cluster, directory: pathlib.Path) -> float:
     """Applies a change and returns the ms until all nodes have it."""
     change = directory / "change.ini"
-    change.write_text(f"[tenant t{time.monotonic_ns()}]\nweight = 2\n")
+    change.write_text(f"[workspace w{time.monotonic_ns()}]\nweight = 2\n")
     started = time.monotonic()
     version = await cluster.apply(directory)
     accepted = time.monotonic()
--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -23,7 +23,7 @@
         name: Class of the requests.
         path: Service and path; a request number is appended.
         rate: Requests per second at load 1.
-        tenant: Sending tenant.
+        workspace: Sending workspace.
         timeout_ms: Time after which the caller gives up an attempt.
         method: HTTP method.
         run_once: Sent with an idempotency key.
@@ -35,7 +35,7 @@
     name: str
     path: str
     rate: float
-    tenant: str
+    workspace: str
     timeout_ms: int = 1000
     method: str = "GET"
     run_once: bool = False
@@ -115,11 +115,11 @@
 
 
 def _run_once(
-    name: str, path: str, rate: float, tenant: str, timeout_ms: int
+    name: str, path: str, rate: float, workspace: str, timeout_ms: int
 ) -> Flow:
     """Returns important requests that must not run twice."""
     return Flow(
-        name, path, rate, tenant, timeout_ms, "POST", True, True, 0.2, False
+        name, path, rate, workspace, timeout_ms, "POST", True, True, 0.2, False
     )
 
 
--- a/src/celeryfield/internal/config/manager.py
+++ b/src/celeryfield/internal/config/manager.py
@@ -125,17 +125,17 @@
         owner = self._owners_by_name.get(("class", name))
         return owner.sections.classes_by_name[name] if owner else None
 
-    def knows_tenant(self, tenant: str) -> bool:
-        """Returns whether any set names the tenant."""
+    def knows_workspace(self, workspace: str) -> bool:
+        """Returns whether any set names the workspace."""
         return any(
-            tenant in applied.sections.tenants_by_name
+            workspace in applied.sections.workspaces_by_name
             for applied in self._sets_by_team.values()
         )
 
-    def tenant_weight(self, service: str, tenant: str) -> float:
-        """Returns the weight of a tenant at a service; 1 if not set."""
+    def workspace_weight(self, service: str, workspace: str) -> float:
+        """Returns the weight of a workspace at a service; 1 if not set."""
         owner = self._owners_by_name.get(("service", service))
-        section = owner and owner.sections.tenants_by_name.get(tenant)
+        section = owner and owner.sections.workspaces_by_name.get(workspace)
         return section.weight if section else 1.0
 
     def _in_force(self, rule: Rule, owner: AppliedFileSet) -> Rule:
--- a/src/celeryfield/internal/config/sections.py
+++ b/src/celeryfield/internal/config/sections.py
@@ -19,15 +19,18 @@
     FileSetSection,
     RouteSection,
     ServiceSection,
-    TenantSection,
+    WorkspaceSection,
 )
 
 MODELS_BY_KIND: dict[str, type[pydantic.BaseModel]] = {
     "service": ServiceSection,
     "class": ClassSection,
     "route": RouteSection,
-    "tenant": TenantSection,
+    "workspace": WorkspaceSection,
 }
+# Old kinds of section by the name that replaced them, so that the refusal of a
+# file written for an earlier version names the new one.
+_NEW_KINDS_BY_OLD = {"tenant": "workspace"}
 # Names become metric labels and parts of URLs and store keys.
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _MISSING_FILESET = FileSetSection(team="")
@@ -54,7 +57,7 @@
     routes_by_name: dict[str, RouteSection] = dataclasses.field(
         default_factory=dict
     )
-    tenants_by_name: dict[str, TenantSection] = dataclasses.field(
+    workspaces_by_name: dict[str, WorkspaceSection] = dataclasses.field(
         default_factory=dict
     )
     files_by_section: dict[str, str] = dataclasses.field(default_factory=dict)
@@ -65,14 +68,14 @@
             "service": self.services_by_name,
             "class": self.classes_by_name,
             "route": self.routes_by_name,
-            "tenant": self.tenants_by_name,
+            "workspace": self.workspaces_by_name,
         }
 
     def claimed_names(self) -> Iterator[tuple[str, str]]:
         """Yields kind and name of each section that one team may own.
 
-        Routes are local to a set, and any team may weigh a tenant for its own
-        services.
+        Routes are local to a set, and any team may weigh a workspace for its
+        own services.
         """
         yield from (("service", name) for name in self.services_by_name)
         yield from (("class", name) for name in self.classes_by_name)
@@ -132,6 +135,9 @@
     """Returns what is wrong with a section title, or an empty string."""
     if kind == "fileset":
         return "takes no name; write [fileset]" if name else ""
+    if kind in _NEW_KINDS_BY_OLD:
+        new_title = f"{_NEW_KINDS_BY_OLD[kind]} {name}".strip()
+        return f"renamed section; write [{new_title}]"
     if kind not in MODELS_BY_KIND:
         known_kinds = [*MODELS_BY_KIND, "fileset"]
         return f"unknown section; {suggest(kind, known_kinds)}"
--- a/src/celeryfield/internal/dispatch/admission.py
+++ b/src/celeryfield/internal/dispatch/admission.py
@@ -67,8 +67,8 @@
         self._idle = asyncio.Event()
         self._idle.set()
 
-    def set_tenant_weights(self, weight_of: WeightOf) -> None:
-        """Sets the function that returns the weight of a tenant."""
+    def set_workspace_weights(self, weight_of: WeightOf) -> None:
+        """Sets the function that returns the weight of a workspace."""
         self._queue.weight_of = weight_of
         self._control.level.weight_of = weight_of
         self._solo.queue.weight_of = weight_of
@@ -156,7 +156,7 @@
         service = self._upstream.service
         current = self._control.level
         level = wire.ServiceLevel(
-            service, current.level, heavy_tenants=current.heavy_tenants
+            service, current.level, heavy_workspaces=current.heavy_workspaces
         )
         return wire.LoadReport(
             self._upstream.current,
--- a/src/celeryfield/internal/dispatch/control.py
+++ b/src/celeryfield/internal/dispatch/control.py
@@ -19,7 +19,7 @@
 
     Attributes:
         limit: Limit of calls in flight.
-        level: Lowest rank that is not shed, by tenant.
+        level: Lowest rank that is not shed, by workspace.
         times: Service times by class.
     """
 
--- a/src/celeryfield/internal/dispatch/levels.py
+++ b/src/celeryfield/internal/dispatch/levels.py
@@ -1,4 +1,4 @@
-"""Admission level: the lowest priority admitted, with fair tenant shares."""
+"""Admission level: the lowest priority admitted, with fair workspace shares."""
 
 import collections
 import statistics
@@ -9,20 +9,20 @@
     equal_weight,
 )
 from celeryfield.internal.dispatch.shares import (
-    TenantLoad,
+    WorkspaceLoad,
     fair_share,
     level_for,
 )
 from celeryfield.internal.schema import wire
 from celeryfield.internal.schema.settings import DispatchSettings
 
-# Tenant names come from callers. Beyond this number of entries, new tenants of
-# a priority share one. No tenant name is empty, so no caller can claim that
-# one. Each entry costs a few microseconds per interval.
-MAX_TENANT_LOADS = 128
-OTHER_TENANTS = ""
-# Bounds the load report. Further tenants have one level in common.
-MAX_HEAVY_TENANTS = 16
+# Workspace names come from callers. Beyond this number of entries, new
+# workspaces of a priority share one. No workspace name is empty, so no caller
+# can claim that one. Each entry costs a few microseconds per interval.
+MAX_WORKSPACE_LOADS = 128
+OTHER_WORKSPACES = ""
+# Bounds the load report. Further workspaces have one level in common.
+MAX_HEAVY_WORKSPACES = 16
 # Weight of the last interval in the offered load.
 OFFER_WEIGHT = 0.5
 # Load that senders shed is invisible here. Of priorities that are shed wholly
@@ -46,33 +46,33 @@
 class AdmissionLevel:
     """Level that admits the most important work that fits.
 
-    The offered load is counted by priority and tenant. Under overload the
+    The offered load is counted by priority and workspace. Under overload the
     level is the priority above which the offered load fits the limit, which is
-    corrected by the queue delay. Tenants share what is left for the priority
+    corrected by the queue delay. Workspaces share what is left for the priority
     at the level. One adjustment finds the level for a sudden overload.
 
     Attributes:
         level: Calls whose rank is below are refused, except those of the
-            heavy tenants.
-        heavy_tenants: Tenants above their share that shed most, with their
-            own levels.
+            heavy workspaces.
+        heavy_workspaces: Workspaces above their share that shed most, with
+            their own levels.
         is_shedding: Whether any load is refused.
-        weight_of: Returns the weight of a tenant.
+        weight_of: Returns the weight of a workspace.
     """
 
     def __init__(self, settings: DispatchSettings) -> None:
         self._settings = settings
         self.level = 0
-        self.heavy_tenants: tuple[wire.TenantLevel, ...] = ()
+        self.heavy_workspaces: tuple[wire.WorkspaceLevel, ...] = ()
         self.is_shedding = False
         self.weight_of: WeightOf = equal_weight
         self._load_share = 1.0
-        self._loads_by_tenant: dict[tuple[int, str], TenantLoad] = {}
+        self._loads_by_workspace: dict[tuple[int, str], WorkspaceLoad] = {}
         self._load_by_priority: dict[int, float] = {}
 
     def __len__(self) -> int:
         """Returns the number of tracked loads."""
-        return len(self._loads_by_tenant)
+        return len(self._loads_by_workspace)
 
     def offer(self, call: wire.Call, rank: int, cost_ms: float) -> bool:
         """Counts an arrival.
@@ -85,7 +85,7 @@
         Returns:
             Whether the level admits the call.
         """
-        load = self._loads_by_tenant.get((call.priority, call.tenant))
+        load = self._loads_by_workspace.get((call.priority, call.workspace))
         if load is None:
             load = self._track(call)
         if rank >= load.level:
@@ -94,15 +94,17 @@
         load.shed_ms += cost_ms
         return False
 
-    def _track(self, call: wire.Call) -> TenantLoad:
-        loads = self._loads_by_tenant
-        tenant = call.tenant
-        if len(loads) >= MAX_TENANT_LOADS:
-            tenant = OTHER_TENANTS
-        key = (call.priority, tenant)
+    def _track(self, call: wire.Call) -> WorkspaceLoad:
+        loads = self._loads_by_workspace
+        workspace = call.workspace
+        if len(loads) >= MAX_WORKSPACE_LOADS:
+            workspace = OTHER_WORKSPACES
+        key = (call.priority, workspace)
         load = loads.get(key)
         if load is None:
-            load = loads[key] = TenantLoad(call.priority, tenant, self.level)
+            load = loads[key] = WorkspaceLoad(
+                call.priority, workspace, self.level
+            )
         return load
 
     def load_above(self, priority: int) -> float:
@@ -145,12 +147,12 @@
         memory = factor**intervals
         weight = 1.0 - (1.0 - OFFER_WEIGHT) ** intervals
         load_by_priority: dict[int, float] = collections.defaultdict(float)
-        for key, load in list(self._loads_by_tenant.items()):
+        for key, load in list(self._loads_by_workspace.items()):
             load.update(elapsed_ms, weight, memory)
             if load.slots > FORGOTTEN_LOAD:
                 load_by_priority[load.priority] += load.slots
             else:
-                del self._loads_by_tenant[key]
+                del self._loads_by_workspace[key]
         self._load_by_priority = dict(load_by_priority)
 
     def _corrected_share(self, delay_ms: float) -> float:
@@ -186,24 +188,24 @@
                 return
             used += load
         self.level = 0
-        self.heavy_tenants = ()
+        self.heavy_workspaces = ()
         self.is_shedding = False
-        for tenant_load in self._loads_by_tenant.values():
-            tenant_load.level = 0
+        for workspace_load in self._loads_by_workspace.values():
+            workspace_load.level = 0
 
     def _share_out(
         self, priority: int, slots: float, corrected_slots: float
     ) -> None:
-        """Sheds lower priorities and shares slots among the tenants of one.
+        """Sheds lower priorities and shares slots among the workspaces of one.
 
-        Tenants within their share of the slots are admitted wholly. The
-        correction follows a noisy delay, so only the other tenants, who cause
-        the overload, are held to it.
+        Workspaces within their share of the slots are admitted wholly. The
+        correction follows a noisy delay, so only the other workspaces, which
+        cause the overload, are held to it.
         """
         self.is_shedding = True
         sharing = [
             load
-            for load in self._loads_by_tenant.values()
+            for load in self._loads_by_workspace.values()
             if load.priority == priority
         ]
         self._set_weights(sharing)
@@ -215,28 +217,28 @@
         light_slots = self._load_by_priority[priority] - heavy_slots
         share = fair_share(heavy, max(corrected_slots - light_slots, 0.0))
         heavy.sort(key=lambda load: load.excess(share), reverse=True)
-        named = [load for load in heavy if load.tenant != OTHER_TENANTS]
-        self._set_levels(priority, share, heavy, named[:MAX_HEAVY_TENANTS])
+        named = [load for load in heavy if load.workspace != OTHER_WORKSPACES]
+        self._set_levels(priority, share, heavy, named[:MAX_HEAVY_WORKSPACES])
 
-    def _set_weights(self, sharing: list[TenantLoad]) -> None:
-        """Looks up the weights of tenants and estimates that of the others.
+    def _set_weights(self, sharing: list[WorkspaceLoad]) -> None:
+        """Looks up the weights of workspaces and estimates that of the others.
 
-        The others count as so many tenants of the median load.
+        The others count as so many workspaces of the median load.
         """
         median = statistics.median_low(load.slots for load in sharing)
         for load in sharing:
-            load.weight = max(self.weight_of(load.tenant), MIN_WEIGHT)
-            if load.tenant == OTHER_TENANTS:
+            load.weight = max(self.weight_of(load.workspace), MIN_WEIGHT)
+            if load.workspace == OTHER_WORKSPACES:
                 load.weight *= max(1.0, load.slots / median)
 
     def _set_levels(
         self,
         priority: int,
         share: float,
-        heavy: list[TenantLoad],
-        named: list[TenantLoad],
+        heavy: list[WorkspaceLoad],
+        named: list[WorkspaceLoad],
     ) -> None:
-        """Sets the levels of the named tenants and that of all others.
+        """Sets the levels of the named workspaces and that of all others.
 
         The unnamed ones have one level, so that senders shed what the node
         would shed.
@@ -250,11 +252,11 @@
         if shed_slots > FORGOTTEN_LOAD:
             kept_slots -= shed_slots
         self.level = level_for(priority, unnamed_slots, kept_slots)
-        for load in self._loads_by_tenant.values():
+        for load in self._loads_by_workspace.values():
             load.level = self.level
         for load in named:
             slots = share * load.weight
             load.level = level_for(priority, load.slots, slots)
-        self.heavy_tenants = tuple(
-            wire.TenantLevel(load.tenant, load.level) for load in named
+        self.heavy_workspaces = tuple(
+            wire.WorkspaceLevel(load.workspace, load.level) for load in named
         )
--- a/src/celeryfield/internal/dispatch/queue.py
+++ b/src/celeryfield/internal/dispatch/queue.py
@@ -13,7 +13,7 @@
 
 WeightOf = Callable[[str], float]
 
-# Lower bound of tenant weights; keeps shares finite.
+# Lower bound of workspace weights; keeps shares finite.
 MIN_WEIGHT = 0.001
 # Removed waiters stay in the expiry heap until it is this many times longer
 # than the queue.
@@ -21,8 +21,8 @@
 HEAP_MIN_REBUILD = 64
 
 
-def equal_weight(_tenant: str) -> float:
-    """Gives every tenant the same share."""
+def equal_weight(_workspace: str) -> float:
+    """Gives every workspace the same share."""
     return 1.0
 
 
@@ -60,7 +60,7 @@
 
 
 class _Lane:
-    """Waiters of one tenant, priority and length class, oldest first."""
+    """Waiters of one workspace, priority and length class, oldest first."""
 
     __slots__ = ("cost_ms", "waiters")
 
@@ -82,11 +82,11 @@
         return next(iter(self.waiters))
 
 
-class _TenantQueue:
-    """Waiters of one tenant and priority.
+class _WorkspaceQueue:
+    """Waiters of one workspace and priority.
 
     Attributes:
-        served: Calls served so far, divided by the tenant's weight.
+        served: Calls served so far, divided by the workspace's weight.
     """
 
     __slots__ = ("long", "served", "short")
@@ -103,7 +103,7 @@
         return self.long if is_long else self.short
 
     def pick(self, long_allowed: bool, newest: bool) -> Waiter | None:
-        """Returns the next waiter of this tenant."""
+        """Returns the next waiter of this workspace."""
         ends = []
         if self.short.waiters:
             ends.append(self.short.end(newest))
@@ -116,33 +116,33 @@
 
 
 class _Band:
-    """Waiters of one priority, by tenant."""
+    """Waiters of one priority, by workspace."""
 
-    __slots__ = ("served", "tenants_by_name")
+    __slots__ = ("served", "workspaces_by_name")
 
     def __init__(self) -> None:
-        self.tenants_by_name: dict[str, _TenantQueue] = {}
+        self.workspaces_by_name: dict[str, _WorkspaceQueue] = {}
         self.served = 0.0
 
     def pick(self, long_allowed: bool, newest: bool) -> Waiter | None:
-        """Returns the next waiter of the tenant served least."""
+        """Returns the next waiter of the workspace served least."""
         best = None
         best_served = 0.0
-        for tenant in self.tenants_by_name.values():
-            if best is not None and tenant.served >= best_served:
+        for workspace in self.workspaces_by_name.values():
+            if best is not None and workspace.served >= best_served:
                 continue
-            waiter = tenant.pick(long_allowed, newest)
+            waiter = workspace.pick(long_allowed, newest)
             if waiter is not None:
                 best = waiter
-                best_served = tenant.served
+                best_served = workspace.served
         return best
 
 
 class WaitQueue:
-    """Waiters ordered by priority, then by weighted fair share of tenants.
+    """Waiters ordered by priority, then by weighted fair share of workspaces.
 
     Attributes:
-        weight_of: Returns the weight of a tenant.
+        weight_of: Returns the weight of a workspace.
         count: Calls waiting.
         long_count: Long jobs waiting.
         short_cost_ms: Expected slot time of all short waiters.
@@ -198,7 +198,7 @@
             newest = newest_first and not is_deeper
             waiter = band.pick(long_allowed, newest)
             if waiter is not None:
-                self._charge(band, waiter.call.tenant)
+                self._charge(band, waiter.call.workspace)
                 self.remove(waiter)
                 return waiter
         return None
@@ -209,16 +209,16 @@
             return
         call = waiter.call
         band = self._bands_by_number[band_of(call)]
-        tenant = band.tenants_by_name[call.tenant]
-        tenant.lane(call.long_running).remove(waiter)
+        workspace = band.workspaces_by_name[call.workspace]
+        workspace.lane(call.long_running).remove(waiter)
         self.count -= 1
         if call.long_running:
             self.long_count -= 1
         else:
             self.short_cost_ms -= waiter.cost_ms
-        if len(tenant) == 0:
-            del band.tenants_by_name[call.tenant]
-        if not band.tenants_by_name:
+        if len(workspace) == 0:
+            del band.workspaces_by_name[call.workspace]
+        if not band.workspaces_by_name:
             del self._bands_by_number[band_of(call)]
             self._bands.remove(band_of(call))
         if self.count == 0:
@@ -228,10 +228,12 @@
         """Returns whether a waiter is queued here."""
         call = waiter.call
         band = self._bands_by_number.get(band_of(call))
-        tenant = band.tenants_by_name.get(call.tenant) if band else None
-        if tenant is None:
+        workspace = (
+            band.workspaces_by_name.get(call.workspace) if band else None
+        )
+        if workspace is None:
             return False
-        return waiter in tenant.lane(call.long_running).waiters
+        return waiter in workspace.lane(call.long_running).waiters
 
     def reject(self, waiter: Waiter, reason: Reason) -> None:
         """Removes a waiter and tells it why."""
@@ -256,8 +258,8 @@
         found_ms = 0.0
         for number in reversed(self._bands):
             band = self._bands_by_number[number]
-            for tenant in band.tenants_by_name.values():
-                cost_ms += tenant.short.cost_ms
+            for workspace in band.workspaces_by_name.values():
+                cost_ms += workspace.short.cost_ms
             if number % 2 == 0:
                 found_ms = cost_ms
         return found_ms
@@ -279,8 +281,8 @@
             if number == own_band and newest_first and not call.depth:
                 break
             band = self._bands_by_number[number]
-            for tenant in band.tenants_by_name.values():
-                cost_ms += tenant.lane(call.long_running).cost_ms
+            for workspace in band.workspaces_by_name.values():
+                cost_ms += workspace.lane(call.long_running).cost_ms
         return cost_ms
 
     def _insert(self, waiter: Waiter) -> None:
@@ -289,11 +291,11 @@
         if band is None:
             band = self._bands_by_number[band_of(call)] = _Band()
             bisect.insort(self._bands, band_of(call))
-        tenant = band.tenants_by_name.get(call.tenant)
-        if tenant is None:
-            tenant = _TenantQueue(band.served)
-            band.tenants_by_name[call.tenant] = tenant
-        tenant.lane(call.long_running).add(waiter)
+        workspace = band.workspaces_by_name.get(call.workspace)
+        if workspace is None:
+            workspace = _WorkspaceQueue(band.served)
+            band.workspaces_by_name[call.workspace] = workspace
+        workspace.lane(call.long_running).add(waiter)
         self.count += 1
         if call.long_running:
             self.long_count += 1
@@ -311,10 +313,10 @@
             ]
             heapq.heapify(self._expiries)
 
-    def _charge(self, band: _Band, tenant_name: str) -> None:
-        tenant = band.tenants_by_name[tenant_name]
-        band.served = max(band.served, tenant.served)
-        tenant.served += 1.0 / self._weight(tenant_name)
+    def _charge(self, band: _Band, workspace_name: str) -> None:
+        workspace = band.workspaces_by_name[workspace_name]
+        band.served = max(band.served, workspace.served)
+        workspace.served += 1.0 / self._weight(workspace_name)
 
     def _victim(
         self, call: wire.Call, long_only: bool, newest_first: bool
@@ -324,42 +326,48 @@
             if number > band_of(call):
                 return None
             band = self._bands_by_number[number]
-            name = self._displaced_tenant(band, call, long_only, newest_first)
+            name = self._displaced_workspace(
+                band, call, long_only, newest_first
+            )
             if name is not None:
-                tenant = band.tenants_by_name[name]
+                workspace = band.workspaces_by_name[name]
                 if long_only:
-                    return tenant.long.end(newest=not newest_first)
-                return tenant.pick(long_allowed=True, newest=not newest_first)
+                    return workspace.long.end(newest=not newest_first)
+                return workspace.pick(
+                    long_allowed=True, newest=not newest_first
+                )
         return None
 
-    def _displaced_tenant(
+    def _displaced_workspace(
         self, band: _Band, call: wire.Call, long_only: bool, newest_first: bool
     ) -> str | None:
-        """Returns the tenant of a band that loses a waiter to a new call.
+        """Returns the workspace of a band that loses a waiter to a new call.
 
-        That is the tenant with most waiters for its weight. Among equals it
-        must stay above the share of the new call's tenant. Otherwise a newer
-        call takes the place of an older one of its own tenant.
+        That is the workspace with most waiters for its weight. Among equals it
+        must stay above the share of the new call's workspace. Otherwise a newer
+        call takes the place of an older one of its own workspace.
         """
         names = [
             name
-            for name, tenant in band.tenants_by_name.items()
-            if tenant.long.waiters or not long_only
+            for name, workspace in band.workspaces_by_name.items()
+            if workspace.long.waiters or not long_only
         ]
         if not names:
             return None
         largest = max(names, key=lambda name: self._share(band, name, 0))
         if band is not self._bands_by_number.get(band_of(call)):
             return largest
-        own = self._share(band, call.tenant, 1)
-        if largest != call.tenant and own <= self._share(band, largest, 0):
+        own = self._share(band, call.workspace, 1)
+        if largest != call.workspace and own <= self._share(band, largest, 0):
             return largest
-        return call.tenant if newest_first and call.tenant in names else None
+        return (
+            call.workspace if newest_first and call.workspace in names else None
+        )
 
     def _share(self, band: _Band, name: str, extra: int) -> float:
-        tenant = band.tenants_by_name.get(name)
-        count = 0 if tenant is None else len(tenant)
+        workspace = band.workspaces_by_name.get(name)
+        count = 0 if workspace is None else len(workspace)
         return (count + extra) / self._weight(name)
 
-    def _weight(self, tenant: str) -> float:
-        return max(self.weight_of(tenant), MIN_WEIGHT)
+    def _weight(self, workspace: str) -> float:
+        return max(self.weight_of(workspace), MIN_WEIGHT)
--- a/src/celeryfield/internal/dispatch/shares.py
+++ b/src/celeryfield/internal/dispatch/shares.py
@@ -1,4 +1,4 @@
-"""Offered load of tenants and their weighted max-min fair shares."""
+"""Offered load of workspaces and their weighted max-min fair shares."""
 
 import dataclasses
 import math
@@ -11,21 +11,21 @@
 
 
 @dataclasses.dataclass(slots=True)
-class TenantLoad:
-    """Offered load of one tenant at one priority.
+class WorkspaceLoad:
+    """Offered load of one workspace at one priority.
 
     Attributes:
         priority: Priority of the calls.
-        tenant: Name of the tenant.
+        workspace: Name of the workspace.
         level: Calls whose rank is below are shed.
         slots: Slots that the offered load needs.
-        weight: Weight of the tenant.
+        weight: Weight of the workspace.
         admitted_ms: Offered slot time at or above the level, this interval.
         shed_ms: Offered slot time below the level, this interval.
     """
 
     priority: int
-    tenant: str
+    workspace: str
     level: int
     slots: float = 0.0
     weight: float = 1.0
@@ -70,7 +70,7 @@
     return (priority + 1) * RANKS_PER_PRIORITY - admitted_ranks
 
 
-def fair_share(loads: Sequence[TenantLoad], slots: float) -> float:
+def fair_share(loads: Sequence[WorkspaceLoad], slots: float) -> float:
     """Returns the weighted max-min fair share of slots.
 
     Args:
@@ -78,7 +78,7 @@
         slots: Slots to share.
 
     Returns:
-        The slots per weight that a tenant gets which needs more than that.
+        The slots per weight that a workspace gets which needs more than that.
     """
     by_need = sorted(loads, key=lambda load: load.slots / load.weight)
     weight_left = sum(load.weight for load in by_need)
--- a/src/celeryfield/internal/dispatch/suspects.py
+++ b/src/celeryfield/internal/dispatch/suspects.py
@@ -26,7 +26,7 @@
     """A suspect in the form in which gossip spreads it.
 
     Attributes:
-        fingerprint: Hash of tenant, route and body.
+        fingerprint: Hash of workspace, route and body.
         crashes: Crashes seen with this request running.
         age_ms: Time since the last of them. An age, because nodes share no
             clock.
--- a/src/celeryfield/internal/frontend/ingress.py
+++ b/src/celeryfield/internal/frontend/ingress.py
@@ -23,7 +23,7 @@
 MAX_DEPTH = 50
 MAX_KEY_LENGTH = 512
 
-_TENANT = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+_WORKSPACE = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,16 +83,16 @@
         timeout = _timeout_ms(request, rule)
         if timeout.is_error():
             return Error(timeout.error)
-        tenant = request.headers.get(headers.TENANT, ANONYMOUS)
+        workspace = request.headers.get(headers.WORKSPACE, ANONYMOUS)
         key = request.headers.get(headers.IDEMPOTENCY_KEY, "")
-        if not _TENANT.fullmatch(tenant) or len(key) > MAX_KEY_LENGTH:
+        if not _WORKSPACE.fullmatch(workspace) or len(key) > MAX_KEY_LENGTH:
             return _problem(
                 Reason.BAD_REQUEST,
                 400,
-                f"header {headers.TENANT} or {headers.IDEMPOTENCY_KEY} is "
+                f"header {headers.WORKSPACE} or {headers.IDEMPOTENCY_KEY} is "
                 "malformed",
             )
-        call = self._make_call(request, rule, path, tenant, timeout.ok)
+        call = self._make_call(request, rule, path, workspace, timeout.ok)
         call.idempotency_key = key
         return self._join_chain(request, call, body)
 
@@ -113,7 +113,7 @@
         request: web.BaseRequest,
         rule: Rule,
         path: str,
-        tenant: str,
+        workspace: str,
         timeout_ms: float,
     ) -> wire.Call:
         section = rule.class_settings
@@ -127,7 +127,7 @@
             call_id=call_id,
             root_id=call_id,
             service=rule.service,
-            tenant=tenant,
+            workspace=workspace,
             class_name=rule.class_name,
             priority=section.priority,
             method=request.method,
@@ -187,7 +187,7 @@
 def _fingerprint(call: wire.Call, body: bytes) -> bytes:
     """Returns a hash of what the caller asked for."""
     digest = xxhash.xxh3_128()
-    for part in (call.tenant, call.service, call.method, call.path):
+    for part in (call.workspace, call.service, call.method, call.path):
         digest.update(part.encode())
         digest.update(b"\0")
     digest.update(body)
--- a/src/celeryfield/internal/frontend/server.py
+++ b/src/celeryfield/internal/frontend/server.py
@@ -122,7 +122,7 @@
                 "call failed",
                 extra={
                     "call": call.call_id,
-                    "tenant": call.tenant,
+                    "workspace": call.workspace,
                     "class": call.class_name,
                 },
             )
@@ -217,7 +217,7 @@
         extra={
             "call": call.call_id,
             "root": call.root_id,
-            "tenant": call.tenant,
+            "workspace": call.workspace,
             "class": call.class_name,
             "outcome": str(result.outcome),
             "reason": str(result.reason),
--- a/src/celeryfield/internal/metrics.py
+++ b/src/celeryfield/internal/metrics.py
@@ -43,20 +43,20 @@
 
 
 class Metrics:
-    """Histograms per tenant and class, and totals per class.
+    """Histograms per workspace and class, and totals per class.
 
     Args:
-        is_known_tenant: Tells tenants of the file sets from others.
+        is_known_workspace: Tells workspaces of the file sets from others.
     """
 
-    def __init__(self, is_known_tenant: Callable[[str], bool]) -> None:
+    def __init__(self, is_known_workspace: Callable[[str], bool]) -> None:
         self.registry = prometheus_client.CollectorRegistry()
         self.totals_by_class: dict[str, ClassTotals] = {}
-        self._is_known_tenant = is_known_tenant
+        self._is_known_workspace = is_known_workspace
         self._latency = prometheus_client.Histogram(
             "celeryfield_call_seconds",
             "Time from receiving a call to its whole answer.",
-            ("tenant", "class_name", "outcome"),
+            ("workspace", "class_name", "outcome"),
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
@@ -80,8 +80,10 @@
     ) -> None:
         """Records the end of a call."""
         self._in_flight.dec()
-        tenant = call.tenant if self._is_known_tenant(call.tenant) else OTHER
-        labels = (tenant, call.class_name or OTHER, str(result.outcome))
+        workspace = call.workspace
+        if not self._is_known_workspace(workspace):
+            workspace = OTHER
+        labels = (workspace, call.class_name or OTHER, str(result.outcome))
         child = self._children_by_labels.get(labels)
         if child is None:
             child = self._latency.labels(*labels)
--- a/src/celeryfield/internal/node.py
+++ b/src/celeryfield/internal/node.py
@@ -72,7 +72,7 @@
         self.settings = settings
         self.clock = clock
         self.config = ConfigManager()
-        self.metrics = Metrics(self.config.knows_tenant)
+        self.metrics = Metrics(self.config.knows_workspace)
         self.goodput = GoodputMeter()
         self._random = random.Random()
         self._tls = tls.load_contexts(settings.tls)
@@ -87,7 +87,7 @@
         self.chains = ChainTable(clock, self.levels)
         self.balancer = Balancer(settings, clock)
         self.admission = AdmissionController(settings, clock)
-        self.admission.set_tenant_weights(self._tenant_weight)
+        self.admission.set_workspace_weights(self._workspace_weight)
         self.upstream = UpstreamClient(settings, clock)
         self.registry = UpstreamRegistry(settings, clock, self._on_announcement)
         self.pool = PeerPool(
@@ -312,10 +312,10 @@
             for seed in self.seeds.seed_addresses()
         ]
 
-    def _tenant_weight(self, tenant: str) -> float:
+    def _workspace_weight(self, workspace: str) -> float:
         current = self.registry.current
         service = current.service if current else ""
-        return self.config.tenant_weight(service, tenant)
+        return self.config.workspace_weight(service, workspace)
 
     def _zone_size(self) -> int:
         zone = self.settings.node.zone
--- a/src/celeryfield/internal/routing/chains.py
+++ b/src/celeryfield/internal/routing/chains.py
@@ -147,7 +147,7 @@
         parent = chain.call
         sub_call = copy_of_call(call)
         sub_call.root_id = parent.root_id
-        sub_call.tenant = parent.tenant
+        sub_call.workspace = parent.workspace
         sub_call.priority = parent.priority
         sub_call.depth = parent.depth + 1
         sub_call.is_repeat = parent.is_repeat
--- a/src/celeryfield/internal/routing/levels.py
+++ b/src/celeryfield/internal/routing/levels.py
@@ -26,11 +26,11 @@
 
     level: int
     reported_ms: float
-    levels_by_tenant: dict[str, int]
+    levels_by_workspace: dict[str, int]
     is_raised: bool
 
-    def level_of(self, tenant: str) -> int:
-        return self.levels_by_tenant.get(tenant, self.level)
+    def level_of(self, workspace: str) -> int:
+        return self.levels_by_workspace.get(workspace, self.level)
 
 
 @dataclasses.dataclass(slots=True)
@@ -101,12 +101,12 @@
             self._drop_expired(levels)
         elif reported_ms < report.reported_ms:
             return
-        levels_by_tenant = {
-            heavy.tenant: heavy.level for heavy in entry.heavy_tenants
+        levels_by_workspace = {
+            heavy.workspace: heavy.level for heavy in entry.heavy_workspaces
         }
-        is_raised = entry.level > 0 or bool(levels_by_tenant)
+        is_raised = entry.level > 0 or bool(levels_by_workspace)
         levels.reports_by_id[reporter_id] = _Report(
-            entry.level, reported_ms, levels_by_tenant, is_raised
+            entry.level, reported_ms, levels_by_workspace, is_raised
         )
         if is_raised:
             levels.raised_ms = max(levels.raised_ms, reported_ms)
@@ -135,12 +135,12 @@
         for reporter_id in expired:
             del levels.reports_by_id[reporter_id]
 
-    def level(self, service: str, tenant: str = "") -> int:
-        """Returns the lowest fresh level of a tenant at a service, or 0."""
+    def level(self, service: str, workspace: str = "") -> int:
+        """Returns the lowest fresh level of a workspace at a service, or 0."""
         reports = self._fresh(service)
         if not reports:
             return 0
-        return min([report.level_of(tenant) for report in reports])
+        return min([report.level_of(workspace) for report in reports])
 
     def _fresh(self, service: str) -> list[_Report]:
         """Returns the fresh reports if all of them shed something."""
@@ -159,16 +159,18 @@
             fresh.append(report)
         return fresh
 
-    def level_for(self, service: str, class_name: str, tenant: str = "") -> int:
+    def level_for(
+        self, service: str, class_name: str, workspace: str = ""
+    ) -> int:
         """Returns the level that calls of a class have to reach.
 
         It is the highest among the service and the deeper services that its
-        calls of this class use. Without a tenant it is the level of tenants
-        within their share.
+        calls of this class use. Without a workspace it is the level of
+        workspaces within their share.
         """
-        level = self.level(service, tenant)
+        level = self.level(service, workspace)
         for deeper in self._deeper_services(service, class_name):
-            level = max(level, self.level(deeper, tenant))
+            level = max(level, self.level(deeper, workspace))
         return level
 
     def is_overloaded(self, service: str, class_name: str) -> bool:
@@ -193,7 +195,7 @@
         """
         if call.depth:
             return True
-        level = self.level_for(call.service, call.class_name, call.tenant)
+        level = self.level_for(call.service, call.class_name, call.workspace)
         return level == 0 or admission_rank(call) >= level
 
     def refusal(self, call: wire.Call) -> wire.ServiceLevel | None:
@@ -211,7 +213,7 @@
         return frozenset(
             reporter_id
             for reporter_id, report in levels.reports_by_id.items()
-            if report.level_of(call.tenant) > rank
+            if report.level_of(call.workspace) > rank
             and report.reported_ms >= oldest_ms
         )
 
@@ -242,13 +244,13 @@
 
 def _common_heavy(
     lowest: _Report, reports: list[_Report]
-) -> tuple[wire.TenantLevel, ...]:
-    """Returns the tenant levels of the lowest report that all reports reach."""
+) -> tuple[wire.WorkspaceLevel, ...]:
+    """Returns the levels by workspace of the lowest report that all reach."""
     heavy = []
-    for tenant in lowest.levels_by_tenant:
-        level = min(report.level_of(tenant) for report in reports)
+    for workspace in lowest.levels_by_workspace:
+        level = min(report.level_of(workspace) for report in reports)
         if level != lowest.level:
-            heavy.append(wire.TenantLevel(tenant, level))
+            heavy.append(wire.WorkspaceLevel(workspace, level))
     return tuple(heavy)
 
 
--- a/src/celeryfield/internal/schema/fileset.capnp
+++ b/src/celeryfield/internal/schema/fileset.capnp
@@ -43,6 +43,6 @@
   className @3 :Text $required;
 }
 
-struct TenantSection $doc("Section [tenant NAME].") {
-  weight @0 :Float64 = 1 $minimum(0.01) $doc("Share of capacity relative to other tenants.");
+struct WorkspaceSection $doc("Section [workspace NAME].") {
+  weight @0 :Float64 = 1 $minimum(0.01) $doc("Share of capacity relative to other workspaces.");
 }
--- a/src/celeryfield/internal/schema/fileset.py
+++ b/src/celeryfield/internal/schema/fileset.py
@@ -103,11 +103,11 @@
     class_name: str = Field()
 
 
-class TenantSection(SettingsModel):
-    """Section [tenant NAME]."""
+class WorkspaceSection(SettingsModel):
+    """Section [workspace NAME]."""
 
     weight: float = Field(
         default=1.0,
         ge=0.01,
-        description="Share of capacity relative to other tenants.",
+        description="Share of capacity relative to other workspaces.",
     )
--- a/src/celeryfield/internal/schema/wire.capnp
+++ b/src/celeryfield/internal/schema/wire.capnp
@@ -21,7 +21,7 @@
   callId @0 :Text;
   rootId @1 :Text $doc("Id of the root call of the chain.");
   service @2 :Text;
-  tenant @3 :Text;
+  workspace @3 :Text;
   className @4 :Text;
   priority @5 :UInt16 $doc("Higher is more important.");
   method @6 :Text;
@@ -37,14 +37,14 @@
   toKeyOwner @16 :Bool $doc("The receiver is the owner of the idempotency key and dispatches the call.");
   depth @17 :UInt16 $doc("Number of hops before this one.");
   routeName @18 :Text;
-  fingerprint @19 :Data $doc("Hash of tenant, route and body.");
+  fingerprint @19 :Data $doc("Hash of workspace, route and body.");
   isRepeat @22 :Bool $doc("An upstream has received the call, or the one whose run made it, before.");
   mayRedirect @21 :Bool $doc("The sender would rather try another node than let the call wait.");
   requestId @20 :Text $doc("Id that the caller gave the request; empty if it gave none.");
 }
 
-struct TenantLevel $doc("Admission level of one tenant.") {
-  tenant @0 :Text;
+struct WorkspaceLevel $doc("Admission level of one workspace.") {
+  workspace @0 :Text;
   level @1 :UInt16 $doc("Lowest admitted rank, a priority scaled by 128.");
 }
 
@@ -52,7 +52,7 @@
   service @0 :Text;
   level @1 :UInt16 $doc("Lowest admitted priority, scaled by 128.");
   ageMs @2 :UInt16 $unit("ms") $doc("Time since the service itself reported the level.");
-  heavyTenants @3 :List(TenantLevel) $doc("Tenants above their share, with levels in place of the plain one.");
+  heavyWorkspaces @3 :List(WorkspaceLevel) $doc("Workspaces above their share, with levels in place of the plain one.");
 }
 
 struct LoadReport $doc("Load of the upstream beside the answering node.") {
--- a/src/celeryfield/internal/schema/wire.py
+++ b/src/celeryfield/internal/schema/wire.py
@@ -127,7 +127,7 @@
         repeatable: The call may be sent again after it has started.
         to_key_owner: The receiver is the owner of the idempotency key and dispatches the call.
         depth: Number of hops before this one.
-        fingerprint: Hash of tenant, route and body.
+        fingerprint: Hash of workspace, route and body.
         request_id: Id that the caller gave the request; empty if it gave none.
         may_redirect: The sender would rather try another node than let the call wait.
         is_repeat: An upstream has received the call, or the one whose run made it, before.
@@ -136,7 +136,7 @@
     call_id: str = ""
     root_id: str = ""
     service: str = ""
-    tenant: str = ""
+    workspace: str = ""
     class_name: str = ""
     priority: int = 0
     method: str = ""
@@ -162,7 +162,7 @@
         builder.callId = self.call_id
         builder.rootId = self.root_id
         builder.service = self.service
-        builder.tenant = self.tenant
+        builder.workspace = self.workspace
         builder.className = self.class_name
         builder.priority = self.priority
         builder.method = self.method
@@ -199,7 +199,7 @@
             reader.callId,
             reader.rootId,
             reader.service,
-            reader.tenant,
+            reader.workspace,
             reader.className,
             reader.priority,
             reader.method,
@@ -239,49 +239,49 @@
 
 
 @dataclasses.dataclass(slots=True)
-class TenantLevel:
-    """Admission level of one tenant.
+class WorkspaceLevel:
+    """Admission level of one workspace.
 
     Attributes:
         level: Lowest admitted rank, a priority scaled by 128.
     """
 
-    tenant: str = ""
+    workspace: str = ""
     level: int = 0
 
     def fill(self, builder: Any) -> None:
         """Copies the fields into a message builder."""
-        builder.tenant = self.tenant
+        builder.workspace = self.workspace
         builder.level = self.level
 
     def encode(self) -> bytes:
         """Returns the message as bytes."""
-        builder = _schema.TenantLevel.new_message()
+        builder = _schema.WorkspaceLevel.new_message()
         self.fill(builder)
         return builder.to_bytes()
 
     @classmethod
-    def read(cls, reader: Any) -> "TenantLevel":
+    def read(cls, reader: Any) -> "WorkspaceLevel":
         """Copies the fields out of a message reader."""
         return cls(
-            reader.tenant,
+            reader.workspace,
             reader.level,
         )
 
     @classmethod
-    def decode(cls, data: bytes) -> "TenantLevel":
+    def decode(cls, data: bytes) -> "WorkspaceLevel":
         """Reads a message.
 
         Raises:
             MessageError: The bytes are not such a message.
         """
         try:
-            with _schema.TenantLevel.from_bytes(
+            with _schema.WorkspaceLevel.from_bytes(
                 data, traversal_limit_in_words=read_limit(data)
             ) as reader:
                 return cls.read(reader)
         except (capnp.KjException, ValueError) as error:
-            message = "malformed TenantLevel message"
+            message = "malformed WorkspaceLevel message"
             raise MessageError(message) from error
 
 
@@ -292,22 +292,22 @@
     Attributes:
         level: Lowest admitted priority, scaled by 128.
         age_ms: Time since the service itself reported the level. Unit: ms.
-        heavy_tenants: Tenants above their share, with levels in place of the plain one.
+        heavy_workspaces: Workspaces above their share, with levels in place of the plain one.
     """
 
     service: str = ""
     level: int = 0
     age_ms: int = 0
-    heavy_tenants: tuple[TenantLevel, ...] = ()
+    heavy_workspaces: tuple[WorkspaceLevel, ...] = ()
 
     def fill(self, builder: Any) -> None:
         """Copies the fields into a message builder."""
         builder.service = self.service
         builder.level = self.level
         builder.ageMs = self.age_ms
-        if self.heavy_tenants:
-            items = builder.init("heavyTenants", len(self.heavy_tenants))
-            for index, item in enumerate(self.heavy_tenants):
+        if self.heavy_workspaces:
+            items = builder.init("heavyWorkspaces", len(self.heavy_workspaces))
+            for index, item in enumerate(self.heavy_workspaces):
                 item.fill(items[index])
 
     def encode(self) -> bytes:
@@ -323,7 +323,9 @@
             reader.service,
             reader.level,
             reader.ageMs,
-            tuple([TenantLevel.read(item) for item in reader.heavyTenants]),
+            tuple(
+                [WorkspaceLevel.read(item) for item in reader.heavyWorkspaces]
+            ),
         )
 
     @classmethod
--- a/src/celeryfield/internal/upstream/client.py
+++ b/src/celeryfield/internal/upstream/client.py
@@ -84,7 +84,7 @@
         if self._session is None:
             return not_run(Reason.NO_UPSTREAM)
         request_headers = headers.as_pairs(call.headers)
-        request_headers.append((headers.TENANT, call.tenant))
+        request_headers.append((headers.WORKSPACE, call.workspace))
         request_headers.append((headers.TRACEPARENT, traceparent))
         request_headers.append((headers.TIMEOUT, str(int(timeout_ms))))
         if call.idempotency_key:
--- a/src/celeryfield/internal/upstream/headers.py
+++ b/src/celeryfield/internal/upstream/headers.py
@@ -4,7 +4,7 @@
 
 from celeryfield.internal.schema import wire
 
-TENANT = "x-tenant"
+WORKSPACE = "x-workspace"
 TIMEOUT = "x-request-timeout-ms"
 IDEMPOTENCY_KEY = "idempotency-key"
 TRACEPARENT = "traceparent"
@@ -34,7 +34,7 @@
         IDEMPOTENCY_KEY,
         OUTCOME,
         REASON,
-        TENANT,
+        WORKSPACE,
         TIMEOUT,
         TRACEPARENT,
         UPSTREAM_OUTCOME,
--- a/src/celeryfield/standins/demo.py
+++ b/src/celeryfield/standins/demo.py
@@ -90,7 +90,7 @@
         first = self._urls[number % len(self._urls)]
         second = self._urls[(number + 3) % len(self._urls)]
         session = self._cluster.session
-        headers = {"x-tenant": "fitters"}
+        headers = {"x-workspace": "fitters"}
         async with session.post(first + path, data=body, headers=headers) as a:
             if a.status != 428:
                 return False
@@ -111,7 +111,7 @@
     async def apply_change(self, directory: pathlib.Path) -> Step:
         """Applies a changed file set and waits until it is in force."""
         changed = directory / "demo-change.ini"
-        changed.write_text("[tenant demo]\nweight = 2\n", encoding="utf-8")
+        changed.write_text("[workspace demo]\nweight = 2\n", encoding="utf-8")
         started = time.monotonic()
         version = await self._cluster.apply(directory)
         nodes = self._cluster.nodes_by_id.values()
@@ -176,7 +176,7 @@
         return Step(name, LOAD_CALLS, sum(results), await running_event)
 
     async def _get(self, url: str) -> bool:
-        headers = {"x-tenant": "fitters"}
+        headers = {"x-workspace": "fitters"}
         async with self._cluster.session.get(url, headers=headers) as answer:
             return await _whole_answer(answer) is not None
 
--- a/src/celeryfield/standins/operators.py
+++ b/src/celeryfield/standins/operators.py
@@ -75,7 +75,7 @@
         if found.is_error():
             return WriteAttempt(time.monotonic(), team, 0, 0, "unavailable")
         expected_version = found.ok.version if found.ok else 0
-        text = f"[tenant {name}]\nweight = {next(self._numbers)}\n"
+        text = f"[workspace {name}]\nweight = {next(self._numbers)}\n"
         changed = wire.FileEntry(CHANGED_FILE, text)
         applied = await FileSetApplier(client, clock).apply(
             (*self._base.files, changed), expected_version, name
--- a/tests/cover/node_helpers.py
+++ b/tests/cover/node_helpers.py
@@ -44,7 +44,7 @@
 path = /orders
 class_name = order
 
-[tenant known]
+[workspace known]
 weight = 2
 """
 DEADLINE_S = 10.0
--- a/tests/cover/test_config_fileset.py
+++ b/tests/cover/test_config_fileset.py
@@ -60,6 +60,7 @@
         ("[service order]", "service order", "", "also in f0.ini"),
         ("[servise x]", "servise x", "", "'service'"),
         ("[service a b]", "service a b", "", "not a name"),
+        ("[tenant web]", "tenant web", "", "write [workspace web]"),
         ("[service s]\ncalls = s", "service s", "calls", "itself"),
         (
             "[service s]\ndefault_class=lokup",
@@ -136,6 +137,18 @@
     assert compiled(text).is_error()
 
 
+def test_stored_sets_with_a_renamed_section_stay_in_force():
+    """Guards against a node that loses a team's routes in an upgrade."""
+    message = compiled(BASE).ok.message
+    text = BASE + "[tenant web]\nweight = 2\n"
+    message.files = (wire.FileEntry("f0.ini", text),)
+    message.version = 1
+    manager = ConfigManager()
+    assert manager.offer(fileset.from_wire(message).ok)
+    assert manager.rule_for("order", "POST", "/orders")
+    assert manager.workspace_weight("order", "web") == 1.0
+
+
 def test_older_claim_wins_whatever_the_order_of_arrival():
     text = BASE.replace("pipes", "bells").replace("priority = 90", "")
     text = text.replace("run_once = yes", "long_running = yes")
@@ -162,15 +175,15 @@
         assert rule.class_settings.run_once
 
 
-def test_teams_weigh_the_same_tenant_for_their_own_services():
+def test_teams_weigh_the_same_workspace_for_their_own_services():
     text = BASE.replace("pipes", "bells").replace("order", "bell")
     text = text.replace("placement", "ring").replace("lookup", "read")
     manager = ConfigManager()
-    manager.offer(stored(BASE + "[tenant web]\nweight = 2\n", 1))
-    manager.offer(stored(text + "[tenant web]\nweight = 3\n", 2))
+    manager.offer(stored(BASE + "[workspace web]\nweight = 2\n", 1))
+    manager.offer(stored(text + "[workspace web]\nweight = 3\n", 2))
     assert manager.conflicts == ()
     weights = [
-        manager.tenant_weight(service, "web")
+        manager.workspace_weight(service, "web")
         for service in ("order", "bell", "other")
     ]
     assert weights == [2, 3, 1]
@@ -187,12 +200,12 @@
 
 def test_diff_names_sections_keys_and_values():
     changed = BASE.replace("priority = 90", "priority = 80")
-    changed += "[tenant web]\nweight = 2\n"
+    changed += "[workspace web]\nweight = 2\n"
     changes = diff_sets(compiled(BASE).ok, compiled(changed).ok)
     assert format_diff(changes).splitlines() == [
         "~ [class placement] priority: 90 -> 80",
-        "+ [tenant web]",
-        "+ [tenant web] weight: none -> 2",
+        "+ [workspace web]",
+        "+ [workspace web] weight: none -> 2",
     ]
 
 
--- a/tests/cover/test_dispatch_goodput.py
+++ b/tests/cover/test_dispatch_goodput.py
@@ -32,7 +32,7 @@
     load: float  # Offered work as a share of all slots.
     mean_ms: float = 10.0
     spread: str = "fixed"
-    tenant: str = "a"
+    workspace: str = "a"
     is_long: bool = False
     deadline_ms: float = 300.0
     start_ms: float = 0.0
@@ -48,7 +48,7 @@
         sender_sheds=False,
         seed=7,
         real_slots=None,
-        weights_by_tenant=None,
+        weights_by_workspace=None,
     ):
         node = settings.NodeSettings(
             node={"id": "n", "zone": "z", "region": "r"},
@@ -58,8 +58,8 @@
         self.clock = ManualClock(0.0)
         self.controller = AdmissionController(node, self.clock)
         self.controller.set_capacity(SLOTS, 500, "ready", "service")
-        if weights_by_tenant:
-            self.controller.set_tenant_weights(weights_by_tenant.get)
+        if weights_by_workspace:
+            self.controller.set_workspace_weights(weights_by_workspace.get)
         self.flows = flows
         self.duration_ms = duration_ms
         self.offered = collections.Counter()
@@ -113,7 +113,7 @@
         self.offered[flow.name] += counted
         call = wire.Call(
             root_id=f"root-{self.sequence}",
-            tenant=flow.tenant,
+            workspace=flow.workspace,
             class_name=flow.name,
             priority=flow.priority,
             long_running=flow.is_long,
@@ -154,8 +154,8 @@
         if now_ms - self.sender_level_ms >= LEVEL_TTL_MS:
             return False
         level = self.sender_level.level
-        for heavy in self.sender_level.heavy_tenants:
-            if heavy.tenant == call.tenant:
+        for heavy in self.sender_level.heavy_workspaces:
+            if heavy.workspace == call.workspace:
                 level = heavy.level
         return admission_rank(call) < level
 
@@ -243,15 +243,15 @@
         ([0.6], {"q0": 3.0, "f": 1.0}, True),
         ([0.05] * 9, None, True),
     ],
-    ids=["equal", "equal-senders-shed", "weights-3-to-1", "ten-tenants"],
+    ids=["equal", "equal-senders-shed", "weights-3-to-1", "ten-workspaces"],
 )
-async def test_flood_of_one_tenant_leaves_others_their_share(
+async def test_flood_of_one_workspace_leaves_others_their_share(
     quiet_loads, weights, sender_sheds
 ):
-    """Guards against shedding tenants that stay within their share."""
+    """Guards against shedding workspaces that stay within their share."""
     flows = flood(quiet_loads)
     result = await Simulation(
-        flows, sender_sheds=sender_sheds, weights_by_tenant=weights
+        flows, sender_sheds=sender_sheds, weights_by_workspace=weights
     ).run()
     quiet = [flow.name for flow in flows if flow.name != "flood"]
     good = sum(result.good[name] for name in quiet)
@@ -272,8 +272,8 @@
     "3x, long": overload(LONG),
     "short 0.3": [Flow("stock", 50, 0.3, spread="exponential")],
     "short 0.3, long": [Flow("stock", 50, 0.3, spread="exponential"), LONG],
-    "tenants 0.3 and 5": flood([0.3]),
-    "ten tenants": flood([0.05] * 9),
+    "workspaces 0.3 and 5": flood([0.3]),
+    "ten workspaces": flood([0.05] * 9),
 }
 
 
--- a/tests/cover/test_dispatch_parts.py
+++ b/tests/cover/test_dispatch_parts.py
@@ -14,8 +14,8 @@
 
 from celeryfield.internal.calls import Reason
 from celeryfield.internal.dispatch.levels import (
-    MAX_HEAVY_TENANTS,
-    MAX_TENANT_LOADS,
+    MAX_HEAVY_WORKSPACES,
+    MAX_WORKSPACE_LOADS,
     AdmissionLevel,
 )
 from celeryfield.internal.dispatch.limiter import ConcurrencyLimit
@@ -26,7 +26,7 @@
     any_priority,
     band_of,
 )
-from celeryfield.internal.dispatch.shares import TenantLoad, fair_share
+from celeryfield.internal.dispatch.shares import WorkspaceLoad, fair_share
 from celeryfield.internal.dispatch.suspects import (
     SuspectEntry,
     SuspectTable,
@@ -37,7 +37,7 @@
 LOOP = asyncio.new_event_loop()
 CALLS = st.builds(
     wire.Call,
-    tenant=st.sampled_from("abc"),
+    workspace=st.sampled_from("abc"),
     priority=st.integers(0, 3),
     depth=st.integers(0, 1),
     long_running=st.booleans(),
@@ -125,17 +125,17 @@
 TestQueue = QueueMachine.TestCase
 
 
-def test_serves_tenants_by_weight_and_newest_first_when_asked():
-    """Guards against a tenant that takes the queue with many calls."""
+def test_serves_workspaces_by_weight_and_newest_first_when_asked():
+    """Guards against a workspace that takes the queue with many calls."""
     queue = WaitQueue(200, 200)
-    queue.weight_of = lambda tenant: 3.0 if tenant == "big" else 1.0
+    queue.weight_of = lambda workspace: 3.0 if workspace == "big" else 1.0
     waiters = [
-        make_waiter(wire.Call(tenant=tenant))
-        for tenant in ["flood"] * 80 + ["big"] * 60 + ["small"] * 60
+        make_waiter(wire.Call(workspace=workspace))
+        for workspace in ["flood"] * 80 + ["big"] * 60 + ["small"] * 60
     ]
     assert all(queue.add(waiter, False) for waiter in waiters)
     served = collections.Counter(
-        queue.pop(any_priority, False).call.tenant for _ in range(100)
+        queue.pop(any_priority, False).call.workspace for _ in range(100)
     )
     assert served == {"flood": 20, "big": 60, "small": 20}
     newest = [queue.pop(any_priority, True) for _ in range(2)]
@@ -157,12 +157,12 @@
     assert served == [calls[3], calls[1], calls[2], calls[0]]
 
 
-def test_full_queue_displaces_the_tenant_above_its_share():
-    """Guards against a flood that keeps other tenants out of the queue."""
+def test_full_queue_displaces_the_workspace_above_its_share():
+    """Guards against a flood that keeps other workspaces out of the queue."""
     queue = WaitQueue(4, 4)
-    flood = [make_waiter(wire.Call(tenant="flood")) for _ in range(4)]
+    flood = [make_waiter(wire.Call(workspace="flood")) for _ in range(4)]
     assert all(queue.add(waiter, False) for waiter in flood)
-    others = [make_waiter(wire.Call(tenant="other")) for _ in range(3)]
+    others = [make_waiter(wire.Call(workspace="other")) for _ in range(3)]
     assert [queue.add(waiter, True) for waiter in others] == [True] * 3
     assert sum(waiter.decision.done() for waiter in flood) == 2
 
@@ -275,24 +275,24 @@
 )
 def test_shares_out_all_slots_and_no_more(needs, slots):
     """Guards against shares that waste slots or exceed them."""
-    loads = [TenantLoad(0, "", 0, need, weight) for need, weight in needs]
+    loads = [WorkspaceLoad(0, "", 0, need, weight) for need, weight in needs]
     share = fair_share(loads, slots)
     used = sum(min(load.slots, share * load.weight) for load in loads)
     needed = sum(load.slots for load in loads)
     assert used == pytest.approx(min(slots, needed), abs=1e-6)
 
 
-def test_bounds_the_tenants_that_it_tracks_and_names():
+def test_bounds_the_workspaces_that_it_tracks_and_names():
     """Guards against memory and reports that grow with made-up names."""
     level = AdmissionLevel(settings.DispatchSettings())
-    for number in range(3 * MAX_TENANT_LOADS):
-        call = wire.Call(tenant=f"t{number}", priority=number % 2)
+    for number in range(3 * MAX_WORKSPACE_LOADS):
+        call = wire.Call(workspace=f"w{number}", priority=number % 2)
         level.offer(call, 128 * call.priority, 400.0)
-    # Each of the two priorities has an entry for the other tenants.
-    assert len(level) == MAX_TENANT_LOADS + 2
+    # Each of the two priorities has an entry for the other workspaces.
+    assert len(level) == MAX_WORKSPACE_LOADS + 2
     level.adjust(100.0, 20, 0, 1_000.0, idle=False)
-    assert len(level.heavy_tenants) == MAX_HEAVY_TENANTS
-    assert "" not in {heavy.tenant for heavy in level.heavy_tenants}
+    assert len(level.heavy_workspaces) == MAX_HEAVY_WORKSPACES
+    assert "" not in {heavy.workspace for heavy in level.heavy_workspaces}
     # The rest is shed by the plain level, which senders apply to all others.
     assert level.level > 128
     for _ in range(200):
--- a/tests/cover/test_node_calls.py
+++ b/tests/cover/test_node_calls.py
@@ -18,8 +18,8 @@
         ("/", {}, 404, "no-route"),
         ("/back/x", {"x-request-timeout-ms": "soon"}, 400, "bad-request"),
         ("/back/x", {"x-request-timeout-ms": "-1"}, 400, "bad-request"),
-        ("/back/x", {"x-tenant": "a b"}, 400, "bad-request"),
-        ("/back/x", {"x-tenant": "t" * 65}, 400, "bad-request"),
+        ("/back/x", {"x-workspace": "a b"}, 400, "bad-request"),
+        ("/back/x", {"x-workspace": "w" * 65}, 400, "bad-request"),
     ],
 )
 async def test_refuses_bad_requests_as_not_run(path, headers, status, reason):
@@ -50,7 +50,7 @@
         assert (await fleet.request("a", "GET", "/back/x"))[0] == 200
 
 
-async def test_chain_keeps_tenant_priority_and_deadline():
+async def test_chain_keeps_workspace_priority_and_deadline():
     """Guards against deeper calls that lose what their root call carried."""
     deeper = (Endpoint("/", 1.0, (DeeperCall("back", "/x"),)),)
     seen = []
@@ -69,17 +69,17 @@
             "b",
             "GET",
             "/front/x",
-            headers={"x-tenant": "known", "x-request-timeout-ms": "1000"},
+            headers={"x-workspace": "known", "x-request-timeout-ms": "1000"},
         )
     assert answer[0] == 200
     call = seen[0]
-    assert (call.tenant, call.depth) == ("known", 1)
+    assert (call.workspace, call.depth) == ("known", 1)
     assert call.root_id != call.call_id
     assert 0 < call.deadline_left_ms < 1000
 
 
 async def test_upstream_gets_each_header_of_the_call_once():
-    """Guards against duplicated keys and tenants, which parsers refuse."""
+    """Guards against duplicated keys and workspaces, which parsers refuse."""
     async with running_fleet() as fleet:
         await fleet.start("a", "front")
         await fleet.settle()
@@ -93,7 +93,7 @@
 
         upstream._run = spy
         key = json.loads((await fleet.request("a", "POST", "/-/keys"))[4])
-        sent = {"x-tenant": "known", "idempotency-key": key["keys"][0]}
+        sent = {"x-workspace": "known", "idempotency-key": key["keys"][0]}
         for method, path in (("POST", "/front/orders"), ("GET", "/front/x")):
             await fleet.request("a", method, path, headers=sent)
     for received in seen:
@@ -232,18 +232,18 @@
         assert answer[:3] == (503, "not-run", "not-ready")
 
 
-async def test_unknown_tenants_share_one_time_series():
+async def test_unknown_workspaces_share_one_time_series():
     """Guards against callers that grow the number of time series."""
     async with running_fleet() as fleet:
         node = await fleet.start("a", "back")
         await fleet.settle()
-        for tenant in ("known", "x1", "x2", "x3"):
+        for workspace in ("known", "x1", "x2", "x3"):
             await fleet.request(
-                "a", "GET", "/back/x", headers={"x-tenant": tenant}
+                "a", "GET", "/back/x", headers={"x-workspace": workspace}
             )
         text = node.metrics.render().decode()
-    assert 'tenant="known"' in text
-    assert 'tenant="other"' in text
+    assert 'workspace="known"' in text
+    assert 'workspace="other"' in text
     assert "x1" not in text
 
 
--- a/tests/cover/test_routing_executor.py
+++ b/tests/cover/test_routing_executor.py
@@ -321,26 +321,26 @@
     assert flags == [False, True]
 
 
-def test_applies_a_tenant_level_only_to_tenants_that_all_reporters_name():
-    """Guards against senders that shed tenants within their share."""
+def test_applies_a_workspace_level_only_to_workspaces_that_all_reporters_name():
+    """Guards against senders that shed workspaces within their share."""
     clock = ManualClock()
     table = LevelTable(settings_with(), clock)
     top = 51 * 128
-    heavy = (wire.TenantLevel("f", top), wire.TenantLevel("g", top))
+    heavy = (wire.WorkspaceLevel("f", top), wire.WorkspaceLevel("g", top))
     raised = load_with(("s", 50 * 128, 0, heavy))
     table.learn("s-0", "s", "k", raised)
     table.learn("s-1", "s", "k", load_with(("s", 50 * 128, 0, heavy[:1])))
-    assert not table.admits(call_to(tenant="f"))
-    assert table.admits(call_to(tenant="g"))
-    assert table.admits(call_to(tenant="quiet"))
-    assert not table.admits(call_to(tenant="quiet", priority=49))
-    assert table.refusing_ids(call_to(tenant="g")) == {"s-0"}
+    assert not table.admits(call_to(workspace="f"))
+    assert table.admits(call_to(workspace="g"))
+    assert table.admits(call_to(workspace="quiet"))
+    assert not table.admits(call_to(workspace="quiet", priority=49))
+    assert table.refusing_ids(call_to(workspace="g")) == {"s-0"}
     (passed_on,) = table.levels_to_pass_on("s", "k")
-    assert passed_on.heavy_tenants == heavy[:1]
-    # Priority 0 has the level 0; its heavy tenants are shed all the same.
-    lowest = (wire.TenantLevel("f", 128),)
+    assert passed_on.heavy_workspaces == heavy[:1]
+    # Priority 0 has the level 0; its heavy workspaces are shed all the same.
+    lowest = (wire.WorkspaceLevel("f", 128),)
     table.learn("t-0", "t", "k", load_with(("t", 0, 0, lowest)))
-    assert not table.admits(call_to("t", tenant="f", priority=0))
+    assert not table.admits(call_to("t", workspace="f", priority=0))
     assert table.is_overloaded("t", "k")
 
 
@@ -349,7 +349,7 @@
     clock = ManualClock()
     tables = [LevelTable(settings_with(), clock) for _ in range(3)]
     chains = [ChainTable(clock, table) for table in tables]
-    heavy = (wire.TenantLevel("f", 9_100),)
+    heavy = (wire.WorkspaceLevel("f", 9_100),)
     tables[2].learn("d", "s3", "k", load_with(("s3", 9_000, 0, heavy)))
     for hop in (1, 0):
         clock.advance(400)
--- a/tests/history/callers.py
+++ b/tests/history/callers.py
@@ -133,7 +133,7 @@
     async def _call(self, method, path, body=b"", key="", patience_s=TIMEOUT_S):
         node = self._node()
         call_id = f"call-{next(self._numbers)}"
-        headers = {"x-tenant": "fitters", "x-test-call-id": call_id}
+        headers = {"x-workspace": "fitters", "x-test-call-id": call_id}
         if key:
             headers["idempotency-key"] = key
         name = identity(
--- a/tools/generate_reference.py
+++ b/tools/generate_reference.py
@@ -29,7 +29,7 @@
     fileset.ServiceSection,
     fileset.ClassSection,
     fileset.RouteSection,
-    fileset.TenantSection,
+    fileset.WorkspaceSection,
 )
 TYPE_NAMES = {
     int: "whole number",
