Tell on the line that ends a request what the last attempt was told

Cause: of ten requests traced with docs/OPERATIONS.md only six reached their cause. The lines "attempt ended" of the other four were left out by the bound on the volume, and "request ended" named neither the node that refused nor its load. The attempts of a request whose caller went away were not even counted.

Change: "request ended" and "request ended with unknown outcome" name the node whose answer was passed on (decided_by) and, for the last attempt, its node, upstream, outcome, reason, age, wait, the load and the level that the node told, and whether a call of its run failed. The candidate takes the id of the upstream from the record. An attempt that lost a race does not replace the one that answered. The fields are read only if the line is kept; before, they were built for each request. `celeryfield trace` shows them and takes the named nodes as involved.

Before: 1 new test of test_platform_node.py, 4 of test_routing_executor.py and 4 of test_request_story.py failed. After: they pass.

--- a/src/celeryfield/internal/calls.py
+++ b/src/celeryfield/internal/calls.py
@@ -72,6 +72,8 @@
         attempts: Attempts that were sent.
         retry_after_s: When a refused caller should return; 0 if it is not
             told.
+        sent_to: Candidate that the sender had this answer from, if any.
+        ended_ms: Monotonic time at which the sender had it.
     """
 
     outcome: Outcome
@@ -87,6 +89,8 @@
     refused_deeper: bool = False
     attempts: int = 0
     retry_after_s: float = 0.0
+    sent_to: "Candidate | None" = dataclasses.field(default=None, compare=False)
+    ended_ms: float = dataclasses.field(default=0.0, compare=False)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -102,6 +106,7 @@
         service: Service of the upstream.
         state: starting, ready or draining.
         slots: Calls the upstream runs at once.
+        upstream_id: Id of the upstream; empty if the node's record has none.
     """
 
     node_id: str
@@ -112,6 +117,7 @@
     service: str
     state: str = "ready"
     slots: int = 16
+    upstream_id: str = ""
 
     @property
     def peer(self) -> tuple[str, int]:
--- a/src/celeryfield/internal/events.py
+++ b/src/celeryfield/internal/events.py
@@ -342,6 +342,20 @@
         status: HTTP status of the answer.
         attempts: Attempts that were sent.
         retry_after_s: When the caller was told to return; 0 if not told.
+        decided_by: Node whose answer gave outcome and reason; empty if none.
+        last_peer: Node of the last attempt; empty if nothing was sent.
+        last_upstream: Id of the upstream beside that node, as believed.
+        last_outcome: Outcome of the last attempt.
+        last_reason: Why that is not ok.
+        last_age_ms: Time since the end of the last attempt; -1 without one.
+        last_failed_deeper: The last attempt failed in a call of its run.
+        last_waited_ms: Wait for slots of the last attempt and of the calls of
+            its run.
+        last_running: Calls that ran at that node after it; -1 if not told.
+        last_queued: Calls that waited there; -1 if not told.
+        last_limit: Calls that could run there at once; -1 if not told.
+        last_admission_level: Admission level of the service that the node
+            told; 0 refuses none.
     """
 
     message: ClassVar[str] = "request ended"
@@ -359,6 +373,18 @@
     status: int
     attempts: int
     retry_after_s: float
+    decided_by: str
+    last_peer: str
+    last_upstream: str
+    last_outcome: str
+    last_reason: str
+    last_age_ms: float
+    last_failed_deeper: bool
+    last_waited_ms: float
+    last_running: int
+    last_queued: int
+    last_limit: int
+    last_admission_level: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/celeryfield/internal/registry/records.py
+++ b/src/celeryfield/internal/registry/records.py
@@ -143,6 +143,7 @@
             service=upstream.service,
             state=upstream.state,
             slots=upstream.slots,
+            upstream_id=upstream.id,
         )
 
 
--- a/src/celeryfield/internal/request_story.py
+++ b/src/celeryfield/internal/request_story.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 import json
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
 # Lines about beliefs that are kept while the request's own lines are searched.
@@ -30,6 +30,9 @@
     )
 )
 
+# Events whose lines say what the last attempt was told.
+_ENDS = frozenset(("request ended", "request ended with unknown outcome"))
+
 _WORDS_BY_EVENT = {
     "request ended": (
         "answered the {route} request for {service} with {status} after "
@@ -106,10 +109,35 @@
         template = _WORDS_BY_EVENT.get(self.event, self.event)
         known = collections.defaultdict(lambda: "?", self.fields)
         words = " ".join(template.format_map(known).split())
+        if self.event in _ENDS:
+            words += _last_attempt_words(known)
         subject = str(self.fields.get("request", "")) if self.is_own else ""
         return f"{self.time} {self.node} {subject or '-'}: {words}"
 
 
+def _last_attempt_words(fields: Mapping[str, Any]) -> str:
+    """Returns what the last attempt was told; empty if nothing was sent."""
+    # Lines of older versions do not have these fields.
+    peer = fields.get("last_peer")
+    if not peer:
+        return ""
+    words = (
+        "; last attempt: {last_peer} beside upstream {last_upstream}, ended "
+        "{last_age_ms} ms before: {last_outcome} {last_reason}"
+    ).format_map(fields)
+    words = words.rstrip()
+    if fields["last_failed_deeper"] is True:
+        words += " in a call of its run"
+    if fields["last_limit"] != -1:
+        words += (
+            ", waited {last_waited_ms} ms, then {last_running} running of "
+            "{last_limit}, {last_queued} waiting, level {last_admission_level}"
+        ).format_map(fields)
+    if fields["decided_by"] not in ("", peer):
+        words += "; the answer is that of {decided_by}".format_map(fields)
+    return words
+
+
 def parse_line(line: str) -> dict[str, Any] | None:
     """Returns the fields of a node's line; none if it is another one's.
 
@@ -179,7 +207,11 @@
     """Returns the newest beliefs of each involved node up to the last line."""
     last = max(line.time for line in own)
     nodes = {line.node for line in own}
-    nodes |= {str(line.fields.get("peer", "")) for line in own}
+    nodes |= {
+        str(line.fields.get(name, ""))
+        for line in own
+        for name in ("peer", "last_peer", "decided_by")
+    }
     by_node: dict[str, list[StoryLine]] = {}
     for line in sorted(beliefs, key=lambda line: line.time):
         if line.node in nodes and line.time <= last:
--- a/src/celeryfield/internal/routes/entry.py
+++ b/src/celeryfield/internal/routes/entry.py
@@ -13,14 +13,13 @@
 from celeryfield.internal.routes.returning import ReturnPlanner
 from celeryfield.internal.routes.splits import TrafficSplitter
 from celeryfield.internal.routes.table import Route
+from celeryfield.internal.routing.attempts import CLIENT_CLOSED_REQUEST, Run
 from celeryfield.internal.routing.chains import Chain, ChainTable
 from celeryfield.internal.routing.executor import CallExecutor
 from celeryfield.internal.schema import wire
 
 # Deadline of requests that name none on routes without a timeout.
 DEFAULT_DEADLINE_MS = 30_000.0
-# Status in the log of requests whose caller went away; nothing is answered.
-CLIENT_CLOSED_REQUEST = 499
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,11 +53,13 @@
         call: The call.
         chain: The chain; none if the call begins one.
         parent_id: Id of the request whose run made it, as far as known.
+        run: State of its execution, once that has begun.
     """
 
     call: wire.Call
     chain: Chain | None
     parent_id: str = ""
+    run: Run | None = None
 
 
 class RouteEntry:
@@ -143,7 +144,8 @@
             Outcome.UNKNOWN, Reason.CANCELLED, CLIENT_CLOSED_REQUEST
         )
         try:
-            result = await self._executor.execute(entered.call, body)
+            entered.run = self._executor.new_run(entered.call, body)
+            result = await self._executor.execute_run(entered.run)
             self._settle(entered, result)
             self._plan_return(entered.call, result, started_ms)
         finally:
@@ -195,9 +197,16 @@
     ) -> None:
         call = entered.call
         is_unknown = result.outcome is Outcome.UNKNOWN and not call.repeatable
+        kind = events.OutcomeUnknown if is_unknown else events.RequestEnded
+        outcome = str(result.outcome)
+        if not events.permits(kind, outcome, call.request_id):
+            return
         table = self._routes.current
-        events.emit(
-            events.OutcomeUnknown if is_unknown else events.RequestEnded,
+        run = entered.run
+        last = run.last if run else None
+        last_candidate = last.sent_to if last else None
+        load = last.load if last else None
+        event = kind(
             request=call.request_id,
             call=call.call_id,
             parent=entered.parent_id,
@@ -207,12 +216,32 @@
             config_version=table.version if table else 0,
             deadline_ms=call.deadline_left_ms,
             took_ms=took_ms,
-            outcome=str(result.outcome),
+            outcome=outcome,
             reason=str(result.reason),
             status=result.status,
-            attempts=result.attempts,
+            attempts=run.attempts if run else 0,
             retry_after_s=result.retry_after_s,
+            decided_by=result.sent_to.node_id if result.sent_to else "",
+            last_peer=last_candidate.node_id if last_candidate else "",
+            last_upstream=last_candidate.upstream_id if last_candidate else "",
+            last_outcome=str(last.outcome) if last else "",
+            last_reason=str(last.reason) if last else "",
+            last_age_ms=self._clock.now_ms() - last.ended_ms if last else -1.0,
+            last_failed_deeper=bool(last and last.failed_deeper),
+            last_waited_ms=last.queued_ms if last else 0.0,
+            last_running=load.in_flight if load else -1,
+            last_queued=load.queued if load else -1,
+            last_limit=load.limit if load else -1,
+            last_admission_level=_level_of(call.service, load),
         )
+        events.write(event)
+
+
+def _level_of(service: str, load: wire.LoadReport | None) -> int:
+    """Returns the admission level of a service in a load report."""
+    levels = load.levels if load else ()
+    found = (entry.level for entry in levels if entry.service == service)
+    return next(found, 0)
 
 
 def _deadline_ms(route: Route, request: RoutedRequest) -> float:
--- a/src/celeryfield/internal/routing/attempts.py
+++ b/src/celeryfield/internal/routing/attempts.py
@@ -28,6 +28,8 @@
 
 GATEWAY_TIMEOUT = 504
 BAD_GATEWAY = 502
+# Status of calls that were cancelled; nothing is answered.
+CLIENT_CLOSED_REQUEST = 499
 # Refusals as busy before a call waits where it is.
 MAX_BUSY_REDIRECTS = 2
 
@@ -57,6 +59,7 @@
         busy_left: How often the call may still be refused as busy.
         is_repeat: An upstream has received the call before.
         maybe_run: The newest answer after which the request may have run.
+        last: How the newest attempt ended that was not the loser of a race.
     """
 
     call: wire.Call
@@ -70,6 +73,7 @@
     busy_left: int = MAX_BUSY_REDIRECTS
     is_repeat: bool = False
     maybe_run: CallResult | None = None
+    last: CallResult | None = None
 
     def finish(self, result: CallResult) -> CallResult:
         """Returns the answer to the call.
@@ -207,7 +211,9 @@
     ) -> None:
         """Tells balancer, levels and hedging how an attempt ended."""
         call = run.call
-        latency_ms = self._clock.now_ms() - started_ms
+        now_ms = self._clock.now_ms()
+        latency_ms = now_ms - started_ms
+        _note_last(run, candidate, result, now_ms)
         self._emit_end(run, candidate, result, latency_ms)
         if result is None:
             end = AttemptEnd(
@@ -237,6 +243,20 @@
             self._hedging.record(call, latency_ms, end.is_given_up)
 
 
+def _note_last(
+    run: Run, candidate: Candidate, result: CallResult | None, now_ms: float
+) -> None:
+    """Keeps how an attempt ended, for the log line that ends the request."""
+    if result is None:
+        if run.last is not None and run.last.outcome is Outcome.OK:
+            # The attempt lost a race, so the answer is not its own.
+            return
+        result = unknown(Reason.CANCELLED, CLIENT_CLOSED_REQUEST)
+    result.sent_to = candidate
+    result.ended_ms = now_ms
+    run.last = result
+
+
 def expire(scope: asyncio.Timeout) -> None:
     """Makes a timeout scope expire now, by the clock of the node."""
     scope.reschedule(asyncio.get_running_loop().time())
--- a/src/celeryfield/internal/routing/executor.py
+++ b/src/celeryfield/internal/routing/executor.py
@@ -146,9 +146,21 @@
             The answer, with the allowance that is left. The allowance handed
             down with an attempt whose answer is lost is not in it.
         """
+        return await self.execute_run(self.new_run(call, body))
+
+    def new_run(self, call: wire.Call, body: bytes) -> Run:
+        """Returns the state of a call for ``execute_run``.
+
+        It also tells how far the call got if its execution is cancelled.
+        """
+        now_ms = self._clock.now_ms()
+        end_ms = now_ms + call.deadline_left_ms
+        return Run(call, body, end_ms, call.retry_allowance)
+
+    async def execute_run(self, run: Run) -> CallResult:
+        """Executes a call like ``execute``, once."""
+        call = run.call
         self.counters.calls += 1
-        now = self._clock.now_ms()
-        run = Run(call, body, now + call.deadline_left_ms, call.retry_allowance)
         if self._is_baseline:
             return await self._execute_baseline(run)
         if not self._levels.admits(call):
--- a/tests/cover/test_platform_node.py
+++ b/tests/cover/test_platform_node.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import logging
 import socket
 
 from platform_fleet import fleet_of
@@ -14,7 +15,7 @@
     until,
 )
 
-from celeryfield.internal import sockets
+from celeryfield.internal import events, log_volume, sockets
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.store.answers import StoreObject
 from celeryfield.internal.upstream import tracker as tracking
@@ -97,6 +98,35 @@
         assert headers["X-Server-Signature"] == "proof-a1"
 
 
+async def test_line_of_the_entry_node_tells_what_the_last_attempt_was_told(
+    caplog, monkeypatch
+):
+    """Guards against causes that are lost with the lines of the attempts."""
+    monkeypatch.setattr(events, "_volume", log_volume.VolumeLimit())
+    monkeypatch.setattr(events.AttemptEnded, "per_second", 0)
+    caplog.set_level(logging.INFO)
+    async with fleet_of(2, maxAttempts=1) as fleet:
+        await fleet.report(fleet.nodes[0], fleet.upstreams[0], state="draining")
+        await until(lambda: fleet.nodes[0].tracker.state == tracking.DRAINING)
+        fleet.upstreams[1].refuses = True
+        assert (await fleet.request(fleet.nodes[0]))[0] == 503
+    assert "attempt ended" not in caplog.messages
+    (line,) = (r for r in caplog.records if r.message == "request ended")
+    told = {
+        "decided_by": fleet.nodes[1].settings.node.node.id,
+        "last_peer": fleet.nodes[1].settings.node.node.id,
+        "last_upstream": "i-2",
+        "last_outcome": "not-run",
+        "last_reason": "upstream-shed",
+        "last_failed_deeper": False,
+        "last_running": 0,
+        "last_queued": 0,
+    }
+    assert line.__dict__.items() >= told.items()
+    assert line.last_age_ms >= 0
+    assert line.last_limit > 0
+
+
 async def test_time_limit_of_the_route_is_answered_in_time():
     """Guards against callers that are held past the route's time limit."""
     async with fleet_of(1, timeoutMs=200, maxAttempts=1) as fleet:
--- a/tests/cover/test_request_story.py
+++ b/tests/cover/test_request_story.py
@@ -2,6 +2,7 @@
 
 import json
 
+import pytest
 from typer.testing import CliRunner
 
 from celeryfield.cli.main import app
@@ -45,6 +46,58 @@
     assert "overload" in story[-1].text()
 
 
+LAST_ATTEMPT = {
+    "decided_by": "n7",
+    "last_peer": "n8",
+    "last_upstream": "i-8",
+    "last_outcome": "not-run",
+    "last_reason": "busy",
+    "last_age_ms": 2.5,
+    "last_failed_deeper": False,
+    "last_waited_ms": 0.0,
+    "last_running": 15,
+    "last_queued": 4,
+    "last_limit": 15,
+    "last_admission_level": 128,
+}
+
+
+def test_last_attempt_is_told_although_its_own_line_was_left_out():
+    """Guards against causes that the bound on the volume hides."""
+    lines = [
+        line(2, **REQUEST, **LAST_ATTEMPT),
+        line(1, "n8", message="admission level changed", admission_level=128),
+        line(1, "n7", message="node started"),
+    ]
+    story = find_story("a1", lines)
+    assert {item.node for item in story} == {"n1", "n7", "n8"}
+    text = story[-1].text()
+    for part in (
+        "n8 beside upstream i-8, ended 2.5 ms before: not-run busy",
+        "15 running of 15, 4 waiting, level 128",
+        "the answer is that of n7",
+    ):
+        assert part in text
+
+
+@pytest.mark.parametrize(
+    ("changes", "shown", "hidden"),
+    [
+        ({"last_peer": ""}, "overload", "last attempt"),
+        ({"last_limit": -1}, "not-run busy", "running of"),
+        ({"last_failed_deeper": True}, "busy in a call of its run", "?"),
+        ({"decided_by": "n8"}, "level 128", "the answer is that"),
+    ],
+)
+def test_only_what_the_last_attempt_was_told_is_shown(changes, shown, hidden):
+    """Guards against figures that no node has reported."""
+    fields = REQUEST | {"route": "r", "took_ms": 1, "deadline_ms": 2}
+    fields |= {"attempts": 1} | LAST_ATTEMPT | changes
+    (found,) = find_story("a1", [line(1, **fields)])
+    assert shown in found.text()
+    assert hidden not in found.text()
+
+
 def test_without_context_only_own_lines_come():
     """Guards against a story that is buried in what the node believed."""
     lines = [line(1, message="upstream changed"), line(2, **REQUEST)]
--- a/tests/cover/test_routing_executor.py
+++ b/tests/cover/test_routing_executor.py
@@ -418,3 +418,57 @@
     )
     assert executor.counters.hedges - before == 8
     assert executor.counters.hedges <= 0.05 * 1008
+
+
+@pytest.mark.parametrize(
+    ("answers", "outcomes"),
+    [
+        ([not_run(Reason.OVERLOAD), OK], ("ok", "ok")),
+        ([LOST, not_run(Reason.DEADLINE, 504)], ("unknown", "not-run")),
+    ],
+)
+async def test_run_tells_who_decided_and_what_the_last_attempt_was_told(
+    answers, outcomes
+):
+    """Guards against an answer whose cause is at a node that nobody names."""
+    script = Script(*answers)
+    executor, _, _ = executor_for(script)
+    run = executor.new_run(call_to(retry_allowance=3), b"")
+    result = await executor.execute_run(run)
+    assert (result.outcome, run.last.outcome) == outcomes
+    deciding = 1 if result.outcome is Outcome.OK else 0
+    assert result.sent_to.node_id == script.node_ids[deciding]
+    assert run.last.sent_to.node_id == script.node_ids[-1]
+
+
+async def test_run_tells_which_attempt_was_cancelled():
+    """Guards against requests of callers that went away without a trace."""
+
+    async def never(_candidate, _call, _body):
+        await asyncio.get_running_loop().create_future()
+
+    executor, _, _ = executor_for(never)
+    run = executor.new_run(call_to(), b"")
+    task = asyncio.ensure_future(executor.execute_run(run))
+    await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert run.last.reason is Reason.CANCELLED
+    assert run.last.sent_to.node_id in run.tried_ids
+
+
+async def test_loser_of_a_race_does_not_hide_the_attempt_that_answered():
+    """Guards against a line that blames the attempt that was cancelled."""
+
+    async def send(_candidate, call, _body):
+        if call.path == "stuck" and call.attempt == 0:
+            await asyncio.get_running_loop().create_future()
+        return CallResult(Outcome.OK)
+
+    executor, _, _ = executor_for(send, rule=ClassSection(hedge=True))
+    for _ in range(100):
+        await executor.execute(call_to(retry_allowance=2), b"")
+    run = executor.new_run(call_to(path="stuck", retry_allowance=2), b"")
+    result = await executor.execute_run(run)
+    assert run.attempts == 2
+    assert run.last is result
