Export store calls, the age of the store's answers and the repeat budget

Cause: an outage of the store, a write that the store refused and a repeat that the budget refused showed in log lines only, which the bound on the volume may leave out. The ages of configuration and records do not tell which calls fail, and how.

Change: the store client counts its calls by method and result, where the result is a class attribute of the error, and keeps the time of the newest answer of a working store. A spent budget of calls is an error of its own, so that it does not look like a fault of the store. The dispatcher counts the repeats that the budget permits and refuses, for at most 16 services. The totals are read when metrics are fetched, through a collector of the registry. Both compositions export them.

Cost: nothing for a call that is no repeat; a repeat pays for one count.

Conclusion: labels are bounded by the methods, the error classes and 16 services; no work was added to the usual path of a call.

--- a/src/celeryfield/internal/dispatch/admission.py
+++ b/src/celeryfield/internal/dispatch/admission.py
@@ -145,6 +145,11 @@
         """Lowest rank that is admitted; 0 admits all."""
         return self._control.level.level
 
+    @property
+    def service(self) -> str:
+        """Service of the upstream; empty before the first announcement."""
+        return self._upstream.service
+
     def load_report(self, class_name: str = "") -> wire.LoadReport:
         """Returns the load for answers to other nodes.
 
--- a/src/celeryfield/internal/dispatch/dispatcher.py
+++ b/src/celeryfield/internal/dispatch/dispatcher.py
@@ -9,7 +9,7 @@
 from celeryfield.internal.dispatch.admission import AdmissionController
 from celeryfield.internal.dispatch.chain_limits import ChainEnd, ChainLimits
 from celeryfield.internal.dispatch.permits import EndKind, RunEnd
-from celeryfield.internal.dispatch.repeats import RepeatBudget
+from celeryfield.internal.dispatch.repeats import RepeatBudget, RepeatTotals
 from celeryfield.internal.routing.chains import ChainTable
 from celeryfield.internal.schema import wire
 from celeryfield.internal.transport.server import RunState
@@ -33,6 +33,9 @@
         chains: Chains of the calls that run here.
         upstream: HTTP client of the upstream.
         on_crash: Called when the upstream no longer accepts connections.
+
+    Attributes:
+        repeat_totals: Repeats that the budget permitted and refused.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
         self._upstream = upstream
         self._on_crash = on_crash
         self._repeats = RepeatBudget()
+        self.repeat_totals = RepeatTotals()
         self._crash_check: asyncio.Task[bool] | None = None
 
     async def run(
@@ -178,7 +182,9 @@
         """Counts what the upstream receives and bounds the repeats."""
         now_ms = self._clock.now_ms()
         if call.is_repeat:
-            return self._repeats.try_take(call.priority, now_ms)
+            is_permitted = self._repeats.try_take(call.priority, now_ms)
+            self.repeat_totals.count(self._admission.service, is_permitted)
+            return is_permitted
         self._repeats.note_first(call.priority, now_ms)
         return True
 
--- a/src/celeryfield/internal/dispatch/repeats.py
+++ b/src/celeryfield/internal/dispatch/repeats.py
@@ -15,6 +15,10 @@
 RESERVED_SHARE = 0.5
 WINDOW_MS = 10_000.0
 BUCKET_MS = 500.0
+# Services with totals of their own. An upstream keeps its service, so more
+# come only from reports with arbitrary names.
+MAX_SERVICES = 16
+OTHER = "other"
 
 
 @dataclasses.dataclass(slots=True)
@@ -26,6 +30,27 @@
     repeats: int = 0
 
 
+class RepeatTotals:
+    """Repeats since the start of the node, for metrics.
+
+    Attributes:
+        counts: Number of repeats by service and result, spent or refused.
+    """
+
+    def __init__(self) -> None:
+        self.counts: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._services: set[str] = set()
+
+    def count(self, service: str, is_permitted: bool) -> None:
+        """Counts one repeat at the upstream of a service."""
+        if len(self._services) < MAX_SERVICES:
+            self._services.add(service)
+        name = service if service in self._services else OTHER
+        self.counts[name, "spent" if is_permitted else "refused"] += 1
+
+
 class RepeatBudget:
     """Counts first requests and repeats of one upstream."""
 
--- a/src/celeryfield/internal/metrics.py
+++ b/src/celeryfield/internal/metrics.py
@@ -5,12 +5,18 @@
 """
 
 import dataclasses
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Iterator, Mapping
 
 import prometheus_client
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
 
 from celeryfield.internal.calls import CallResult
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.dispatch.repeats import RepeatTotals
 from celeryfield.internal.schema import wire
+from celeryfield.internal.store.client import StoreClient
 
 OTHER = "other"
 LATENCY_BUCKETS_S = (
@@ -42,6 +48,33 @@
     in_flight: int = 0
 
 
+# The registry keeps collectors by identity.
+@dataclasses.dataclass(slots=True, eq=False)
+class _LabelledTotals(Collector):
+    """Totals that are read when metrics are fetched.
+
+    Attributes:
+        name: Name of the metric.
+        description: What it counts.
+        labels: Names of the labels.
+        read: Returns the totals by the values of the labels.
+    """
+
+    name: str
+    description: str
+    labels: tuple[str, ...]
+    read: Callable[[], Mapping[tuple[str, ...], float]]
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Returns the totals of now."""
+        family = CounterMetricFamily(
+            self.name, self.description, labels=self.labels
+        )
+        for values, total in sorted(self.read().items()):
+            family.add_metric(values, total)
+        yield family
+
+
 class Metrics:
     """Histograms per tenant and class, and totals per class.
 
@@ -110,6 +143,18 @@
         )
         gauge.set_function(read)
 
+    def watch_totals(
+        self,
+        name: str,
+        description: str,
+        labels: tuple[str, ...],
+        read: Callable[[], Mapping[tuple[str, ...], float]],
+    ) -> None:
+        """Exports totals by labels, whose values the owner bounds."""
+        self.registry.register(
+            _LabelledTotals(f"celeryfield_{name}", description, labels, read)
+        )
+
     def render(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
@@ -133,3 +178,52 @@
             totals.failed += 1
         else:
             totals.unknown += 1
+
+
+def watch_store(
+    metrics: Metrics, clock: Clock, store: Callable[[], StoreClient | None]
+) -> None:
+    """Exports the calls to the store and the age of its newest answer.
+
+    Args:
+        metrics: Metrics of the node.
+        clock: Time source.
+        store: Returns the client, once there is one.
+    """
+
+    def calls() -> Mapping[tuple[str, ...], float]:
+        client = store()
+        return client.calls_by_result if client else {}
+
+    def age_s() -> float:
+        client = store()
+        return age_seconds(clock, client.heard_ms if client else None)
+
+    metrics.watch_totals(
+        "store_calls",
+        "Calls to the store since the start of the node.",
+        ("method", "result"),
+        calls,
+    )
+    metrics.watch(
+        "store_age_seconds",
+        "Time since the newest answer of a working store.",
+        age_s,
+    )
+
+
+def watch_repeats(metrics: Metrics, totals: RepeatTotals) -> None:
+    """Exports what the budget of repeats permitted and refused."""
+    metrics.watch_totals(
+        "repeats",
+        "Repeats for the local upstream: budget spent or repeat refused.",
+        ("service", "result"),
+        lambda: totals.counts,
+    )
+
+
+def age_seconds(clock: Clock, heard_ms: float | None) -> float:
+    """Returns the age of an answer; infinite before the first one."""
+    if heard_ms is None:
+        return math.inf
+    return (clock.now_ms() - heard_ms) / 1000.0
--- a/src/celeryfield/internal/node.py
+++ b/src/celeryfield/internal/node.py
@@ -25,7 +25,7 @@
     SeedAddress as GossipAddress,
 )
 from celeryfield.internal.membership.service import Membership
-from celeryfield.internal.metrics import Metrics
+from celeryfield.internal.metrics import Metrics, watch_repeats, watch_store
 from celeryfield.internal.routing.balancer import Balancer
 from celeryfield.internal.routing.chains import ChainTable
 from celeryfield.internal.routing.executor import CallExecutor
@@ -226,6 +226,8 @@
     async def _start_admin(self) -> None:
         self.metrics.watch_counters("gossip", self.membership.counters)
         self.metrics.watch_counters("executor", self.executor.counters)
+        watch_store(self.metrics, self.clock, lambda: self.store)
+        watch_repeats(self.metrics, self.dispatcher.repeat_totals)
         self.admin = AdminServer(
             self.settings,
             self.registry,
--- a/src/celeryfield/internal/store/client.py
+++ b/src/celeryfield/internal/store/client.py
@@ -1,10 +1,12 @@
 """Typed client of the platform's object API."""
 
 import asyncio
+import collections
 import functools
 import random
 import urllib.parse
 from collections.abc import Callable, Sequence
+from typing import TypeVar
 
 import aiohttp
 from expression import Error, Ok, Result
@@ -23,6 +25,7 @@
 from celeryfield.internal.store.budget import Backoff, CallBudget
 from celeryfield.internal.store.dialect import StoreDialect, StoreRequest
 from celeryfield.internal.store.errors import (
+    StoreBudgetError,
     StoreConflictError,
     StoreError,
     StoreMissingError,
@@ -40,6 +43,8 @@
 # with version 0 says that nothing precedes the entries before it.
 ReadWrites = Callable[[bytes], Sequence[wire.WriteRecord]]
 
+_Answer = TypeVar("_Answer")
+
 # The name ``list`` is a method inside the client.
 StoreObjects = list[StoreObject]
 
@@ -52,6 +57,10 @@
         clock: Time source.
         random_source: Source of jitter.
         dialect: Protocol that the store speaks.
+
+    Attributes:
+        calls_by_result: Number of calls by method and result.
+        heard_ms: Monotonic time of the newest answer of a working store.
     """
 
     def __init__(
@@ -70,6 +79,10 @@
         )
         self._session: aiohttp.ClientSession | None = None
         self._is_closed = False
+        self.calls_by_result: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self.heard_ms: float | None = None
 
     async def close(self) -> None:
         """Closes all connections; later calls fail as unanswered."""
@@ -84,7 +97,10 @@
     async def get(self, key: str) -> Result[StoreObject | None, StoreError]:
         """Reads one object; none if it does not exist."""
         answer = await self._read(self._dialect.read(key), 0.0)
-        return answer.bind(functools.partial(self._dialect.decode_object, key))
+        return self._count(
+            "read",
+            answer.bind(functools.partial(self._dialect.decode_object, key)),
+        )
 
     async def list(self, prefix: str) -> Result[StoreObjects, StoreError]:
         """Reads all objects whose keys start with a prefix."""
@@ -97,9 +113,8 @@
         after = ""
         while True:
             answer = await self._read(self._dialect.listing(prefix, after), 0.0)
-            match answer.bind(
-                functools.partial(self._dialect.decode_listing, prefix)
-            ):
+            decode = functools.partial(self._dialect.decode_listing, prefix)
+            match self._count("list", answer.bind(decode)):
                 case Result(tag="ok", ok=page):
                     pass
                 case Result(error=error):
@@ -135,8 +150,11 @@
         wait_ms = self._settings.watch_seconds * 1000.0
         request = self._dialect.watching(prefix, after_revision, int(wait_ms))
         answer = await self._read(request, wait_ms)
-        return answer.bind(
-            functools.partial(self._dialect.decode_changes, prefix)
+        return self._count(
+            "watch",
+            answer.bind(
+                functools.partial(self._dialect.decode_changes, prefix)
+            ),
         )
 
     async def put(
@@ -149,11 +167,10 @@
         """
         request = self._dialect.write(key, value, expected_version)
         answer = await self._write(request)
-        return answer.bind(
-            functools.partial(
-                self._dialect.decode_written, key, value, expected_version
-            )
+        decode = functools.partial(
+            self._dialect.decode_written, key, value, expected_version
         )
+        return self._count("write", answer.bind(decode))
 
     async def replace(
         self, key: str, value: bytes
@@ -177,11 +194,10 @@
         """
         request = self._dialect.remove(key, expected_version)
         answer = await self._write(request)
-        return answer.bind(
-            functools.partial(
-                self._dialect.decode_removed, key, expected_version
-            )
+        decode = functools.partial(
+            self._dialect.decode_removed, key, expected_version
         )
+        return self._count("delete", answer.bind(decode))
 
     async def put_recognised(
         self,
@@ -230,13 +246,23 @@
                 result = again
         return Error(_undecided(key, write_id))
 
+    def _count(
+        self, method: str, result: Result[_Answer, StoreError]
+    ) -> Result[_Answer, StoreError]:
+        """Counts a call and returns its result."""
+        label = result.error.result if result.is_error() else "ok"
+        self.calls_by_result[method, label] += 1
+        if result.is_ok() or result.error.is_answer:
+            self.heard_ms = self._clock.now_ms()
+        return result
+
     async def _write(
         self, request: StoreRequest
     ) -> Result[StoreAnswer, StoreError]:
         """Makes a call that changes an object, once."""
         timeout_ms = self._settings.timeout_ms
         if not await self._budget.acquire(timeout_ms):
-            return Error(StoreUnavailableError(_BUDGET_SPENT))
+            return Error(StoreBudgetError(_BUDGET_SPENT))
         try:
             return Ok(await self._request(request, timeout_ms))
         except aiohttp.ClientConnectorError as error:
@@ -250,7 +276,7 @@
         """Makes a call that changes nothing."""
         timeout_ms = self._settings.timeout_ms
         if not await self._budget.acquire(timeout_ms):
-            return Error(StoreUnavailableError(_BUDGET_SPENT))
+            return Error(StoreBudgetError(_BUDGET_SPENT))
         try:
             return Ok(await self._request(request, wait_ms + timeout_ms))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/src/celeryfield/internal/store/errors.py
+++ b/src/celeryfield/internal/store/errors.py
@@ -1,10 +1,20 @@
 """Errors of the store layer."""
 
+from typing import ClassVar
+
 from celeryfield.errors import CeleryfieldError
 
 
 class StoreError(CeleryfieldError):
-    """A call to the store that did not succeed."""
+    """A call to the store that did not succeed.
+
+    Attributes:
+        result: Label of the metric of store calls.
+        is_answer: The store worked and decided on the call.
+    """
+
+    result: ClassVar[str] = "error"
+    is_answer: ClassVar[bool] = False
 
 
 class StoreConflictError(StoreError):
@@ -15,6 +25,9 @@
         current_version: Version found by the store.
     """
 
+    result = "conflict"
+    is_answer = True
+
     def __init__(self, key: str, expected_version: int, current_version: int):
         super().__init__(
             f"object {key!r} has version {current_version}, not "
@@ -27,18 +40,36 @@
 class StoreUnavailableError(StoreError):
     """The store did not answer, and the call had no effect."""
 
+    result = "unavailable"
+
+
+class StoreBudgetError(StoreUnavailableError):
+    """The node has spent its budget of calls; nothing was sent."""
+
+    result = "budget"
+
 
 class StoreOutcomeUnknownError(StoreError):
     """A write that may or may not take effect, even later."""
 
+    result = "unknown"
+
 
 class StoreRejectedError(StoreError):
     """The store refused the call as invalid; nothing was written."""
 
+    result = "rejected"
+
 
 class StoreMissingError(StoreError):
     """The object to be replaced does not exist; nothing was written."""
 
+    result = "missing"
+    is_answer = True
+
 
 class StoreHistoryLostError(StoreError):
     """The store no longer has the changes since a revision; list again."""
+
+    result = "history-lost"
+    is_answer = True
--- a/src/celeryfield/platform/metrics.py
+++ b/src/celeryfield/platform/metrics.py
@@ -1,12 +1,16 @@
 """Metrics of a node on the platform, and the listener that serves them."""
 
-import math
 import os
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
-from celeryfield.internal.metrics import Metrics
+from celeryfield.internal.metrics import (
+    Metrics,
+    age_seconds,
+    watch_repeats,
+    watch_store,
+)
 from celeryfield.platform.listeners import HttpListener
 from celeryfield.platform.settings import Listener
 
@@ -27,6 +31,8 @@
 def watch_node(metrics: Metrics, node: "PlatformNode") -> None:
     """Exports what a node believes and how far it is loaded."""
     metrics.watch_counters("executor", node.executor.counters)
+    watch_store(metrics, node.clock, lambda: node.store)
+    watch_repeats(metrics, node.dispatcher.repeat_totals)
     watched = (
         (
             "calls_running",
@@ -56,12 +62,12 @@
         (
             "config_age_seconds",
             "Time since the store last answered about the configuration.",
-            lambda: _age_s(node, node.config_watcher.heard_ms),
+            lambda: age_seconds(node.clock, node.config_watcher.heard_ms),
         ),
         (
             "records_age_seconds",
             "Time since the store last answered about other nodes.",
-            lambda: _age_s(node, node.record_watcher.heard_ms),
+            lambda: age_seconds(node.clock, node.record_watcher.heard_ms),
         ),
         (
             "neighbours",
@@ -73,13 +79,6 @@
         metrics.watch(name, description, read)
 
 
-def _age_s(node: "PlatformNode", heard_ms: float | None) -> float:
-    """Returns the age of an answer; infinite before the first one."""
-    if heard_ms is None:
-        return math.inf
-    return (node.clock.now_ms() - heard_ms) / 1000.0
-
-
 def metrics_listener(listener: Listener, metrics: Metrics) -> HttpListener:
     """Returns a listener that serves metrics in the text format of Prometheus.
 
--- a/tests/cover/test_dispatch_repeats.py
+++ b/tests/cover/test_dispatch_repeats.py
@@ -10,9 +10,12 @@
 from celeryfield.internal.dispatch.chain_limits import ChainEnd, ChainLimits
 from celeryfield.internal.dispatch.dispatcher import MAX_RESENDS, Dispatcher
 from celeryfield.internal.dispatch.repeats import (
+    MAX_SERVICES,
+    OTHER,
     REPEAT_SHARE,
     WINDOW_MS,
     RepeatBudget,
+    RepeatTotals,
 )
 from celeryfield.internal.routing.chains import ChainTable
 from celeryfield.internal.routing.levels import LevelTable
@@ -122,6 +125,29 @@
     assert upstream.count == 0
 
 
+async def test_repeats_are_counted_by_service():
+    """Guards against a budget that refuses without a figure that shows it."""
+    upstream = ScriptedUpstream([REFUSED, REFUSED, OK])
+    dispatcher = dispatcher_for(upstream)
+    await run(dispatcher, is_repeat=True)
+    assert dispatcher.repeat_totals.counts == {("stock", "refused"): 1}
+    await warm_up(dispatcher, upstream)
+    await run(dispatcher)
+    assert dispatcher.repeat_totals.counts == {
+        ("stock", "refused"): 1,
+        ("stock", "spent"): 2,
+    }
+
+
+def test_services_with_counts_of_repeats_are_bounded():
+    """Guards against time series that an upstream can add without end."""
+    totals = RepeatTotals()
+    for number in range(10 * MAX_SERVICES):
+        totals.count(f"s{number}", is_permitted=False)
+    assert len(totals.counts) == MAX_SERVICES + 1
+    assert totals.counts[OTHER, "refused"] == 9 * MAX_SERVICES
+
+
 async def test_limit_of_a_class_does_not_show_to_senders_of_sub_calls():
     """Guards against sub-calls that avoid a node that would take them."""
     upstream = ScriptedUpstream([OK] * 3)
--- a/tests/cover/test_platform_node.py
+++ b/tests/cover/test_platform_node.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import logging
+import re
 import socket
 
 from platform_fleet import fleet_of
@@ -127,6 +128,36 @@
     assert line.last_limit > 0
 
 
+async def test_metrics_tell_of_the_store_and_of_repeats():
+    """Guards against an outage of the store that no metric shows."""
+    async with fleet_of(1) as fleet:
+        (node,) = fleet.nodes
+        node.dispatcher.repeat_totals.count("stock", is_permitted=False)
+        text = node.metrics.render().decode()
+        for line in (
+            'celeryfield_store_calls_total{method="list",result="ok"} 2.0',
+            'celeryfield_repeats_total{result="refused",service="stock"} 1.0',
+        ):
+            assert line in text.splitlines()
+        ages = re.findall(r"^celeryfield_store_age_seconds (.*)$", text, re.M)
+        assert len(ages) == 1
+        assert 0 <= float(ages[0]) < 30
+        fleet.store.refusal = 503
+        fleet.store.forget_history()
+        await fleet.store.wake()
+        await until(
+            lambda: 'result="unavailable"' in node.metrics.render().decode()
+        )
+
+
+async def test_age_of_the_store_is_infinite_before_its_first_answer():
+    """Guards against a node without a store that looks up to date."""
+    text = settings_text(1, 1, 2)
+    node = PlatformNode(platform_settings.parse(text).ok, Clock())
+    lines = node.metrics.render().decode().splitlines()
+    assert "celeryfield_store_age_seconds +Inf" in lines
+
+
 async def test_time_limit_of_the_route_is_answered_in_time():
     """Guards against callers that are held past the route's time limit."""
     async with fleet_of(1, timeoutMs=200, maxAttempts=1) as fleet:
--- a/tests/cover/test_store_client.py
+++ b/tests/cover/test_store_client.py
@@ -310,3 +310,63 @@
     first = await outcomes()
     assert first == await outcomes()
     assert len(set(first)) == 2
+
+
+async def test_calls_are_counted_by_method_and_result():
+    """Guards against a store whose faults show in no figure."""
+    async with store_and_client(timeout_ms=200) as (platform, client):
+        first = (await client.put(KEY, b"a", 0)).ok
+        await client.put(KEY, b"b", 0)
+        await client.get(KEY)
+        await client.list("config/")
+        await client.watch("config/", 0)
+        platform.lose_answers(1)
+        await client.put(KEY, b"c", first.version)
+        platform.set_stalled(True)
+        await client.get(KEY)
+        platform.set_stalled(False)
+        assert client.calls_by_result == {
+            ("write", "ok"): 1,
+            ("write", "conflict"): 1,
+            ("write", "unknown"): 1,
+            ("read", "ok"): 1,
+            ("read", "unavailable"): 1,
+            ("list", "ok"): 1,
+            ("watch", "ok"): 1,
+        }
+        # The stand-in knows no deletes and refuses them as invalid.
+        await client.delete(KEY, 999)
+        assert client.calls_by_result["delete", "rejected"] == 1
+
+
+async def test_spent_budget_shows_in_the_counts():
+    """Guards against a node that blames the store for its own limit."""
+    async with store_and_client(burst=1, timeout_ms=1) as (_, client):
+        await client.get(KEY)
+        result = await client.get(KEY)
+        assert isinstance(result.error, StoreUnavailableError)
+        assert client.calls_by_result["read", "budget"] == 1
+
+
+async def test_only_answers_of_a_working_store_count_as_heard():
+    """Guards against an age of beliefs that errors make young."""
+    clock = ManualClock()
+    platform = PlatformStore(seed=1)
+    await platform.start()
+    client = make_client(platform, clock, timeout_ms=200)
+    try:
+        assert client.heard_ms is None
+        await client.get(KEY)
+        heard_ms = client.heard_ms
+        assert heard_ms == clock.now_ms()
+        clock.advance(5_000)
+        platform.set_down(True)
+        for _ in range(4):
+            await client.get(KEY)
+        assert client.heard_ms == heard_ms
+        platform.set_down(False)
+        await client.get(KEY)
+        assert client.heard_ms == clock.now_ms()
+    finally:
+        await client.close()
+        await platform.stop()
