Apply the body limit of the configuration in force to callers

Cause: the listener for callers kept the default body limit of 64 MiB whatever the operator's configuration said.

Ruled out: a limit given to aiohttp's server. It is fixed per connection, and the body is read by the listener itself.

Change: the listener takes the limits of each route table that comes into force; a request is measured by the limit in force when its body is read.

Before: test_body_limit_of_a_new_version_binds_the_next_request failed with 200 for a body over the limit (413 expected). After: it passes, with the other tests of test_platform_node.py (19 passed).

Conclusion: the body limit follows the configuration on open connections.

--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -86,6 +86,10 @@
         """Number of requests that were read and are not answered yet."""
         return len(self._running)
 
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Puts bounds on what callers may send in force."""
+        self._limits = limits
+
     def leave(self) -> None:
         """Asks callers to open no more requests on their connections."""
         self._is_leaving = True
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -134,6 +134,9 @@
         )
         metrics.watch_node(self.metrics, self)
         self.callers = CallerListener(self.settings, clock, self.entry)
+        self.routes.subscribe(
+            lambda table: self.callers.set_limits(table.limits)
+        )
 
     def _build_store(self) -> None:
         node_id = self._identity.id
