Close idle connections of callers by the limit in force

Cause: the listener gave aiohttp a fixed idle time of 15 s when it was opened. Callers use a connection again that was idle for up to four fifths of idleTimeoutMs, so a longer limit met a closed connection; a shorter one kept connections that callers had given up. aiohttp takes keepalive_timeout when a connection is opened and offers no public way to change it afterwards.

Ruled out: keepalive_timeout for each new connection (a raised limit then does not hold for open ones, see the mutation below); private attributes of the library; Connection: close on older connections, which does not help one that is idle when the limit is raised.

Change: platform/connections.py measures idle time with one check a second over the open connections and closes those that were idle for idleTimeoutMs and headerTimeoutMs together, never sooner. A head that is not whole counts as idle time, so it is bounded too. A request costs three set operations.

Before: test_idle_connection_is_closed_after_the_limit_in_force, test_idle_connection_is_kept_for_the_whole_limit and test_head_that_never_ends_is_given_up failed. After: they pass, with test_platform_node.py and test_platform_drain.py (27 passed). With the limit handed to the library's timer instead, test_raised_idle_limit_holds_for_open_connections fails; without the note of busy connections test_request_whose_body_is_on_its_way_is_not_idle fails.

Conclusion: the idle limit follows the configuration on all connections. The processor time per call was not measured.

--- /dev/null
+++ b/src/celeryfield/platform/connections.py
@@ -0,0 +1,83 @@
+"""Connections of callers under limits that change at run time.
+
+aiohttp fixes the limits of a connection when it is opened. Idle time is
+therefore measured here.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from celeryfield.internal.routes.table import CallerLimits
+
+# How often idle connections are looked for. One is closed at most this much
+# later than its limit, and never sooner.
+IDLE_CHECK_MS = 1_000.0
+# The library's own timer cannot be changed once a connection is open, so it
+# must never be the first to fire.
+_LIBRARY_IDLE_S = 7 * 86_400.0
+MAX_HEADER_BYTES = 16_384
+
+Handle = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class CallerConnections(web.Server):
+    """The server side of all connections of callers.
+
+    Args:
+        handle: Answers one request.
+    """
+
+    def __init__(self, handle: Handle) -> None:
+        super().__init__(handle, handler_cancellation=True)
+        self._limits = CallerLimits()
+        self._busy: set[web.RequestHandler] = set()
+        self._used: set[web.RequestHandler] = set()
+        self._idle_since_ms: dict[web.RequestHandler, float] = {}
+
+    def __call__(self) -> web.RequestHandler:
+        """Returns the protocol of a new connection."""
+        return web.RequestHandler(
+            self,
+            loop=asyncio.get_running_loop(),
+            access_log=None,
+            keepalive_timeout=_LIBRARY_IDLE_S,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            auto_decompress=False,
+        )
+
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Puts limits in force."""
+        self._limits = limits
+
+    def begin(self, connection: web.RequestHandler) -> None:
+        """Notes that a connection carries a request."""
+        self._busy.add(connection)
+
+    def end(self, connection: web.RequestHandler) -> None:
+        """Notes that the request of a connection has an answer."""
+        self._busy.discard(connection)
+        self._used.add(connection)
+
+    def close_idle(self, now_ms: float) -> None:
+        """Closes connections that were idle for too long.
+
+        A head that is not whole counts as idle time. The time that callers
+        may take for a head is added, so that one which began in time is not
+        cut.
+        """
+        limits = self._limits
+        longest_ms = limits.idle_timeout_ms + limits.header_timeout_ms
+        previous = self._idle_since_ms
+        self._idle_since_ms = {}
+        for connection in self.connections:
+            since_ms = previous.get(connection, now_ms)
+            if connection in self._busy or connection in self._used:
+                since_ms = now_ms
+            if now_ms - since_ms >= longest_ms:
+                connection.force_close()
+            else:
+                self._idle_since_ms[connection] = since_ms
+        self._used.clear()
--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -26,6 +26,7 @@
 )
 from celeryfield.internal.routes.table import CallerLimits
 from celeryfield.platform import headers
+from celeryfield.platform.connections import IDLE_CHECK_MS, CallerConnections
 from celeryfield.platform.settings import PlatformSettings
 
 logger = logging.getLogger(__name__)
@@ -79,7 +80,10 @@
         self._clock = clock
         self._entry = entry
         self._limits = CallerLimits()
-        self._runner: web.ServerRunner | None = None
+        self._connections = CallerConnections(self._handle)
+        self._runner = web.ServerRunner(
+            self._connections, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        )
 
     @property
     def in_flight(self) -> int:
@@ -89,6 +93,7 @@
     def set_limits(self, limits: CallerLimits) -> None:
         """Puts bounds on what callers may send in force."""
         self._limits = limits
+        self._connections.set_limits(limits)
 
     def leave(self) -> None:
         """Asks callers to open no more requests on their connections."""
@@ -125,19 +130,6 @@
 
     async def on_start(self) -> None:
         """Opens the listener."""
-        limits = self._limits
-        server = web.Server(
-            self._handle,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=limits.idle_timeout_ms / 1000.0,
-            max_line_size=limits.max_header_bytes,
-            max_field_size=limits.max_header_bytes,
-            auto_decompress=False,
-        )
-        self._runner = web.ServerRunner(
-            server, shutdown_timeout=SHUTDOWN_TIMEOUT_S
-        )
         await self._runner.setup()
         listener = self._settings.callers
         site = web.TCPSite(
@@ -147,10 +139,26 @@
 
     async def on_stop(self) -> None:
         """Closes the listener."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        await self._runner.cleanup()
+
+    @Service.task
+    async def _run_idle_check(self) -> None:
+        while not self.should_stop:
+            await self._clock.sleep_ms(IDLE_CHECK_MS)
+            self._connections.close_idle(self._clock.now_ms())
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        connections, connection = self._connections, request.protocol
+        connections.begin(connection)
+        try:
+            response = await self._respond(request)
+        finally:
+            connections.end(connection)
+        if self._is_leaving:
+            response.force_close()
+        return response
+
+    async def _respond(self, request: web.BaseRequest) -> web.Response:
         body = b""
         if request.body_exists:
             content = await read_bounded(
@@ -224,9 +232,6 @@
             answer_headers[headers.RETRY_AFTER] = f"{pause_s:.2f}"
         if request_id:
             answer_headers[headers.REQUEST_ID] = request_id
-        response = web.Response(
+        return web.Response(
             status=status, body=result.body, headers=answer_headers
         )
-        if self._is_leaving:
-            response.force_close()
-        return response
--- a/tests/cover/test_platform_limits.py
+++ b/tests/cover/test_platform_limits.py
@@ -4,7 +4,15 @@
 import contextlib
 
 from platform_fleet import fleet_of
-from platform_standins import config_spec, until
+from platform_standins import config_spec, settings_text, until
+
+from celeryfield.internal.clock import ManualClock
+from celeryfield.internal.routes.table import CallerLimits
+from celeryfield.platform import settings as platform_settings
+from celeryfield.platform.connections import IDLE_CHECK_MS
+from celeryfield.platform.ingress import CallerListener
+
+SHORT_MS = 100.0
 
 
 def limits_spec(version, **fields):
@@ -57,6 +65,12 @@
         await self.reader.readexactly(int(length or 0))
         return status, answer
 
+    async def is_closed(self, timeout_s):
+        """Returns whether the node closes the connection within a time."""
+        with contextlib.suppress(TimeoutError):
+            return await asyncio.wait_for(self.reader.read(1), timeout_s) == b""
+        return False
+
 
 @contextlib.asynccontextmanager
 async def caller_of(listener):
@@ -78,3 +92,108 @@
             assert (await caller.request(b"x" * 99))[0] == 200
             await configure(fleet, 3, maxBodyBytes=100)
             assert (await caller.request(b"x" * 100))[0] == 200
+
+
+async def test_idle_connection_is_closed_after_the_limit_in_force():
+    """Guards against connections that callers gave up and a node keeps."""
+    async with fleet_of(1) as fleet:
+        (node,) = fleet.nodes
+        async with caller_of(node.settings.callers) as caller:
+            assert (await caller.request())[0] == 200
+            await configure(
+                fleet, 2, idleTimeoutMs=SHORT_MS, headerTimeoutMs=SHORT_MS
+            )
+            assert await caller.is_closed(timeout_s=10)
+
+
+class NoRoutes:
+    """An entry that knows no route, so that requests end in 404."""
+
+    is_configured = True
+
+    def match(self, _host, _path):
+        return None
+
+
+@contextlib.asynccontextmanager
+async def listener_of(clock):
+    """Runs a listener whose time the test drives."""
+    text = settings_text(1, store_port=1, upstream_port=1)
+    settings = platform_settings.parse(text).ok
+    listener = CallerListener(settings, clock, NoRoutes())
+    await listener.start()
+    try:
+        yield listener, settings.callers
+    finally:
+        await listener.stop()
+
+
+async def pass_ms(clock, duration_ms):
+    """Moves time forward in steps of the listener's own check."""
+    while duration_ms > 0:
+        clock.advance(min(duration_ms, IDLE_CHECK_MS))
+        duration_ms -= IDLE_CHECK_MS
+        # The check and what it closes run in the next rounds of the loop.
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+
+async def test_idle_connection_is_kept_for_the_whole_limit():
+    """Guards against a close that meets the next request of a caller."""
+    clock = ManualClock()
+    async with listener_of(clock) as (listener, place):
+        listener.set_limits(CallerLimits(idle_timeout_ms=60_000.0))
+        async with caller_of(place) as caller:
+            for _ in range(3):
+                assert (await caller.request())[0] == 404
+                await pass_ms(clock, 59_000.0)
+            assert (await caller.request())[0] == 404
+            await pass_ms(clock, 70_000.0)
+            assert await caller.is_closed(timeout_s=10)
+
+
+async def test_raised_idle_limit_holds_for_open_connections():
+    """Guards against the limit of the time at which a caller connected."""
+    clock = ManualClock()
+    async with listener_of(clock) as (listener, place):
+        listener.set_limits(CallerLimits(idle_timeout_ms=SHORT_MS))
+        async with caller_of(place) as caller:
+            assert (await caller.request())[0] == 404
+            listener.set_limits(CallerLimits(idle_timeout_ms=60_000.0))
+            # The library's own timer runs in real time.
+            await asyncio.sleep(5 * SHORT_MS / 1000.0)
+            await pass_ms(clock, 48_000.0)
+            assert (await caller.request())[0] == 404
+
+
+async def test_request_whose_body_is_on_its_way_is_not_idle():
+    """Guards against a limit on idle time that cuts a slow upload."""
+    clock = ManualClock()
+    async with listener_of(clock) as (listener, place):
+        listener.set_limits(
+            CallerLimits(idle_timeout_ms=SHORT_MS, header_timeout_ms=SHORT_MS)
+        )
+        async with caller_of(place) as caller:
+            caller.writer.write(
+                b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\na"
+            )
+            await asyncio.sleep(0.1)
+            await pass_ms(clock, 30_000.0)
+            caller.writer.write(b"b")
+            answer = await asyncio.wait_for(
+                caller.reader.readuntil(b"\r\n\r\n"), timeout=20
+            )
+            assert b" 404 " in answer
+
+
+async def test_head_that_never_ends_is_given_up():
+    """Guards against callers that hold connections with a part of a head."""
+    clock = ManualClock()
+    async with (
+        listener_of(clock) as (_listener, place),
+        caller_of(place) as caller,
+    ):
+        caller.writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n")
+        await asyncio.sleep(0.1)
+        await pass_ms(clock, 30_000.0)
+        assert await caller.is_closed(timeout_s=10)
