Take the header limit of the configuration in force for connections

Cause: aiohttp's parser had the default of 16 KiB for each line of a head, so callers got 400 for headers that a raised maxHeaderBytes allows.

Ruled out: changing the parser of an open connection (private attributes); adding up the size of each head in the listener (work for each call, while callers stay within the limit anyway).

Change: a connection takes the limit in force when it is opened, at least 16 KiB as before.

Before: test_raised_header_limit_holds_for_new_connections failed with 400 (404 expected from a listener without routes).

--- a/src/celeryfield/platform/connections.py
+++ b/src/celeryfield/platform/connections.py
@@ -1,7 +1,8 @@
 """Connections of callers under limits that change at run time.
 
 aiohttp fixes the limits of a connection when it is opened. Idle time is
-therefore measured here.
+therefore measured here, and a connection whose header limit has become too
+small is closed with its next answer.
 """
 
 import asyncio
@@ -17,7 +18,9 @@
 # The library's own timer cannot be changed once a connection is open, so it
 # must never be the first to fire.
 _LIBRARY_IDLE_S = 7 * 86_400.0
-MAX_HEADER_BYTES = 16_384
+# A limit below this is not passed to the parser: a caller that may use a
+# higher limit from now on would get 400 on connections opened before.
+MIN_HEADER_BYTES = 16_384
 
 Handle = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -34,22 +37,26 @@
         self._limits = CallerLimits()
         self._busy: set[web.RequestHandler] = set()
         self._used: set[web.RequestHandler] = set()
+        self._outdated: set[web.RequestHandler] = set()
         self._idle_since_ms: dict[web.RequestHandler, float] = {}
 
     def __call__(self) -> web.RequestHandler:
         """Returns the protocol of a new connection."""
+        header_bytes = _header_bytes(self._limits)
         return web.RequestHandler(
             self,
             loop=asyncio.get_running_loop(),
             access_log=None,
             keepalive_timeout=_LIBRARY_IDLE_S,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
+            max_line_size=header_bytes,
+            max_field_size=header_bytes,
             auto_decompress=False,
         )
 
     def set_limits(self, limits: CallerLimits) -> None:
         """Puts limits in force."""
+        if _header_bytes(limits) > _header_bytes(self._limits):
+            self._outdated.update(self.connections)
         self._limits = limits
 
     def begin(self, connection: web.RequestHandler) -> None:
@@ -61,6 +68,10 @@
         self._busy.discard(connection)
         self._used.add(connection)
 
+    def is_outdated(self, connection: web.RequestHandler) -> bool:
+        """Returns whether a connection has a header limit that was raised."""
+        return connection in self._outdated
+
     def close_idle(self, now_ms: float) -> None:
         """Closes connections that were idle for too long.
 
@@ -81,3 +92,8 @@
             else:
                 self._idle_since_ms[connection] = since_ms
         self._used.clear()
+        self._outdated &= self._idle_since_ms.keys()
+
+
+def _header_bytes(limits: CallerLimits) -> int:
+    return max(limits.max_header_bytes, MIN_HEADER_BYTES)
--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -154,7 +154,7 @@
             response = await self._respond(request)
         finally:
             connections.end(connection)
-        if self._is_leaving:
+        if self._is_leaving or connections.is_outdated(connection):
             response.force_close()
         return response
 
--- a/tests/cover/test_platform_limits.py
+++ b/tests/cover/test_platform_limits.py
@@ -197,3 +197,24 @@
         await asyncio.sleep(0.1)
         await pass_ms(clock, 30_000.0)
         assert await caller.is_closed(timeout_s=10)
+
+
+async def test_raised_header_limit_holds_for_new_connections():
+    """Guards against 400 for headers that the operator allows."""
+    header = "x" * 30_000
+    async with (
+        listener_of(ManualClock()) as (listener, place),
+        caller_of(place) as early,
+    ):
+        status, head = await early.request()
+        assert status == 404
+        assert "connection: close" not in head
+        listener.set_limits(CallerLimits(max_header_bytes=40_000))
+        async with caller_of(place) as late:
+            assert (await late.request(header=header))[0] == 404
+            status, head = await late.request()
+            assert "connection: close" not in head
+        # The parser of a connection keeps its limit.
+        status, head = await early.request()
+        assert status == 404
+        assert "connection: close" in head
