End exchanges whose head or framing never ends

Cause: nothing bounded what an upstream sends before or between the bytes of a body: a header, a reason phrase, empty lines, 1xx answers, chunk extensions and trailers were read until the deadline of the call, and the parser keeps an unfinished header in memory.

Ruled out: a bound on each part of the head in the parser's callbacks. httptools hands over a header only once it is whole, and chunk extensions not at all.

Change: an exchange counts the bytes received that are not body. More than 64 KiB, and eight for each byte of a body, end it as a broken answer. A failed exchange closes its connection at once rather than when its task runs. The bound on the size of an answer holds for all answers of one exchange together, with those that are passed over.

Conclusion: one exchange holds at most 64 MiB of body and a few hundred KiB besides. The sum over all exchanges is not bounded yet.

--- a/src/celeryfield/internal/upstream/connection.py
+++ b/src/celeryfield/internal/upstream/connection.py
@@ -22,6 +22,11 @@
 )
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Largest size of heads, chunk sizes, chunk extensions and trailers of one
+# exchange. A faulty upstream may send any of these without end.
+MAX_FRAMING_BYTES = 64 * 1024
+# Chunks of one byte take six bytes each, so a body allows for more framing.
+MAX_FRAMING_PER_BODY_BYTE = 8
 # Answers to earlier requests that are passed over on one connection.
 MAX_FOREIGN_ANSWERS = 4
 _BODILESS_STATUSES = frozenset((204, 304))
@@ -113,10 +118,16 @@
         if self._waiter is None:
             self.abort()
             return
+        self._received += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(AnswerBrokenError(f"not an answer: {error}"))
+            return
+        framing = self._received - self._size
+        allowed = MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._size
+        if framing > allowed:
+            self._fail(AnswerBrokenError("the head or the framing is too long"))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the exchange; only an orderly end completes an open body."""
@@ -221,13 +232,15 @@
 
     def _start_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
+        # Counts of the whole exchange, with answers that are passed over.
+        self._received = 0
+        self._size = 0
         self._begin_answer()
 
     def _begin_answer(self) -> None:
         self._status = 0
         self._headers: CIMultiDict[str] = CIMultiDict()
         self._parts: list[bytes] = []
-        self._size = 0
         self._has_begun = False
         self._ends_with_connection = False
 
@@ -258,6 +271,7 @@
                 self.keep_alive_s = int(value)
 
     def _fail(self, error: UpstreamError) -> None:
-        self.is_reusable = False
+        # What arrives before the waiting task runs would still be kept.
+        self.abort()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(error)
--- a/tests/cover/test_upstream_connection.py
+++ b/tests/cover/test_upstream_connection.py
@@ -168,3 +168,76 @@
             await task
         await send(pool)
     assert upstream.connections == 2
+
+
+class EndlessUpstream:
+    """Sends one piece of bytes again and again until the caller closes.
+
+    Attributes:
+        sent: Bytes that were sent so far.
+        is_closed: The caller closed the connection.
+    """
+
+    def __init__(self, first, piece):
+        self.first = first
+        # Single small writes would make the test slow.
+        self.piece = piece * (65_536 // len(piece) + 1)
+        self.sent = 0
+        self.is_closed = asyncio.Event()
+
+    async def __call__(self, reader, writer):
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.first)
+            while self.sent < 256 * 1024 * 1024:
+                writer.write(self.piece)
+                self.sent += len(self.piece)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            self.is_closed.set()
+            writer.close()
+
+
+OK_HEAD = b"HTTP/1.1 200 OK\r\nX-Id: a\r\n"
+CHUNKED = OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("first", "piece"),
+    [
+        pytest.param(OK_HEAD + b"X-Long: ", b"x", id="one header"),
+        pytest.param(OK_HEAD, b"X-Next: 1\r\n", id="headers"),
+        pytest.param(b"HTTP/1.1 200 ", b"x", id="reason"),
+        pytest.param(b"", b"\r\n", id="empty lines"),
+        pytest.param(b"", b"HTTP/1.1 100 Continue\r\n\r\n", id="1xx answers"),
+        pytest.param(CHUNKED + b"1;", b"extension=1;", id="chunk extension"),
+        pytest.param(CHUNKED + b"1", b"0", id="chunk size"),
+        pytest.param(
+            CHUNKED + b"1\r\nx\r\n0\r\n", b"X-Next: 1\r\n", id="trailers"
+        ),
+        pytest.param(
+            b"",
+            b"HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 0\r\n\r\n",
+            id="answers to other requests",
+        ),
+    ],
+)
+async def test_bytes_that_never_become_an_answer_end_the_exchange(first, piece):
+    # A faulty upstream filled the node's memory until the call's deadline.
+    upstream = EndlessUpstream(first, piece)
+    async with pool_to(upstream) as pool:
+        with pytest.raises(AnswerBrokenError):
+            await send(pool)
+        await asyncio.wait_for(upstream.is_closed.wait(), 5)
+    # What the sockets hold comes on top of what was read.
+    assert upstream.sent < 16 * 1024 * 1024
+
+
+async def test_a_body_in_the_smallest_chunks_is_whole():
+    # A bound on framing must not cut a body that comes byte by byte.
+    chunked = CHUNKED + b"1\r\nx\r\n" * 50_000 + b"0\r\n\r\n"
+    async with pool_to(ScriptedUpstream([[chunked]])) as pool:
+        answer = await send(pool)
+    assert answer.body == b"x" * 50_000
