Bound the unfinished answers that a pool holds

Cause: each answer was bounded to 64 MiB by itself, so several bodies without end at the same time exceeded the 300 MB of a node.

Ruled out: a lower bound for one answer. The users name no largest answer, and refusing a proper one loses it.

Change: the pool counts the body bytes of exchanges under way. Above 80 MiB it ends the exchange that holds the most, so that small answers beside it are read on. Joining the parts of an answer takes its size once more, at most 64 MiB.

Before: test_endless_answers_together_stay_within_the_memory_of_a_node failed; four endless answers reached 283 MB sent at a time (bound 128 MiB). After: it passes, as does test_answers_that_ended_free_the_memory_of_their_pool, which fails if the count is not given back (23 passed in test_upstream_connection.py).

Conclusion: unfinished answers of the upstream are bounded for the whole node. Whole answers on their way to other nodes and to callers are not part of the count.

--- a/src/celeryfield/internal/upstream/connection.py
+++ b/src/celeryfield/internal/upstream/connection.py
@@ -83,6 +83,8 @@
 
     Args:
         on_close: Called once when the connection has ended.
+        on_held: Called with each change of the bytes that the connection
+            holds of an answer that is not whole.
 
     Attributes:
         is_reusable: Another exchange may follow.
@@ -92,21 +94,30 @@
     """
 
     def __init__(
-        self, on_close: Callable[["UpstreamConnection"], None]
+        self,
+        on_close: Callable[["UpstreamConnection"], None],
+        on_held: Callable[[int], None],
     ) -> None:
         self.is_reusable = True
         self.exchanges = 0
         self.idle_since_ms = 0.0
         self.keep_alive_s: int | None = None
         self._on_close = on_close
+        self._on_held = on_held
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[HttpAnswer] | None = None
         self._belongs: AnswerCheck | None = None
         self._is_head = False
         self._foreign_count = 0
         self._is_closed = False
+        self._held_bytes = 0
         self._start_parser()
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes held of an answer that is not whole."""
+        return self._held_bytes
+
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -178,6 +189,8 @@
             self._fail(AnswerTooLargeError("the answer is too large"))
             return
         self._parts.append(part)
+        self._held_bytes += len(part)
+        self._on_held(len(part))
 
     def on_message_complete(self) -> None:
         """Ends an answer; what follows in the same bytes belongs to no one."""
@@ -219,11 +232,17 @@
             return answer
         finally:
             self._waiter = None
+            self._on_held(-self._held_bytes)
+            self._held_bytes = 0
             # An unread rest of the request would be taken for another one.
             is_sent = self._transport.get_write_buffer_size() == 0
             if not (is_whole and is_sent):
                 self.abort()
 
+    def refuse_answer(self) -> None:
+        """Ends the exchange because its answer takes too much memory."""
+        self._fail(AnswerTooLargeError("the answer takes too much memory"))
+
     def abort(self) -> None:
         """Ends the connection at once."""
         self.is_reusable = False
--- a/src/celeryfield/internal/upstream/pool.py
+++ b/src/celeryfield/internal/upstream/pool.py
@@ -24,6 +24,9 @@
 FRESH_IDLE_MS = 250.0
 # Silence of the network after which an open connection counts as lost.
 USER_TIMEOUT_MS = 2_000
+# Bytes of unfinished answers that one pool holds. A node has 300 MB for all
+# that it does, and joining the parts of an answer takes its size once more.
+MAX_HELD_BYTES = 80 * 1024 * 1024
 
 
 class UpstreamPool:
@@ -40,6 +43,7 @@
         self._port = 0
         self._idle: collections.deque[UpstreamConnection] = collections.deque()
         self._connections: set[UpstreamConnection] = set()
+        self._held_bytes = 0
 
     def set_address(self, address: str) -> None:
         """Points the pool at ``host:port``; idle connections are closed."""
@@ -126,7 +130,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 transport, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(self._forget),
+                    lambda: UpstreamConnection(self._forget, self._hold),
                     self._host,
                     self._port,
                 )
@@ -138,6 +142,15 @@
         self._connections.add(connection)
         return connection
 
+    def _hold(self, change: int) -> None:
+        """Counts the bytes held; ends the largest answer if it is too many."""
+        self._held_bytes += change
+        if self._held_bytes > MAX_HELD_BYTES:
+            largest = max(
+                self._connections, key=lambda connection: connection.held_bytes
+            )
+            largest.refuse_answer()
+
     def _forget(self, connection: UpstreamConnection) -> None:
         self._connections.discard(connection)
         if connection in self._idle:
--- a/tests/cover/test_upstream_connection.py
+++ b/tests/cover/test_upstream_connection.py
@@ -8,10 +8,12 @@
 import pytest
 
 from celeryfield.internal.clock import Clock, ManualClock
+from celeryfield.internal.upstream import pool as pools
 from celeryfield.internal.upstream.connection import HttpRequest
 from celeryfield.internal.upstream.errors import (
     AnswerBrokenError,
     AnswerLostError,
+    AnswerTooLargeError,
     UpstreamConnectError,
 )
 from celeryfield.internal.upstream.pool import FRESH_IDLE_MS, UpstreamPool
@@ -175,10 +177,12 @@
 
     Attributes:
         sent: Bytes that were sent so far.
+        on_sent: Called after each piece.
         is_closed: The caller closed the connection.
     """
 
-    def __init__(self, first, piece):
+    def __init__(self, first, piece, on_sent=lambda: None):
+        self.on_sent = on_sent
         self.first = first
         # Single small writes would make the test slow.
         self.piece = piece * (65_536 // len(piece) + 1)
@@ -192,6 +196,7 @@
             while self.sent < 256 * 1024 * 1024:
                 writer.write(self.piece)
                 self.sent += len(self.piece)
+                self.on_sent()
                 await writer.drain()
         except ConnectionError:
             pass
@@ -241,3 +246,55 @@
     async with pool_to(ScriptedUpstream([[chunked]])) as pool:
         answer = await send(pool)
     assert answer.body == b"x" * 50_000
+
+
+async def test_endless_answers_together_stay_within_the_memory_of_a_node():
+    # Each answer was bounded by itself, but not all of a pool together.
+    peak = 0
+
+    def note_peak():
+        nonlocal peak
+        held = sum(item.sent for item in endless if not item.is_closed.is_set())
+        peak = max(peak, held)
+
+    async def answer_late(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write((WHOLE % b"a")[:-1])
+        await all_closed.wait()
+        writer.write((WHOLE % b"a")[-1:])
+        await writer.drain()
+        writer.close()
+
+    all_closed = asyncio.Event()
+    endless = [EndlessUpstream(UNFRAMED, b"x", note_peak) for _ in range(4)]
+    handlers = [answer_late, *endless]
+
+    async def upstream(reader, writer):
+        await handlers.pop(0)(reader, writer)
+
+    async with pool_to(upstream) as pool:
+        small = asyncio.ensure_future(send(pool))
+        results = await asyncio.gather(
+            *(send(pool) for _ in endless), return_exceptions=True
+        )
+        all_closed.set()
+        answer = await small
+    assert [type(result) for result in results] == [AnswerTooLargeError] * 4
+    assert answer.body == b"body"
+    # A node has 300 MB; an answer that is joined takes its size once more.
+    assert peak < 128 * 1024 * 1024
+
+
+async def test_answers_that_ended_free_the_memory_of_their_pool(monkeypatch):
+    # Bytes that are counted for ever would refuse every later answer.
+    monkeypatch.setattr(pools, "MAX_HELD_BYTES", 1_000)
+    whole = OK_HEAD + b"Content-Length: 600\r\n\r\n" + b"x" * 600
+    cut = whole[:-1]
+    scripts = [[cut], [cut], [whole, whole, None]]
+    async with pool_to(ScriptedUpstream(scripts)) as pool:
+        for is_whole in (False, False, True, True):
+            if is_whole:
+                assert len((await send(pool)).body) == 600
+            else:
+                with pytest.raises(AnswerBrokenError):
+                    await send(pool)
