Give up connections on which a second answer has begun

Cause: a whole second answer behind the first one ended the connection, but a part of one did not. Its rest arrived while the next request waited and failed that one as a broken answer, although it may have run.

Ruled out: passing over the rest by its request id. The parser is new for each exchange and sees only the rest, which is no answer.

Change: a connection whose parser has begun another answer when an exchange ends is not used again.

Before: test_a_part_of_a_second_answer_does_not_reach_the_next_request failed with AnswerBrokenError. After: it passes, with the other tests of the upstream, the border, the node and the limits on the platform.

Conclusion: bytes behind a whole answer reach no later request if they arrive with it; those that arrive later end an idle connection as before.

--- a/src/celeryfield/internal/upstream/connection.py
+++ b/src/celeryfield/internal/upstream/connection.py
@@ -229,6 +229,9 @@
         try:
             answer = await self._waiter
             is_whole = True
+            if self._has_begun:
+                # The rest of a second answer would meet the next request.
+                self.is_reusable = False
             return answer
         finally:
             self._waiter = None
--- a/tests/cover/test_upstream_connection.py
+++ b/tests/cover/test_upstream_connection.py
@@ -298,3 +298,26 @@
             else:
                 with pytest.raises(AnswerBrokenError):
                     await send(pool)
+
+
+async def test_a_part_of_a_second_answer_does_not_reach_the_next_request():
+    # The rest of the second answer came while the next request waited, which
+    # failed as a broken answer although it may have run.
+    class SplitUpstream(ScriptedUpstream):
+        async def __call__(self, reader, writer):
+            self.connections += 1
+            is_first = self.connections == 1
+            await reader.readuntil(b"\r\n\r\n")
+            extra = b"HTTP/1.1 200 OK\r\nX-I" if is_first else b""
+            writer.write((WHOLE % b"a") + extra)
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"d: c\r\nContent-Length: 0\r\n\r\n")
+            await self.end(writer)
+
+    upstream = SplitUpstream([])
+    async with pool_to(upstream) as pool:
+        await send(pool)
+        answer = await send(pool)
+    assert answer.body == b"body"
+    assert upstream.connections == 2
