Remove records of nodes that are gone for good

Cause: the store expires nothing, so the records of lost and replaced machines stayed for ever; each lengthens the first listing of a new node and costs its senders a failed connection now and then.

Change: each node looks after the id before its own. A record is removed, on condition of its version, once its node was away for this node for 10 minutes, for others that were asked (frame kinds REACH and REACH_RESULT) and for its own zone, while the record did not change and the store answered all the while. A live node that finds its record removed writes it again, as before.

Tests of the node, the drain, the registry, the watcher and the transport pass.

Conclusion: records of single machines go; those of a zone in which nobody answers stay.

--- /dev/null
+++ b/src/celeryfield/internal/registry/removal.py
@@ -0,0 +1,232 @@
+"""Removes the records of nodes that are gone for good.
+
+Nothing in the store expires, so the records of lost and replaced machines
+would add up. Each node checks the one whose id precedes its own, and goes on
+to the next while that one cannot be reached, so each record has one checker
+and the cost does not grow with the fleet.
+
+A record is removed only if its node was away for long, for this node and for
+others, while the store was there all the time and the record did not change.
+A live node that is cut off from all of them finds its record missing once it
+reaches the store, and writes it again.
+"""
+
+import asyncio
+import dataclasses
+import logging
+import random
+from collections.abc import Callable
+
+import mode
+
+from celeryfield.internal.calls import Candidate
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.registry.catalog import Catalog
+from celeryfield.internal.registry.records import NodeRecord
+from celeryfield.internal.store.client import StoreClient
+from celeryfield.internal.transport.errors import TransportError
+from celeryfield.internal.transport.frames import Frame, Kind
+from celeryfield.internal.transport.pool import PeerPool
+
+logger = logging.getLogger(__name__)
+
+CHECK_INTERVAL_MS = 60_000.0
+# Longer than a restart, an update or a cut of the network is expected to last.
+AWAY_MS = 600_000.0
+# Opening a connection to a machine without power takes a whole time-out.
+MAX_CHECKED = 8
+# Nodes asked in the zone of the record and in the other zones.
+WITNESSES_PER_GROUP = 2
+# Below the time that a node waits for the answer to a control message.
+WITNESS_TIMEOUT_S = 0.7
+
+REACHED = b"reached"
+AWAY = b"away"
+UNKNOWN = b"unknown"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Absence:
+    """Since when a node was found away at each check.
+
+    Attributes:
+        version: Version of its record.
+        since_ms: Time of the first of these checks.
+    """
+
+    version: int
+    since_ms: float
+
+
+def serve(catalog: Catalog, pool: PeerPool) -> Callable[[Frame], object]:
+    """Returns a handler that tells neighbours whether a node is reached.
+
+    Args:
+        catalog: Records of all nodes.
+        pool: Connections to other nodes.
+    """
+
+    async def answer(frame: Frame) -> tuple[Kind, bytes]:
+        node_id = frame.header.decode(errors="replace")
+        record = catalog.records_by_id.get(node_id)
+        if record is None:
+            return Kind.REACH_RESULT, UNKNOWN
+        try:
+            async with asyncio.timeout(WITNESS_TIMEOUT_S):
+                is_reached = await pool.reach(_place_of(record))
+        except TimeoutError:
+            is_reached = False
+        return Kind.REACH_RESULT, REACHED if is_reached else AWAY
+
+    return answer
+
+
+class RecordRemover(mode.Service):
+    """Removes records whose nodes are gone for good.
+
+    Args:
+        own_id: Id of this node.
+        own_zone: Availability zone of this node.
+        clock: Time source.
+        catalog: Records of all nodes.
+        pool: Connections to other nodes.
+        client: Client of the store.
+        answering_since_ms: Returns since when the store answers; none while
+            it is away.
+        source: Source of jitter and of the choice of witnesses.
+    """
+
+    def __init__(
+        self,
+        own_id: str,
+        own_zone: str,
+        clock: Clock,
+        catalog: Catalog,
+        pool: PeerPool,
+        client: StoreClient,
+        answering_since_ms: Callable[[], float | None],
+        source: random.Random | None = None,
+    ) -> None:
+        super().__init__()
+        self._own_id = own_id
+        self._own_zone = own_zone
+        self._clock = clock
+        self._catalog = catalog
+        self._pool = pool
+        self._client = client
+        self._answering_since_ms = answering_since_ms
+        self._random = source or random.Random()
+        self._absences_by_id: dict[str, _Absence] = {}
+
+    @mode.Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            jitter = self._random.uniform(0.8, 1.2)
+            await self._clock.sleep_ms(CHECK_INTERVAL_MS * jitter)
+            await self.check()
+
+    async def check(self) -> None:
+        """Checks the nodes before this one up to the first that is reached."""
+        previous, self._absences_by_id = self._absences_by_id, {}
+        for record in self._preceding()[:MAX_CHECKED]:
+            if await self._pool.reach(_place_of(record)):
+                return
+            answering_ms = self._answering_since_ms()
+            if answering_ms is None:
+                self._absences_by_id.clear()
+                return
+            version = self._catalog.versions_by_id.get(record.node_id, 0)
+            now_ms = self._clock.now_ms()
+            absence = previous.get(record.node_id)
+            if (
+                absence is None
+                or absence.version != version
+                or absence.since_ms < answering_ms
+            ):
+                absence = _Absence(version, now_ms)
+            self._absences_by_id[record.node_id] = absence
+            if now_ms - absence.since_ms >= AWAY_MS:
+                await self._remove_if_gone(record, version)
+
+    def _preceding(self) -> list[NodeRecord]:
+        """Returns the records before the own one, the nearest first."""
+        records_by_id = self._catalog.records_by_id
+        ids = sorted(records_by_id.keys() | {self._own_id})
+        place = ids.index(self._own_id)
+        ordered = ids[:place][::-1] + ids[place + 1 :][::-1]
+        return [records_by_id[node_id] for node_id in ordered]
+
+    async def _remove_if_gone(self, record: NodeRecord, version: int) -> None:
+        if not await self._is_away_for_others(record):
+            return
+        # A copy of a neighbour may lack the version; any other one is refused
+        # if the record has changed meanwhile.
+        if version <= 0:
+            return
+        result = await self._client.delete(record.key, version)
+        if result.is_error():
+            logger.warning(
+                "record of a node that is gone cannot be removed",
+                extra={"key": record.key, "problem": str(result.error)},
+            )
+            return
+        self._absences_by_id.pop(record.node_id, None)
+        logger.info(
+            "removed the record of a node that is gone",
+            extra={"key": record.key, "version": version},
+        )
+
+    async def _is_away_for_others(self, record: NodeRecord) -> bool:
+        """Returns whether other nodes and one of its zone miss it too.
+
+        A cut between zones looks like the loss of a zone, so nobody can tell
+        if no node of the zone answers.
+        """
+        witnesses = self._choose_witnesses(record)
+        answers = await asyncio.gather(
+            *(self._ask(witness, record.node_id) for witness in witnesses)
+        )
+        if REACHED in answers:
+            return False
+        zones = {
+            witness.zone
+            for witness, answer in zip(witnesses, answers, strict=True)
+            if answer == AWAY
+        }
+        return bool(zones) and record.zone in zones | {self._own_zone}
+
+    def _choose_witnesses(self, record: NodeRecord) -> list[NodeRecord]:
+        same_zone, elsewhere = [], []
+        for other in self._catalog.records_by_id.values():
+            if other.node_id in (self._own_id, record.node_id):
+                continue
+            is_same = other.zone == record.zone
+            (same_zone if is_same else elsewhere).append(other)
+        return [
+            witness
+            for group in (same_zone, elsewhere)
+            for witness in self._random.sample(
+                group, min(len(group), WITNESSES_PER_GROUP)
+            )
+        ]
+
+    async def _ask(self, witness: NodeRecord, node_id: str) -> bytes:
+        try:
+            frame = await self._pool.request(
+                _place_of(witness), Kind.REACH, node_id.encode()
+            )
+        except TransportError:
+            return UNKNOWN
+        return frame.payload
+
+
+def _place_of(record: NodeRecord) -> Candidate:
+    """Returns where a node is reached, with or without an upstream."""
+    return Candidate(
+        node_id=record.node_id,
+        incarnation=record.incarnation,
+        address=record.address,
+        port=record.port,
+        zone=record.zone,
+        service="",
+    )
--- a/src/celeryfield/internal/store/prefix_watcher.py
+++ b/src/celeryfield/internal/store/prefix_watcher.py
@@ -33,6 +33,11 @@
         prefix: Prefix of the keys.
         on_listing: Called with each full listing.
         on_changes: Called with each group of changes.
+
+    Attributes:
+        heard_ms: When the newest call that was answered had been made.
+        answering_since_ms: Time of the first answer after the last failure;
+            none while the store is away.
     """
 
     def __init__(
@@ -54,6 +59,7 @@
         self._is_connected = True
         self._lost_ms = 0.0
         self.heard_ms: float | None = None
+        self.answering_since_ms: float | None = None
 
     @mode.Service.task
     async def _run(self) -> None:
@@ -85,6 +91,8 @@
 
     def _note_answer(self, asked_ms: float) -> None:
         self.heard_ms = asked_ms
+        if self.answering_since_ms is None:
+            self.answering_since_ms = self._clock.now_ms()
         self._backoff.reset()
         if not self._is_connected:
             self._is_connected = True
@@ -102,6 +110,7 @@
                 extra={"prefix": self._prefix, "revision": revision},
             )
             return
+        self.answering_since_ms = None
         if self._is_connected:
             self._is_connected = False
             self._lost_ms = self._clock.now_ms()
--- a/src/celeryfield/internal/transport/frames.py
+++ b/src/celeryfield/internal/transport/frames.py
@@ -37,6 +37,8 @@
     HANDOVER_RESULT = 13
     DRAIN = 14
     DRAIN_RESULT = 15
+    REACH = 16
+    REACH_RESULT = 17
 
 
 # Kinds that answer a request of the other end; their stream ids are its own.
@@ -47,6 +49,7 @@
         Kind.CONFIG,
         Kind.HANDOVER_RESULT,
         Kind.DRAIN_RESULT,
+        Kind.REACH_RESULT,
     )
 )
 _KINDS_BY_VALUE = {int(kind): kind for kind in Kind}
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -14,11 +14,12 @@
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
 from celeryfield.internal.gateway import Gateway
 from celeryfield.internal.metrics import Metrics
-from celeryfield.internal.registry import neighbours, records
+from celeryfield.internal.registry import neighbours, records, removal
 from celeryfield.internal.registry.catalog import Catalog
 from celeryfield.internal.registry.neighbours import NeighbourCopies
 from celeryfield.internal.registry.publisher import RecordPublisher
 from celeryfield.internal.registry.records import NodeRecord, UpstreamRecord
+from celeryfield.internal.registry.removal import RecordRemover
 from celeryfield.internal.registry.suspects import SuspectRecorder
 from celeryfield.internal.routes.entry import RouteEntry
 from celeryfield.internal.routes.manager import RouteManager
@@ -86,6 +87,7 @@
         self.levels = LevelTable(settings, clock)
         self.chains = ChainTable(clock, self.levels)
         self.balancer = Balancer(settings, clock)
+        self.catalog = Catalog(settings.node.id, self.balancer)
         self.admission = AdmissionController(settings, clock)
         self.suspects = SuspectRecorder(clock, self.admission.suspects)
         self.upstream = PlatformUpstream(clock)
@@ -121,7 +123,10 @@
             clock,
             hello,
             self.gateway.serve,
-            {Kind.FETCH_CONFIG: neighbours.serve(self._known_objects)},
+            {
+                Kind.FETCH_CONFIG: neighbours.serve(self._known_objects),
+                Kind.REACH: removal.serve(self.catalog, self.pool),
+            },
         )
         self.entry = RouteEntry(
             settings.node.id,
@@ -139,14 +144,12 @@
         )
 
     def _build_store(self) -> None:
-        node_id = self._identity.id
         self.store = StoreClient(
             self.settings.node.store,
             self.clock,
             random.Random(),
             objects.DIALECT,
         )
-        self.catalog = Catalog(node_id, self.balancer)
         self.catalog.subscribe(
             lambda: self.suspects.learn(self.catalog.records_by_id.values())
         )
@@ -172,6 +175,15 @@
             lambda: self._lacks_store,
             self._on_copy,
         )
+        self.remover = RecordRemover(
+            self._identity.id,
+            self._identity.zone,
+            self.clock,
+            self.catalog,
+            self.pool,
+            self.store,
+            lambda: self.record_watcher.answering_since_ms,
+        )
         self.routes.subscribe(lambda _table: self._apply_upstream())
 
     @property
@@ -187,6 +199,7 @@
             self.record_watcher,
             self.publisher,
             self.copies,
+            self.remover,
             self.callers,
             ReportListener(
                 self.settings.reports, self._on_report, self._on_leave
--- a/tests/cover/test_store_prefix_watcher.py
+++ b/tests/cover/test_store_prefix_watcher.py
@@ -4,7 +4,7 @@
 
 from expression import Error, Ok
 
-from celeryfield.internal.clock import Clock
+from celeryfield.internal.clock import Clock, ManualClock
 from celeryfield.internal.store.answers import StoreListing, StoreObject
 from celeryfield.internal.store.errors import (
     StoreHistoryLostError,
@@ -83,3 +83,34 @@
     client = ScriptedClient([Ok(StoreListing((changed,), 2))])
     assert await versions_seen(client) == [1, 2]
     assert client.lists == 1
+
+
+async def test_time_since_the_store_answers_begins_anew_after_a_failure():
+    """Guards against an outage that those who wait for calm do not see."""
+
+    class AwayClient(ScriptedClient):
+        async def list_all(self, prefix):
+            if self.lists == 2:
+                self.exhausted.set()
+                await asyncio.Event().wait()
+            return await super().list_all(prefix)
+
+    def ignore(_listing):
+        pass
+
+    lost_history = Error(StoreHistoryLostError("gone"))
+    clock = ManualClock()
+    client = AwayClient([lost_history, Error(StoreUnavailableError("down"))])
+    watcher = PrefixWatcher(client, clock, "config/", ignore, ignore)
+    assert watcher.answering_since_ms is None
+    await watcher.start()
+    seen = set()
+    while not client.exhausted.is_set():
+        seen.add(watcher.answering_since_ms)
+        clock.advance(1_000.0)
+        await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert watcher.answering_since_ms is None
+    # A store that dropped its history answered all the while.
+    assert len(seen - {None}) == 1
+    await watcher.stop()
