--- a/src/celeryfield/internal/upstream/connection.py
+++ b/src/celeryfield/internal/upstream/connection.py
@@ -22,6 +22,11 @@
 )
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Largest size of heads, chunk sizes, chunk extensions and trailers of one
+# exchange. A faulty upstream may send any of these without end.
+MAX_FRAMING_BYTES = 64 * 1024
+# Chunks of one byte take six bytes each, so a body allows for more framing.
+MAX_FRAMING_PER_BODY_BYTE = 8
 # Answers to earlier requests that are passed over on one connection.
 MAX_FOREIGN_ANSWERS = 4
 _BODILESS_STATUSES = frozenset((204, 304))
@@ -78,6 +83,8 @@
 
     Args:
         on_close: Called once when the connection has ended.
+        on_held: Called with each change of the bytes that the connection
+            holds of an answer that is not whole.
 
     Attributes:
         is_reusable: Another exchange may follow.
@@ -87,21 +94,30 @@
     """
 
     def __init__(
-        self, on_close: Callable[["UpstreamConnection"], None]
+        self,
+        on_close: Callable[["UpstreamConnection"], None],
+        on_held: Callable[[int], None],
     ) -> None:
         self.is_reusable = True
         self.exchanges = 0
         self.idle_since_ms = 0.0
         self.keep_alive_s: int | None = None
         self._on_close = on_close
+        self._on_held = on_held
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[HttpAnswer] | None = None
         self._belongs: AnswerCheck | None = None
         self._is_head = False
         self._foreign_count = 0
         self._is_closed = False
+        self._held_bytes = 0
         self._start_parser()
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes held of an answer that is not whole."""
+        return self._held_bytes
+
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -113,10 +129,16 @@
         if self._waiter is None:
             self.abort()
             return
+        self._received += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(AnswerBrokenError(f"not an answer: {error}"))
+            return
+        framing = self._received - self._size
+        allowed = MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * self._size
+        if framing > allowed:
+            self._fail(AnswerBrokenError("the head or the framing is too long"))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends the exchange; only an orderly end completes an open body."""
@@ -167,6 +189,8 @@
             self._fail(AnswerTooLargeError("the answer is too large"))
             return
         self._parts.append(part)
+        self._held_bytes += len(part)
+        self._on_held(len(part))
 
     def on_message_complete(self) -> None:
         """Ends an answer; what follows in the same bytes belongs to no one."""
@@ -205,14 +229,23 @@
         try:
             answer = await self._waiter
             is_whole = True
+            if self._has_begun:
+                # The rest of a second answer would meet the next request.
+                self.is_reusable = False
             return answer
         finally:
             self._waiter = None
+            self._on_held(-self._held_bytes)
+            self._held_bytes = 0
             # An unread rest of the request would be taken for another one.
             is_sent = self._transport.get_write_buffer_size() == 0
             if not (is_whole and is_sent):
                 self.abort()
 
+    def refuse_answer(self) -> None:
+        """Ends the exchange because its answer takes too much memory."""
+        self._fail(AnswerTooLargeError("the answer takes too much memory"))
+
     def abort(self) -> None:
         """Ends the connection at once."""
         self.is_reusable = False
@@ -221,13 +254,15 @@
 
     def _start_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
+        # Counts of the whole exchange, with answers that are passed over.
+        self._received = 0
+        self._size = 0
         self._begin_answer()
 
     def _begin_answer(self) -> None:
         self._status = 0
         self._headers: CIMultiDict[str] = CIMultiDict()
         self._parts: list[bytes] = []
-        self._size = 0
         self._has_begun = False
         self._ends_with_connection = False
 
@@ -258,6 +293,7 @@
                 self.keep_alive_s = int(value)
 
     def _fail(self, error: UpstreamError) -> None:
-        self.is_reusable = False
+        # What arrives before the waiting task runs would still be kept.
+        self.abort()
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_exception(error)
--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -26,6 +26,7 @@
 )
 from celeryfield.internal.routes.table import CallerLimits
 from celeryfield.platform import headers
+from celeryfield.platform.connections import IDLE_CHECK_MS, CallerConnections
 from celeryfield.platform.settings import PlatformSettings
 
 logger = logging.getLogger(__name__)
@@ -82,7 +83,10 @@
         self._clock = clock
         self._entry = entry
         self._limits = CallerLimits()
-        self._runner: web.ServerRunner | None = None
+        self._connections = CallerConnections(self._handle)
+        self._runner = web.ServerRunner(
+            self._connections, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+        )
 
     @property
     def in_flight(self) -> int:
@@ -95,14 +99,17 @@
 
         Bytes that wait for a slow caller are lost when the process ends.
         """
-        if self._runner is None or self._runner.server is None:
-            return False
         return any(
             connection.transport is not None
             and connection.transport.get_write_buffer_size() > 0
-            for connection in self._runner.server.connections
+            for connection in self._connections.connections
         )
 
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Puts bounds on what callers may send in force."""
+        self._limits = limits
+        self._connections.set_limits(limits)
+
     def leave(self) -> None:
         """Asks callers to open no more requests on their connections."""
         self._is_leaving = True
@@ -139,19 +146,6 @@
 
     async def on_start(self) -> None:
         """Opens the listener."""
-        limits = self._limits
-        server = web.Server(
-            self._handle,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=limits.idle_timeout_ms / 1000.0,
-            max_line_size=limits.max_header_bytes,
-            max_field_size=limits.max_header_bytes,
-            auto_decompress=False,
-        )
-        self._runner = web.ServerRunner(
-            server, shutdown_timeout=SHUTDOWN_TIMEOUT_S
-        )
         await self._runner.setup()
         listener = self._settings.callers
         site = web.TCPSite(
@@ -161,25 +155,45 @@
 
     async def on_stop(self) -> None:
         """Closes the listener."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+        await self._runner.cleanup()
+
+    @Service.task
+    async def _run_idle_check(self) -> None:
+        while not self.should_stop:
+            await self._clock.sleep_ms(IDLE_CHECK_MS)
+            self._connections.close_idle(self._clock.now_ms())
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        task = asyncio.current_task()
+        connections, connection = self._connections, request.protocol
         request_id = request.headers.get(headers.REQUEST_ID, "")
-        running = _RunningRequest(request_id, self._clock.now_ms(), task)
+        running = _RunningRequest(
+            request_id, self._clock.now_ms(), asyncio.current_task()
+        )
+        connections.begin(connection)
         self._running.add(running)
         try:
-            return await self._serve(request)
+            response = await self._respond_until_abandoned(request, running)
+        finally:
+            self._running.discard(running)
+            connections.end(connection)
+        if self._is_leaving or connections.is_outdated(connection):
+            response.force_close()
+        return response
+
+    async def _respond_until_abandoned(
+        self, request: web.BaseRequest, running: _RunningRequest
+    ) -> web.Response:
+        try:
+            return await self._respond(request)
         except asyncio.CancelledError:
             if not running.is_abandoned:
                 raise
-            task.uncancel()
-            return self._answer(unknown(Reason.DRAINING, 502), request_id)
-        finally:
-            self._running.discard(running)
+            running.task.uncancel()
+            return self._answer(
+                unknown(Reason.DRAINING, 502), running.request_id
+            )
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _respond(self, request: web.BaseRequest) -> web.Response:
         body = b""
         if request.body_exists:
             content = await read_bounded(
@@ -250,9 +264,6 @@
             answer_headers[headers.RETRY_AFTER] = f"{pause_s:.2f}"
         if request_id:
             answer_headers[headers.REQUEST_ID] = request_id
-        response = web.Response(
+        return web.Response(
             status=status, body=result.body, headers=answer_headers
         )
-        if self._is_leaving:
-            response.force_close()
-        return response
