Tell the true end of a request that a planned stop cuts

Cause: a request that the end of the process cut was answered 502, but its line "request ended" said 499 and cancelled, as if its caller had gone away. `celeryfield trace` did not show the connections lost or replaced around a stop and printed "request abandoned" without its times. "node is leaving" counted the requests of callers only, "node stopped" those of other nodes too.

Change: the entry ends an abandoned call itself, with the 502 and the reason that the caller gets. The trace has words for the events of a stop, and the lost and replaced connections of involved nodes belong to the story. Both events of a stop count all requests that run. A new test runs two nodes in processes of their own, stops the one beside the only upstream while two requests run longer than its grace period, and follows both ids.

Conclusion: the two ids lead to the stop of the node; callers get the same answers as before.

--- a/src/celeryfield/internal/events.py
+++ b/src/celeryfield/internal/events.py
@@ -342,7 +342,7 @@
         status: HTTP status of the answer.
         attempts: Attempts that were sent.
         retry_after_s: When the caller was told to return; 0 if not told.
-        decided_by: Node whose answer gave outcome and reason; empty if none.
+        decided_by: Node whose attempt gave outcome and reason; empty if none.
         last_peer: Node of the last attempt; empty if nothing was sent.
         last_upstream: Id of the upstream beside that node, as believed.
         last_outcome: Outcome of the last attempt.
--- a/src/celeryfield/internal/request_story.py
+++ b/src/celeryfield/internal/request_story.py
@@ -22,6 +22,8 @@
         "neighbour changed",
         "dependency lost",
         "dependency regained",
+        "connection to a node lost",
+        "connection of a node replaced",
         "candidate ejected",
         "candidate returned",
         "admission level changed",
@@ -59,6 +61,23 @@
         "{status}; then {running} running of {limit}, {queued} waiting, "
         "level {admission_level}, room of its class {class_room}"
     ),
+    "request abandoned": (
+        "cut the request, since the process ends; it was read {age_ms} ms "
+        "ago, {leaving_ms} ms after the node was asked to end (negative: "
+        "before that)"
+    ),
+    "node is leaving": "was asked to end with {in_flight} requests in flight",
+    "node stopped": (
+        "ended after {took_ms} ms with {in_flight} requests in flight"
+    ),
+    "connection to a node lost": (
+        "lost the connection to {peer} (process of {incarnation}) with "
+        "{outstanding} calls waiting for answers"
+    ),
+    "connection of a node replaced": (
+        "closed the older connection of {peer} (process of {incarnation}) for "
+        "a newer one; {running} calls of other nodes were running"
+    ),
     "upstream changed": (
         "believes upstream {upstream} of {service} to be {state} with {slots} "
         "slots, by {cause}"
--- a/src/celeryfield/internal/routes/entry.py
+++ b/src/celeryfield/internal/routes/entry.py
@@ -1,19 +1,30 @@
 """Makes calls of requests that enter at this node, by route."""
 
+import asyncio
 import dataclasses
 import itertools
 
 import xxhash
 
 from celeryfield.internal import events
-from celeryfield.internal.calls import CallResult, Outcome, Reason, not_run
+from celeryfield.internal.calls import (
+    CallResult,
+    Outcome,
+    Reason,
+    not_run,
+    unknown,
+)
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.metrics import Metrics
 from celeryfield.internal.routes.manager import RouteManager
 from celeryfield.internal.routes.returning import ReturnPlanner
 from celeryfield.internal.routes.splits import TrafficSplitter
 from celeryfield.internal.routes.table import Route
-from celeryfield.internal.routing.attempts import CLIENT_CLOSED_REQUEST, Run
+from celeryfield.internal.routing.attempts import (
+    BAD_GATEWAY,
+    CLIENT_CLOSED_REQUEST,
+    Run,
+)
 from celeryfield.internal.routing.chains import Chain, ChainTable
 from celeryfield.internal.routing.executor import CallExecutor
 from celeryfield.internal.schema import wire
@@ -54,12 +65,14 @@
         chain: The chain; none if the call begins one.
         parent_id: Id of the request whose run made it, as far as known.
         run: State of its execution, once that has begun.
+        is_abandoned: The end of the process cancels it; its caller is told.
     """
 
     call: wire.Call
     chain: Chain | None
     parent_id: str = ""
     run: Run | None = None
+    is_abandoned: bool = False
 
 
 class RouteEntry:
@@ -148,6 +161,11 @@
             result = await self._executor.execute_run(entered.run)
             self._settle(entered, result)
             self._plan_return(entered.call, result, started_ms)
+        except asyncio.CancelledError:
+            if not entered.is_abandoned:
+                raise
+            asyncio.current_task().uncancel()
+            result = unknown(Reason.DRAINING, BAD_GATEWAY)
         finally:
             self._finish(entered, result, self._clock.now_ms() - started_ms)
         return result
--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -49,13 +49,13 @@
         request_id: Id that the caller gave it.
         read_ms: When it was read.
         task: The task that serves it.
-        is_abandoned: The process ends before the request does.
+        entered: The call that was made of it.
     """
 
     request_id: str
     read_ms: float
     task: asyncio.Task[None]
-    is_abandoned: bool = False
+    entered: EnteredCall
 
 
 class CallerListener(Service):
@@ -116,7 +116,7 @@
                 age_ms=now_ms - running.read_ms,
                 leaving_ms=running.read_ms - leaving_since_ms,
             )
-            running.is_abandoned = True
+            running.entered.is_abandoned = True
             running.task.cancel()
 
     async def on_start(self) -> None:
@@ -179,15 +179,12 @@
         self, entered: EnteredCall, request_id: str, body: bytes
     ) -> CallResult:
         task = asyncio.current_task()
-        running = _RunningRequest(request_id, self._clock.now_ms(), task)
+        running = _RunningRequest(
+            request_id, self._clock.now_ms(), task, entered
+        )
         self._running.add(running)
         try:
             return await self._entry.run(entered, body)
-        except asyncio.CancelledError:
-            if not running.is_abandoned:
-                raise
-            task.uncancel()
-            return unknown(Reason.DRAINING, 502)
         except Exception:
             logger.exception("call failed", extra={"id": request_id})
             return unknown(Reason.INTERNAL, 502)
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -225,7 +225,7 @@
     async def drain(self) -> None:
         """Stops taking work and waits until everything in flight has ended."""
         started_ms = self.clock.now_ms()
-        events.emit(events.NodeLeaving, in_flight=self.callers.in_flight)
+        events.emit(events.NodeLeaving, in_flight=self._in_flight)
         self.is_leaving = True
         self.callers.leave()
         end_ms = started_ms + self.settings.grace_ms - EXIT_MARGIN_MS
@@ -233,18 +233,19 @@
         await self.clock.sleep_ms(notice_ms)
         self.callers.close_entry(end_ms)
         self.admission.drain()
-        while self._is_busy and self.clock.now_ms() < end_ms:
+        while self._in_flight and self.clock.now_ms() < end_ms:
             await self.clock.sleep_ms(IDLE_CHECK_MS)
         events.emit(
             events.NodeStopped,
-            in_flight=self.callers.in_flight + self.peer_server.running_count,
+            in_flight=self._in_flight,
             took_ms=self.clock.now_ms() - started_ms,
         )
         self.callers.abandon(started_ms)
 
     @property
-    def _is_busy(self) -> bool:
-        return bool(self.callers.in_flight or self.peer_server.running_count)
+    def _in_flight(self) -> int:
+        """Number of requests of callers and other nodes that run here."""
+        return self.callers.in_flight + self.peer_server.running_count
 
     def _on_config(self, listing: StoreListing) -> None:
         for found in listing.objects:
--- a/tests/cover/platform_standins.py
+++ b/tests/cover/platform_standins.py
@@ -312,6 +312,17 @@
         await node.stop()
 
 
+@contextlib.asynccontextmanager
+async def running(work):
+    """Runs work beside a block and cancels it at its end."""
+    task = asyncio.ensure_future(work)
+    try:
+        yield
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
 async def until(condition, timeout_s=20.0):
     """Waits until a condition holds."""
     async with asyncio.timeout(timeout_s):
--- a/tests/cover/test_platform_drain.py
+++ b/tests/cover/test_platform_drain.py
@@ -1,12 +1,11 @@
 """Planned stops of nodes on the platform while callers keep coming."""
 
 import asyncio
-import contextlib
 import dataclasses
 import logging
 
 from platform_fleet import fleet_of
-from platform_standins import until
+from platform_standins import running, until
 
 from celeryfield.platform import node as platform_node
 
@@ -15,17 +14,6 @@
 REQUEST_INTERVAL_S = 0.05
 
 
-@contextlib.asynccontextmanager
-async def running(work):
-    """Runs work beside a block and cancels it at its end."""
-    task = asyncio.ensure_future(work)
-    try:
-        yield
-    finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-
-
 async def keep_reporting(fleet):
     while True:
         for node, upstream in zip(fleet.nodes, fleet.upstreams, strict=True):
--- /dev/null
+++ b/tests/cover/test_platform_stories.py
@@ -0,0 +1,177 @@
+"""Causes of requests that a planned restart cut, from the lines of nodes."""
+
+import asyncio
+import contextlib
+import dataclasses
+import os
+import signal
+import sys
+
+import aiohttp
+from platform_standins import (
+    HOST,
+    StoreStandin,
+    UpstreamStandin,
+    config_spec,
+    running,
+    served,
+    settings_text,
+    until,
+)
+
+from celeryfield.internal.request_story import find_story, parse_line
+from celeryfield.platform import settings as platform_settings
+from celeryfield.platform.settings import PlatformSettings
+
+# Longer than the grace period of the settings and a caller's patience.
+RUN_S = 30.0
+REPORT_INTERVAL_S = 0.5
+CALLER_HEADERS = {"Host": "shop.example", "X-Deadline-Ms": "20000"}
+
+
+@dataclasses.dataclass
+class NodeProcess:
+    """A node in a process of its own.
+
+    Attributes:
+        settings: What the process was told.
+        log: File with the lines that it wrote.
+        process: The process.
+    """
+
+    settings: PlatformSettings
+    log: os.PathLike
+    process: asyncio.subprocess.Process
+
+
+@contextlib.asynccontextmanager
+async def node_process(directory, number, store, upstream):
+    """Runs a node whose lines go into a file."""
+    text = settings_text(number, store.port, upstream.port)
+    path = directory / f"node-{number}.toml"
+    path.write_text(text, encoding="utf-8")
+    log = directory / f"node-{number}.log"
+    with log.open("wb") as output:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "celeryfield.platform",
+            "node",
+            env=os.environ | {platform_settings.PATH_VARIABLE: str(path)},
+            stdout=output,
+        )
+    try:
+        yield NodeProcess(platform_settings.parse(text).ok, log, process)
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+async def wait_ready(client, node):
+    """Waits until a node serves callers."""
+    url = f"http://{HOST}:{node.settings.ready.port}/ready"
+    async with asyncio.timeout(20.0):
+        while True:
+            with contextlib.suppress(aiohttp.ClientError):
+                async with client.get(url) as answer:
+                    if answer.status == 200:
+                        return
+            await asyncio.sleep(0.05)
+
+
+async def keep_reporting(client, nodes_by_upstream):
+    """Reports the states of the upstreams as long as their nodes listen."""
+    while True:
+        for upstream, (node, state) in nodes_by_upstream.items():
+            url = f"http://{HOST}:{node.settings.reports.port}"
+            with contextlib.suppress(aiohttp.ClientError):
+                await client.put(
+                    f"{url}/instances/{upstream.id}",
+                    json=upstream.report(state=state),
+                )
+        await asyncio.sleep(REPORT_INTERVAL_S)
+
+
+def knows(node, peer):
+    """Returns whether a node has noted that another one's upstream is ready."""
+    lines = node.log.read_text(encoding="utf-8").splitlines()
+    parsed = [parse_line(line) or {} for line in lines]
+    return any(
+        line.get("peer") == peer and line.get("state") == "ready"
+        for line in parsed
+    )
+
+
+async def request(client, node, request_id):
+    """Returns the status of the answer to a request."""
+    url = f"http://{HOST}:{node.settings.callers.port}/stock/7"
+    headers = CALLER_HEADERS | {"X-Attempt-Id": request_id}
+    async with client.get(url, headers=headers) as answer:
+        return answer.status
+
+
+def story_of(request_id, nodes, context=3):
+    lines = [
+        line
+        for node in nodes
+        for line in node.log.read_text(encoding="utf-8").splitlines()
+    ]
+    return find_story(request_id, lines, context)
+
+
+def text_of(story):
+    return "\n".join(line.text() for line in story)
+
+
+async def test_requests_cut_by_a_planned_restart_lead_to_their_cause(tmp_path):
+    """Guards against cut requests that nobody can tell from a network fault.
+
+    The node beside the only upstream stops while two requests run longer than
+    its grace period: one entered there, one at another node.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        client = await stack.enter_async_context(aiohttp.ClientSession())
+        store = await stack.enter_async_context(served(StoreStandin()))
+        store.put("config", "main", config_spec(timeoutMs=20_000))
+        nodes, upstreams, nodes_by_upstream = [], [], {}
+        reports = keep_reporting(client, nodes_by_upstream)
+        await stack.enter_async_context(running(reports))
+        for number, state in ((1, "draining"), (2, "ready")):
+            upstream = UpstreamStandin(f"i-{number}")
+            upstream.delay_s = RUN_S
+            await stack.enter_async_context(served(upstream))
+            node = await stack.enter_async_context(
+                node_process(tmp_path, number, store, upstream)
+            )
+            await wait_ready(client, node)
+            nodes_by_upstream[upstream] = (node, state)
+            nodes.append(node)
+            upstreams.append(upstream)
+        near, away = nodes
+        await until(lambda: knows(near, "node-2"))
+        passed_on = asyncio.ensure_future(request(client, near, "c0ffee01"))
+        await until(lambda: len(upstreams[1].received) == 1)
+        direct = asyncio.ensure_future(request(client, away, "c0ffee02"))
+        await until(lambda: len(upstreams[1].received) == 2)
+        away.process.send_signal(signal.SIGTERM)
+        assert await passed_on == 502
+        assert await direct == 502
+        await away.process.wait()
+        near.process.send_signal(signal.SIGTERM)
+        await near.process.wait()
+    cut = text_of(story_of("c0ffee02", nodes))
+    assert "node-2 -: was asked to end" in cut
+    assert "c0ffee02: cut the request, since the process ends" in cut
+    # The line must not tell of a caller that went away.
+    assert "answered the lookup request for stock with 502" in cut
+    assert "unknown draining; last attempt: node-2" in cut
+    # Both requests count as running when the node begins to leave.
+    assert "asked to end with 2 requests in flight" in cut
+    lost = story_of("c0ffee01", nodes)
+    ended = next(line for line in lost if line.event == "request ended")
+    assert ended.fields["decided_by"] == "node-2"
+    assert ended.fields["reason"] == "connection-lost"
+    told = text_of(lost)
+    assert "lost the connection to node-2" in told
+    assert "node-2 -: ended after" in told
