Remove the two circles of imports between modules

Cause: admin/administration.py and admin/status.py named the class of internal/node.py, which imports both; platform/metrics.py and platform/node.py did the same. The imports were for type checkers only, but the modules could read any part of the node, so nothing said what they need.

Change: NodeParts and WatchedParts name the parts that the administration API and the metrics of the platform read, and the nodes hand them over.

--- a/src/celeryfield/internal/admin/administration.py
+++ b/src/celeryfield/internal/admin/administration.py
@@ -1,7 +1,6 @@
 """Routes of the administration API of one node."""
 
 import random
-from typing import TYPE_CHECKING
 
 from aiohttp import web
 
@@ -10,14 +9,11 @@
 from celeryfield.internal.admin.filesets import FileSetHandlers
 from celeryfield.internal.admin.inforce import InForceCounter
 from celeryfield.internal.admin.replies import Handler, model_response
-from celeryfield.internal.admin.status import node_status
+from celeryfield.internal.admin.status import NodeParts, node_status
 from celeryfield.internal.store.applier import FileSetApplier
 
-if TYPE_CHECKING:
-    from celeryfield.internal.node import Node
 
-
-def routes(node: "Node") -> list[web.RouteDef]:
+def routes(node: NodeParts) -> list[web.RouteDef]:
     """Returns the routes that need a started node."""
     applier = FileSetApplier(node.store, node.clock) if node.store else None
     filesets = FileSetHandlers(node.config, applier)
--- a/src/celeryfield/internal/admin/status.py
+++ b/src/celeryfield/internal/admin/status.py
@@ -2,10 +2,10 @@
 
 import collections
 import dataclasses
-from collections.abc import Mapping
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Mapping
 
 import celeryfield
+from celeryfield.internal.admin.draining import Draining
 from celeryfield.internal.admin.status_models import (
     ClassStatus,
     LocalStatus,
@@ -13,14 +13,22 @@
     StatusAnswer,
     UpstreamStatus,
 )
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.config.manager import ConfigManager
+from celeryfield.internal.directory import Directory
+from celeryfield.internal.dispatch.admission import AdmissionController
+from celeryfield.internal.frontend.server import Frontend
+from celeryfield.internal.membership.service import Membership
 from celeryfield.internal.membership.versions import (
     MemberVersions,
     hash_of_versions,
 )
-from celeryfield.internal.metrics import ClassTotals
-
-if TYPE_CHECKING:
-    from celeryfield.internal.node import Node
+from celeryfield.internal.metrics import ClassTotals, Metrics
+from celeryfield.internal.routing.executor import CallExecutor
+from celeryfield.internal.routing.levels import LevelTable
+from celeryfield.internal.schema.settings import NodeSettings
+from celeryfield.internal.store.client import StoreClient
+from celeryfield.internal.upstream.announcements import UpstreamRegistry
 
 # Samples are taken twice a second, so goodput is that of the last 10 s.
 MAX_SAMPLES = 20
@@ -55,15 +63,56 @@
         return round(count * 1000.0 / (now_ms - oldest_ms), 1)
 
 
-def node_status(node: "Node") -> StatusAnswer:
+@dataclasses.dataclass(slots=True, frozen=True)
+class NodeParts:
+    """What the administration API needs of a started node.
+
+    Attributes:
+        settings: Settings of the node.
+        clock: Time source.
+        is_ready: Tells whether the node can serve callers.
+        is_leaving: Tells whether the node was asked to end.
+        config: File sets in force.
+        store: Client of the store, if the node has one.
+        membership: Other nodes.
+        directory: Upstreams that are known.
+        draining: Drains upstreams of other nodes.
+        levels: Admission levels heard of.
+        admission: Admission to the local upstream.
+        registry: Announcements of the local upstream.
+        frontend: Listener for callers.
+        executor: Runs calls.
+        metrics: Totals by class.
+        goodput: Answers per second by class.
+    """
+
+    settings: NodeSettings
+    clock: Clock
+    is_ready: Callable[[], bool]
+    is_leaving: Callable[[], bool]
+    config: ConfigManager
+    store: StoreClient | None
+    membership: Membership
+    directory: Directory
+    draining: Draining
+    levels: LevelTable
+    admission: AdmissionController
+    registry: UpstreamRegistry
+    frontend: Frontend
+    executor: CallExecutor
+    metrics: Metrics
+    goodput: GoodputMeter
+
+
+def node_status(node: NodeParts) -> StatusAnswer:
     """Returns what operators see of a node and of its view of the fleet."""
     members, configurations = _members(node)
     return StatusAnswer(
         version=celeryfield.__version__,
         node=node.settings.node.id,
         zone=node.settings.node.zone,
-        ready=node.is_ready,
-        leaving=node.is_leaving,
+        ready=node.is_ready(),
+        leaving=node.is_leaving(),
         configuration=dict(node.config.versions_by_team),
         conflicts=[str(conflict) for conflict in node.config.conflicts],
         local=_local(node),
@@ -76,7 +125,7 @@
     )
 
 
-def _local(node: "Node") -> LocalStatus:
+def _local(node: NodeParts) -> LocalStatus:
     load = node.admission.load_report()
     announced = node.registry.current
     return LocalStatus(
@@ -90,7 +139,7 @@
     )
 
 
-def _classes(node: "Node") -> dict[str, ClassStatus]:
+def _classes(node: NodeParts) -> dict[str, ClassStatus]:
     now_ms = node.clock.now_ms()
     return {
         name: ClassStatus(
@@ -102,7 +151,7 @@
 
 
 def _members(
-    node: "Node",
+    node: NodeParts,
 ) -> tuple[list[MemberStatus], dict[str, dict[str, int]]]:
     """Returns the members and the version vectors that they name."""
     members = []
@@ -125,14 +174,14 @@
     return members, configurations
 
 
-def _known_versions(node: "Node", member_id: str) -> MemberVersions | None:
+def _known_versions(node: NodeParts, member_id: str) -> MemberVersions | None:
     if member_id == node.settings.node.id:
         own = node.config.versions_by_team
         return MemberVersions(hash_of_versions(own), own)
     return node.membership.config_versions_of(member_id)
 
 
-def _upstreams(node: "Node") -> list[UpstreamStatus]:
+def _upstreams(node: NodeParts) -> list[UpstreamStatus]:
     return [
         UpstreamStatus(
             service=service,
--- a/src/celeryfield/internal/node.py
+++ b/src/celeryfield/internal/node.py
@@ -9,7 +9,7 @@
 from celeryfield.internal.admin import administration, auth
 from celeryfield.internal.admin.draining import Draining
 from celeryfield.internal.admin.server import AdminServer
-from celeryfield.internal.admin.status import GoodputMeter
+from celeryfield.internal.admin.status import GoodputMeter, NodeParts
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.config.distribution import ConfigDistributor
 from celeryfield.internal.config.manager import ConfigManager
@@ -233,11 +233,31 @@
             self.registry,
             self.metrics,
             lambda: self.is_ready,
-            administration.routes(self),
+            administration.routes(self._parts()),
             self._tls.http,
         )
         await self.add_runtime_dependency(self.admin)
 
+    def _parts(self) -> NodeParts:
+        return NodeParts(
+            settings=self.settings,
+            clock=self.clock,
+            is_ready=lambda: self.is_ready,
+            is_leaving=lambda: self.is_leaving,
+            config=self.config,
+            store=self.store,
+            membership=self.membership,
+            directory=self.directory,
+            draining=self.draining,
+            levels=self.levels,
+            admission=self.admission,
+            registry=self.registry,
+            frontend=self.frontend,
+            executor=self.executor,
+            metrics=self.metrics,
+            goodput=self.goodput,
+        )
+
     async def on_shutdown(self) -> None:
         """Closes what the services use, after they have stopped."""
         self.executor.close()
--- a/src/celeryfield/platform/metrics.py
+++ b/src/celeryfield/platform/metrics.py
@@ -1,34 +1,66 @@
 """Metrics of a node on the platform, and the listener that serves them."""
 
+import dataclasses
 import os
-from typing import TYPE_CHECKING
 
 from aiohttp import web
 
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.dispatch.admission import AdmissionController
+from celeryfield.internal.dispatch.dispatcher import Dispatcher
 from celeryfield.internal.metrics import (
     Metrics,
     age_seconds,
     watch_repeats,
     watch_store,
 )
+from celeryfield.internal.registry.catalog import Catalog
+from celeryfield.internal.routes.manager import RouteManager
+from celeryfield.internal.routing.executor import CallExecutor
+from celeryfield.internal.store.client import StoreClient
+from celeryfield.internal.store.prefix_watcher import PrefixWatcher
 from celeryfield.platform.listeners import HttpListener
 from celeryfield.platform.settings import Listener
 
-if TYPE_CHECKING:
-    from celeryfield.platform.node import PlatformNode
-
 # Set by deploy/system.toml, which names the same port to the platform.
 PORT_VARIABLE = "CELERYFIELD_METRICS_PORT"
 _PATH = "/metrics"
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class WatchedParts:
+    """Parts of a node whose figures are exported.
+
+    Attributes:
+        clock: Time source.
+        executor: Runs calls.
+        admission: Admission to the local upstream.
+        dispatcher: Sends work to the local upstream.
+        routes: Routes in force.
+        store: Client of the store.
+        catalog: Records of nodes.
+        config_watcher: Follows the configuration.
+        record_watcher: Follows the records.
+    """
+
+    clock: Clock
+    executor: CallExecutor
+    admission: AdmissionController
+    dispatcher: Dispatcher
+    routes: RouteManager
+    store: StoreClient
+    catalog: Catalog
+    config_watcher: PrefixWatcher
+    record_watcher: PrefixWatcher
+
+
 def listener_of(host: str) -> Listener | None:
     """Returns where metrics are served, if the environment says so."""
     port = os.environ.get(PORT_VARIABLE, "")
     return Listener(host, int(port)) if port.isdecimal() else None
 
 
-def watch_node(metrics: Metrics, node: "PlatformNode") -> None:
+def watch_node(metrics: Metrics, node: WatchedParts) -> None:
     """Exports what a node believes and how far it is loaded."""
     metrics.watch_counters("executor", node.executor.counters)
     watch_store(metrics, node.clock, lambda: node.store)
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -75,6 +75,23 @@
         self._incarnation = clock.wall_ms()
         self._build_calls()
         self._build_store()
+        self._watch_metrics()
+
+    def _watch_metrics(self) -> None:
+        metrics.watch_node(
+            self.metrics,
+            metrics.WatchedParts(
+                clock=self.clock,
+                executor=self.executor,
+                admission=self.admission,
+                dispatcher=self.dispatcher,
+                routes=self.routes,
+                store=self.store,
+                catalog=self.catalog,
+                config_watcher=self.config_watcher,
+                record_watcher=self.record_watcher,
+            ),
+        )
 
     def _build_calls(self) -> None:
         settings, clock = self.settings.node, self.clock
@@ -132,7 +149,6 @@
             self.executor,
             self.metrics,
         )
-        metrics.watch_node(self.metrics, self)
         self.callers = CallerListener(self.settings, clock, self.entry)
 
     def _build_store(self) -> None:
