--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -52,12 +52,14 @@
         request_id: Id that the caller gave it.
         read_ms: When its head was read.
         task: The task that serves it.
+        entered: The call that was made of it; none while it is read.
         is_abandoned: The process ends before the request does.
     """
 
     request_id: str
     read_ms: float
     task: asyncio.Task[None]
+    entered: EnteredCall | None = None
     is_abandoned: bool = False
 
 
@@ -142,6 +144,8 @@
                 leaving_ms=running.read_ms - leaving_since_ms,
             )
             running.is_abandoned = True
+            if running.entered is not None:
+                running.entered.is_abandoned = True
             running.task.cancel()
 
     async def on_start(self) -> None:
@@ -184,7 +188,7 @@
         self, request: web.BaseRequest, running: _RunningRequest
     ) -> web.Response:
         try:
-            return await self._respond(request)
+            return await self._respond(request, running)
         except asyncio.CancelledError:
             if not running.is_abandoned:
                 raise
@@ -193,7 +197,9 @@
                 unknown(Reason.DRAINING, 502), running.request_id
             )
 
-    async def _respond(self, request: web.BaseRequest) -> web.Response:
+    async def _respond(
+        self, request: web.BaseRequest, running: _RunningRequest
+    ) -> web.Response:
         body = b""
         if request.body_exists:
             content = await read_bounded(
@@ -209,6 +215,7 @@
             return self._answer(not_run(Reason.NO_ROUTE, status))
         routed = self._translate(request)
         entered = self._entry.accept(route, routed, body)
+        running.entered = entered
         if not self._admits(entered):
             pause_s = self._restart_pause_s()
             result = self._entry.refuse(entered, Reason.DRAINING, pause_s)
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -76,6 +76,23 @@
         self._incarnation = clock.wall_ms()
         self._build_calls()
         self._build_store()
+        self._watch_metrics()
+
+    def _watch_metrics(self) -> None:
+        metrics.watch_node(
+            self.metrics,
+            metrics.WatchedParts(
+                clock=self.clock,
+                executor=self.executor,
+                admission=self.admission,
+                dispatcher=self.dispatcher,
+                routes=self.routes,
+                store=self.store,
+                catalog=self.catalog,
+                config_watcher=self.config_watcher,
+                record_watcher=self.record_watcher,
+            ),
+        )
 
     def _build_calls(self) -> None:
         settings, clock = self.settings.node, self.clock
@@ -137,7 +154,6 @@
             self.executor,
             self.metrics,
         )
-        metrics.watch_node(self.metrics, self)
         self.callers = CallerListener(self.settings, clock, self.entry)
         self.routes.subscribe(
             lambda table: self.callers.set_limits(table.limits)
@@ -241,7 +257,7 @@
     async def drain(self) -> None:
         """Stops taking work and waits until everything in flight has ended."""
         started_ms = self.clock.now_ms()
-        events.emit(events.NodeLeaving, in_flight=self.callers.in_flight)
+        events.emit(events.NodeLeaving, in_flight=self._in_flight)
         self.is_leaving = True
         self.callers.leave()
         end_ms = started_ms + self.settings.grace_ms - EXIT_MARGIN_MS
@@ -253,18 +269,19 @@
             await self.clock.sleep_ms(IDLE_CHECK_MS)
         events.emit(
             events.NodeStopped,
-            in_flight=self.callers.in_flight + self.peer_server.running_count,
+            in_flight=self._in_flight,
             took_ms=self.clock.now_ms() - started_ms,
         )
         self.callers.abandon(started_ms)
 
+    @property
+    def _in_flight(self) -> int:
+        """Number of requests of callers and other nodes that run here."""
+        return self.callers.in_flight + self.peer_server.running_count
+
     @property
     def _is_busy(self) -> bool:
-        return bool(
-            self.callers.in_flight
-            or self.callers.is_sending
-            or self.peer_server.running_count
-        )
+        return bool(self._in_flight or self.callers.is_sending)
 
     def _on_config(self, listing: StoreListing) -> None:
         for found in listing.objects:
