Guard that answers of running calls tell of a leaving node

Cause: docs/platform.md listed as open that a leaving node tells nobody and that senders learn of it from refusals only.

Ruled out: saying so from SIGTERM on. The upstream still works then, and senders would leave it out for 2.3 s longer at each restart of a node. That this costs more than one refused hop is a judgement, not a measurement.

No change of the program.

Conclusion: nothing further is built for this.

--- a/tests/cover/test_platform_drain.py
+++ b/tests/cover/test_platform_drain.py
@@ -114,3 +114,29 @@
         await node.drain()
         assert (await request)[0] == 502
     assert "request abandoned" in caplog.messages
+
+
+async def test_answers_of_running_calls_tell_that_their_node_leaves(
+    monkeypatch,
+):
+    """Guards against senders that learn of a leave by refusals only."""
+    monkeypatch.setattr(platform_node, "LEAVE_NOTICE_MS", NOTICE_MS)
+    patience = {"X-Deadline-Ms": "20000"}
+    async with fleet_of(3, timeoutMs=20_000) as fleet:
+        node, sender = fleet.nodes[0], fleet.nodes[1]
+        for upstream in fleet.upstreams:
+            upstream.delay_s = 1.0
+        # Enough calls that some run beside the leaving node.
+        requests = [
+            asyncio.ensure_future(fleet.request(sender, headers=patience))
+            for _ in range(9)
+        ]
+        await until(lambda: fleet.upstreams[0].received)
+        await node.drain()
+        answers = await asyncio.gather(*requests)
+        assert {status for status, _, _ in answers} == {200}
+        # The record in the store still says that the upstream is ready.
+        others = frozenset(("node-2", "node-3"))
+        assert sender.balancer.choose("stock", others) is None
+        records = sender.catalog.records_by_id
+        assert records["node-1"].upstream.state == "ready"
