Split the types of events by what they tell about

The types move, unchanged, to event_types/; events.py keeps the emitting and names them all, so callers stay as they are.

--- /dev/null
+++ b/src/celeryfield/internal/event_types/fleet.py
@@ -0,0 +1,123 @@
+"""What a node believes of the store and of other nodes."""
+
+import dataclasses
+import logging
+from typing import ClassVar
+
+from celeryfield.internal.event_types.base import Event
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NeighbourChanged(Event):
+    """The record of another node changed.
+
+    Attributes:
+        peer: Id of the node.
+        service: Service of its upstream.
+        state: State of its upstream, or gone.
+        incarnation: Start of the node, in ms since the epoch.
+        version: Revision of the record in the store.
+    """
+
+    message: ClassVar[str] = "neighbour changed"
+    peer: str
+    service: str
+    state: str
+    incarnation: int
+    version: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DependencyLost(Event):
+    """The store or another node cannot be reached.
+
+    Attributes:
+        dependency: store, or the id of a node.
+        problem: How the last try ended.
+    """
+
+    message: ClassVar[str] = "dependency lost"
+    level: ClassVar[int] = logging.WARNING
+    dependency: str
+    problem: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DependencyRegained(Event):
+    """The store or another node answers again.
+
+    Attributes:
+        dependency: store, or the id of a node.
+        away_ms: Time since it was lost.
+    """
+
+    message: ClassVar[str] = "dependency regained"
+    dependency: str
+    away_ms: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PeerConnectionLost(Event):
+    """A connection to another node ended while calls waited for answers.
+
+    Attributes:
+        peer: Id of the node.
+        incarnation: Start of its process, in ms since the epoch.
+        outstanding: Calls that waited.
+    """
+
+    message: ClassVar[str] = "connection to a node lost"
+    level: ClassVar[int] = logging.WARNING
+    peer: str
+    incarnation: int
+    outstanding: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PeerConnectionReplaced(Event):
+    """A newer connection of another node ended an older one.
+
+    Attributes:
+        peer: Id of the node.
+        incarnation: Start of its process, in ms since the epoch.
+        running: Calls of all nodes that run here.
+    """
+
+    message: ClassVar[str] = "connection of a node replaced"
+    peer: str
+    incarnation: int
+    running: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CandidateEjected(Event):
+    """A candidate gets no calls for a while.
+
+    Attributes:
+        peer: Id of the node beside the upstream.
+        cause: gone, failing, slow or trial failed.
+        failures: Failures in a row.
+        inflation: Its latency relative to that of all candidates.
+        for_ms: Length of the ejection.
+    """
+
+    message: ClassVar[str] = "candidate ejected"
+    peer: str
+    cause: str
+    failures: int
+    inflation: float
+    for_ms: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CandidateReturned(Event):
+    """An ejected candidate gets calls again.
+
+    Attributes:
+        peer: Id of the node beside the upstream.
+        ejections: Ejections in a row before.
+    """
+
+    message: ClassVar[str] = "candidate returned"
+    peer: str
+    ejections: int
