Move what a node knows of its upstream out of the adapter

platform/node.py had grown to 490 lines and decided what the word of the upstream means, which is no translation. It moves, unchanged, to registry/local_upstream.py; the adapter keeps only what admission and the HTTP client are told.

--- /dev/null
+++ b/src/celeryfield/internal/registry/local_upstream.py
@@ -0,0 +1,232 @@
+"""What a node knows of the upstream beside it, and its own record."""
+
+import dataclasses
+from collections.abc import Callable
+
+from celeryfield.internal import events
+from celeryfield.internal.registry import records
+from celeryfield.internal.registry.catalog import Catalog
+from celeryfield.internal.registry.publisher import RecordPublisher
+from celeryfield.internal.registry.records import NodeRecord, UpstreamRecord
+from celeryfield.internal.registry.suspects import SuspectRecorder
+from celeryfield.internal.store.answers import StoreListing
+from celeryfield.internal.upstream import tracker as tracking
+from celeryfield.internal.upstream.tracker import (
+    UpstreamReport,
+    UpstreamTracker,
+    Verdict,
+)
+
+Apply = Callable[[UpstreamReport, str], None]
+"""Makes the newest report of the upstream and its state known in the node."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class OwnIdentity:
+    """What does not change while a node process runs.
+
+    Attributes:
+        node_id: Id of the node.
+        incarnation: Start of the process, in ms since the epoch.
+        address: IP address of the node.
+        port: TCP port for other nodes.
+        zone: Availability zone.
+        service: Service of the upstream that the VM was made for.
+        upstream_address: ``host:port`` of the upstream.
+    """
+
+    node_id: str
+    incarnation: int
+    address: str
+    port: int
+    zone: str
+    service: str
+    upstream_address: str
+
+    @property
+    def key(self) -> str:
+        """Key of the own record in the store."""
+        return f"{records.PREFIX}{self.node_id}"
+
+
+class LocalUpstream:
+    """Takes the word of the upstream and makes it known here and elsewhere.
+
+    Args:
+        identity: Who this node is.
+        tracker: Judges reports of the upstream.
+        catalog: Records of all nodes, with the own one.
+        publisher: Writes the own record to the store.
+        suspects: Suspect requests that the record carries.
+        apply: Makes a belief known in the node.
+    """
+
+    def __init__(
+        self,
+        identity: OwnIdentity,
+        tracker: UpstreamTracker,
+        catalog: Catalog,
+        publisher: RecordPublisher,
+        suspects: SuspectRecorder,
+        apply: Apply,
+    ) -> None:
+        self._identity = identity
+        self._tracker = tracker
+        self._catalog = catalog
+        self._publisher = publisher
+        self._suspects = suspects
+        self._apply = apply
+
+    async def report(self, report: UpstreamReport) -> bool:
+        """Takes a status report; returns whether it is acknowledged.
+
+        That the upstream leaves is acknowledged once the store has it.
+        """
+        before = (self._tracker.report, self._tracker.state)
+        verdict = self._tracker.accept(report)
+        if verdict is not Verdict.ACCEPTED:
+            events.emit(
+                events.ReportIgnored,
+                upstream=report.upstream_id,
+                problem=str(verdict.value),
+            )
+            return verdict is Verdict.LATE
+        if _has_changed(before, self._tracker):
+            self._note("report")
+        if self._tracker.state == tracking.DRAINING:
+            await self._wait_recorded()
+        return True
+
+    async def leave(self, upstream_id: str) -> bool:
+        """Takes the word that an upstream leaves; returns once it is stored."""
+        identity = self._identity
+        if self._tracker.leave(
+            upstream_id, identity.service, identity.upstream_address
+        ):
+            self._note("leave")
+            await self._wait_recorded()
+        return True
+
+    def on_listing(self, listing: StoreListing) -> None:
+        """Looks for the own record among all records of the store."""
+        own = self._own_record(listing)
+        if own is not None:
+            self._restore(own)
+        self._publisher.confirm(own)
+
+    def on_changes(self, listing: StoreListing) -> None:
+        """Looks for the own record among changes in the store."""
+        own = self._own_record(listing)
+        if own is not None or self._identity.key in listing.deleted_keys:
+            self._publisher.confirm(own)
+
+    def expire(self) -> None:
+        """Gives up an upstream that has fallen silent."""
+        if self._tracker.expire():
+            self._emit("silence")
+            self.apply()
+
+    def mark_gone(self) -> None:
+        """Notes that the upstream no longer accepts connections."""
+        self._tracker.mark_gone()
+        self._emit("refused connection")
+        self.apply()
+
+    def apply(self) -> None:
+        """Makes the newest belief known in the node."""
+        report = self._tracker.report
+        if report is not None:
+            self._apply(report, self._tracker.state)
+
+    def publish(self) -> None:
+        """Makes the own record known to other nodes."""
+        record = self._record()
+        self._catalog.set_own(record)
+        self._publisher.publish(record)
+
+    def _own_record(self, listing: StoreListing) -> NodeRecord | None:
+        for found in listing.objects:
+            if found.key == self._identity.key:
+                decoded = records.decode(found.key, found.value)
+                return decoded.default_value(None)
+        return None
+
+    def _restore(self, own: NodeRecord) -> None:
+        """Learns of the upstream from the record of an earlier process."""
+        known = own.upstream
+        if known is None or self._tracker.report is not None:
+            return
+        self._tracker.restore(
+            UpstreamReport(
+                upstream_id=known.id,
+                born_ms=known.born_ms,
+                sequence=-1,
+                service=known.service,
+                address=self._identity.upstream_address,
+                slots=known.slots,
+                state=known.state,
+            )
+        )
+        self._note("record")
+
+    async def _wait_recorded(self) -> None:
+        await self._publisher.wait_stored(self._record())
+
+    def _note(self, cause: str) -> None:
+        """Makes a new belief known here and elsewhere."""
+        self._emit(cause)
+        self.apply()
+        self.publish()
+
+    def _emit(self, cause: str) -> None:
+        report = self._tracker.report
+        if report is None:
+            return
+        events.emit(
+            events.UpstreamChanged,
+            upstream=report.upstream_id,
+            service=report.service,
+            state=self._tracker.state,
+            slots=report.slots,
+            born_ms=report.born_ms,
+            cause=cause,
+        )
+
+    def _record(self) -> NodeRecord:
+        identity = self._identity
+        report = self._tracker.report
+        upstream = None
+        if report is not None:
+            is_leaving = self._tracker.state == tracking.DRAINING
+            upstream = UpstreamRecord(
+                id=report.upstream_id,
+                born_ms=report.born_ms,
+                service=report.service,
+                slots=report.slots,
+                state=records.DRAINING if is_leaving else records.READY,
+            )
+        return NodeRecord(
+            node_id=identity.node_id,
+            incarnation=identity.incarnation,
+            address=identity.address,
+            port=identity.port,
+            zone=identity.zone,
+            upstream=upstream,
+            suspects=self._suspects.recorded,
+        )
+
+
+def _has_changed(
+    before: tuple[UpstreamReport | None, str], tracker: UpstreamTracker
+) -> bool:
+    """Returns whether a report says anything new."""
+    report, state = before
+    current = tracker.report
+    return (
+        report is None
+        or state != tracker.state
+        or report.boot != current.boot
+        or report.slots != current.slots
+        or report.service != current.service
+        or report.address != current.address
+    )
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -16,9 +16,12 @@
 from celeryfield.internal.metrics import Metrics
 from celeryfield.internal.registry import neighbours, records, removal
 from celeryfield.internal.registry.catalog import Catalog
+from celeryfield.internal.registry.local_upstream import (
+    LocalUpstream,
+    OwnIdentity,
+)
 from celeryfield.internal.registry.neighbours import NeighbourCopies
 from celeryfield.internal.registry.publisher import RecordPublisher
-from celeryfield.internal.registry.records import NodeRecord, UpstreamRecord
 from celeryfield.internal.registry.removal import RecordRemover
 from celeryfield.internal.registry.suspects import SuspectRecorder
 from celeryfield.internal.routes.entry import RouteEntry
@@ -35,11 +38,9 @@
 from celeryfield.internal.transport.frames import Kind
 from celeryfield.internal.transport.pool import PeerPool
 from celeryfield.internal.transport.server import PeerServer
-from celeryfield.internal.upstream import tracker as tracking
 from celeryfield.internal.upstream.tracker import (
     UpstreamReport,
     UpstreamTracker,
-    Verdict,
 )
 from celeryfield.platform import config, metrics, objects
 from celeryfield.platform.ingress import CallerListener
@@ -116,7 +117,7 @@
             ChainLimits(clock),
             self.chains,
             self.upstream,
-            self._on_crash,
+            lambda: self.local.mark_gone(),
         )
         self.gateway = Gateway(
             clock,
@@ -170,6 +171,14 @@
             lambda: self.suspects.learn(self.catalog.records_by_id.values())
         )
         self.publisher = RecordPublisher(self.store, self.clock)
+        self.local = LocalUpstream(
+            self._own_identity(),
+            self.tracker,
+            self.catalog,
+            self.publisher,
+            self.suspects,
+            self._apply_upstream,
+        )
         self.config_watcher = PrefixWatcher(
             self.store,
             self.clock,
@@ -200,7 +209,19 @@
             self.store,
             lambda: self.record_watcher.answering_since_ms,
         )
-        self.routes.subscribe(lambda _table: self._apply_upstream())
+        self.routes.subscribe(lambda _table: self.local.apply())
+
+    def _own_identity(self) -> OwnIdentity:
+        settings = self.settings
+        return OwnIdentity(
+            node_id=self._identity.id,
+            incarnation=self._incarnation,
+            address=self._identity.address,
+            port=settings.node.listen.peer_port,
+            zone=self._identity.zone,
+            service=settings.service,
+            upstream_address=settings.upstream_address,
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -218,13 +239,13 @@
             self.remover,
             self.callers,
             ReportListener(
-                self.settings.reports, self._on_report, self._on_leave
+                self.settings.reports, self.local.report, self.local.leave
             ),
             ready_listener(self.settings.ready, lambda: self.is_ready),
         ):
             await self.add_runtime_dependency(service)
         await self._serve_metrics()
-        self._publish()
+        self.local.publish()
         events.emit(
             events.NodeStarted,
             incarnation=self._incarnation,
@@ -318,101 +339,15 @@
         )
 
     def _on_records(self, listing: StoreListing) -> None:
-        own = self._own_record(listing)
-        if own is not None:
-            self._restore(own)
-        self.publisher.confirm(own)
+        self.local.on_listing(listing)
         self.catalog.replace_all(listing.objects)
 
     def _on_record_changes(self, listing: StoreListing) -> None:
-        own = self._own_record(listing)
-        if own is not None or self._own_key in listing.deleted_keys:
-            self.publisher.confirm(own)
+        self.local.on_changes(listing)
         self.catalog.apply(listing.objects, listing.deleted_keys)
 
-    def _own_record(self, listing: StoreListing) -> NodeRecord | None:
-        for found in listing.objects:
-            if found.key == self._own_key:
-                return records.decode(found.key, found.value).default_value(
-                    None
-                )
-        return None
-
-    @property
-    def _own_key(self) -> str:
-        return f"{records.PREFIX}{self._identity.id}"
-
-    def _restore(self, own: NodeRecord) -> None:
-        """Learns of the upstream from the record of an earlier process."""
-        known = own.upstream
-        if known is None or self.tracker.report is not None:
-            return
-        self.tracker.restore(
-            UpstreamReport(
-                upstream_id=known.id,
-                born_ms=known.born_ms,
-                sequence=-1,
-                service=known.service,
-                address=self.settings.upstream_address,
-                slots=known.slots,
-                state=known.state,
-            )
-        )
-        self._note_upstream("record")
-
-    async def _on_report(self, report: UpstreamReport) -> bool:
-        before = (self.tracker.report, self.tracker.state)
-        verdict = self.tracker.accept(report)
-        if verdict is not Verdict.ACCEPTED:
-            events.emit(
-                events.ReportIgnored,
-                upstream=report.upstream_id,
-                problem=str(verdict.value),
-            )
-            return verdict is Verdict.LATE
-        if _has_changed(before, self.tracker):
-            self._note_upstream("report")
-        if self.tracker.state == tracking.DRAINING:
-            await self._wait_recorded()
-        return True
-
-    async def _on_leave(self, upstream_id: str) -> bool:
-        settings = self.settings
-        if self.tracker.leave(
-            upstream_id, settings.service, settings.upstream_address
-        ):
-            self._note_upstream("leave")
-            await self._wait_recorded()
-        return True
-
-    async def _wait_recorded(self) -> None:
-        await self.publisher.wait_stored(self._record())
-
-    def _note_upstream(self, cause: str) -> None:
-        """Makes a new belief about the upstream known here and elsewhere."""
-        self._emit_upstream(cause)
-        self._apply_upstream()
-        self._publish()
-
-    def _emit_upstream(self, cause: str) -> None:
-        report = self.tracker.report
-        if report is None:
-            return
-        events.emit(
-            events.UpstreamChanged,
-            upstream=report.upstream_id,
-            service=report.service,
-            state=self.tracker.state,
-            slots=report.slots,
-            born_ms=report.born_ms,
-            cause=cause,
-        )
-
-    def _apply_upstream(self) -> None:
+    def _apply_upstream(self, report: UpstreamReport, state: str) -> None:
         """Tells admission and the HTTP client about the upstream."""
-        report = self.tracker.report
-        if report is None:
-            return
         connections = DEFAULT_CONNECTIONS
         table = self.routes.current
         if table is not None and report.service in table.services_by_name:
@@ -420,50 +355,16 @@
             connections = service.max_connections
         self.upstream.set_upstream(report.address, report.upstream_id)
         self.admission.set_capacity(
-            report.slots, connections, self.tracker.state, report.service
+            report.slots, connections, state, report.service
         )
 
-    def _on_crash(self) -> None:
-        self.tracker.mark_gone()
-        self._emit_upstream("refused connection")
-        self._apply_upstream()
-
-    def _record(self) -> NodeRecord:
-        report = self.tracker.report
-        upstream = None
-        if report is not None:
-            is_leaving = self.tracker.state == tracking.DRAINING
-            upstream = UpstreamRecord(
-                id=report.upstream_id,
-                born_ms=report.born_ms,
-                service=report.service,
-                slots=report.slots,
-                state=records.DRAINING if is_leaving else records.READY,
-            )
-        return NodeRecord(
-            node_id=self._identity.id,
-            incarnation=self._incarnation,
-            address=self._identity.address,
-            port=self.settings.node.listen.peer_port,
-            zone=self._identity.zone,
-            upstream=upstream,
-            suspects=self.suspects.recorded,
-        )
-
-    def _publish(self) -> None:
-        record = self._record()
-        self.catalog.set_own(record)
-        self.publisher.publish(record)
-
     @Service.task
     async def _run_housekeeping(self) -> None:
         while not self.should_stop:
             await self.clock.sleep_ms(HOUSEKEEPING_MS)
-            if self.tracker.expire():
-                self._emit_upstream("silence")
-                self._apply_upstream()
+            self.local.expire()
             if self.suspects.refresh():
-                self._publish()
+                self.local.publish()
 
 
 def _seed_candidates(settings: PlatformSettings) -> tuple[Candidate, ...]:
@@ -472,19 +373,3 @@
         Candidate("", number, seed.host, seed.port, "", "")
         for number, seed in enumerate(settings.seeds)
     )
-
-
-def _has_changed(
-    before: tuple[UpstreamReport | None, str], tracker: UpstreamTracker
-) -> bool:
-    """Returns whether a report says anything new."""
-    report, state = before
-    current = tracker.report
-    return (
-        report is None
-        or state != tracker.state
-        or report.boot != current.boot
-        or report.slots != current.slots
-        or report.service != current.service
-        or report.address != current.address
-    )
