--- /dev/null
+++ b/src/celeryfield/internal/transport/links.py
@@ -0,0 +1,302 @@
+"""Open connections to other nodes, one per place.
+
+A node accepts one connection of each peer: a newer one ends the older one with
+its calls, so that a call which its sender has given up can never start. So
+this end must not open a second connection to a process that it is connected
+to. The record by which a node was found does not tell the process apart: after
+a restart the record may come late, and a seed names no node at all. What tells
+it apart is the greeting, and one address leads to one process at a time.
+"""
+
+import asyncio
+import dataclasses
+import ssl
+from collections.abc import Coroutine
+
+from celeryfield.internal import events
+from celeryfield.internal.calls import Candidate
+from celeryfield.internal.clock import Clock
+from celeryfield.internal.schema import settings as settings_schema
+from celeryfield.internal.schema import wire
+from celeryfield.internal.schema.base import MessageError
+from celeryfield.internal.transport import frames
+from celeryfield.internal.transport.connection import PeerConnection
+from celeryfield.internal.transport.errors import (
+    ConnectionLostError,
+    TransportError,
+    UnreachableError,
+)
+from celeryfield.internal.transport.frames import Frame, Kind
+
+CONNECT_TIMEOUT_S = 1.0
+# Time in which a process answers a ping on an open connection, also if it is
+# slowed by its neighbours.
+ALIVE_TIMEOUT_MS = 500.0
+# Nodes that are remembered as lost, so that each loss is noted once.
+MAX_LOST_NOTED = 4_096
+# A node that is seldom used again costs both ends memory; opening a connection
+# takes about a millisecond.
+IDLE_CLOSE_MS = 120_000.0
+
+Place = tuple[str, int]
+"""Address and TCP port of a node."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Link:
+    """An open connection and what is known of the process behind it.
+
+    Attributes:
+        connection: The connection.
+        known_incarnation: Newest incarnation of the node for which this
+            connection is known to lead to the running process.
+    """
+
+    connection: PeerConnection
+    known_incarnation: int
+
+
+class PeerLinks:
+    """Opens, checks and closes connections to other nodes.
+
+    Args:
+        settings: Settings of this node.
+        clock: Time source.
+        hello: Identity that this node presents; the connection number is set
+            for each connection.
+        ssl_context: Client-side TLS, or None.
+    """
+
+    def __init__(
+        self,
+        settings: settings_schema.NodeSettings,
+        clock: Clock,
+        hello: wire.Hello,
+        ssl_context: ssl.SSLContext | None = None,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._hello = hello
+        self._ssl_context = ssl_context
+        self._lost_ms_by_id: dict[str, float] = {}
+        self._links_by_place: dict[Place, _Link] = {}
+        self._opening_by_place: dict[Place, asyncio.Task[_Link]] = {}
+        self._connection_number = 0
+        self._background: set[asyncio.Task[None]] = set()
+        self._checker: asyncio.Task[None] | None = None
+
+    async def connect(self, candidate: Candidate) -> PeerConnection:
+        """Returns a connection to the process of a candidate.
+
+        Raises:
+            UnreachableError: There is none, or another node answers there.
+        """
+        place = (candidate.address, candidate.port)
+        link = self._links_by_place.get(place)
+        # A connection that is being replaced takes no more calls: the other
+        # end drops it at the greeting.
+        is_opening = place in self._opening_by_place
+        if link is None or is_opening or self._is_doubtful(link, candidate):
+            link = await self._opened(candidate, place)
+        # A seed names no node, so any node will do.
+        is_named = bool(candidate.node_id)
+        if is_named and link.connection.peer_id != candidate.node_id:
+            raise UnreachableError(
+                f"node {link.connection.peer_id} answers in place of "
+                f"{candidate.node_id}"
+            )
+        return link.connection
+
+    def _is_doubtful(self, link: _Link, candidate: Candidate) -> bool:
+        """Returns whether the process behind a connection may have ended.
+
+        A record of another node at the same place, or of a newer process, is
+        a hint only: the record may be the older one, incarnations of two nodes
+        come from two clocks, and a running process may raise its incarnation.
+        """
+        if link.connection.is_closed:
+            return True
+        if not candidate.node_id:
+            return False
+        is_same = link.connection.peer_id == candidate.node_id
+        return not is_same or link.known_incarnation < candidate.incarnation
+
+    async def _is_running(self, link: _Link, candidate: Candidate) -> bool:
+        """Asks the process behind a connection whether it is there."""
+        connection = link.connection
+        if not await connection.is_answering(ALIVE_TIMEOUT_MS):
+            return False
+        if connection.peer_id == candidate.node_id:
+            link.known_incarnation = max(
+                link.known_incarnation, candidate.incarnation
+            )
+        return True
+
+    async def _check_restarted(
+        self, place: Place, link: _Link, incarnation: int
+    ) -> None:
+        """Closes a connection whose process does not answer any more."""
+        if await link.connection.is_answering(ALIVE_TIMEOUT_MS):
+            link.known_incarnation = max(link.known_incarnation, incarnation)
+        elif self._links_by_place.get(place) is link:
+            link.connection.close()
+
+    def retain(self, peers: set[tuple[str, int]]) -> None:
+        """Closes connections to nodes that are gone or have restarted.
+
+        Args:
+            peers: Ids and incarnations of the nodes that are there.
+        """
+        incarnations_by_id = dict(peers)
+        for place, link in list(self._links_by_place.items()):
+            incarnation = incarnations_by_id.get(link.connection.peer_id)
+            if incarnation is None:
+                link.connection.close()
+            elif link.known_incarnation < incarnation:
+                self._spawn(self._check_restarted(place, link, incarnation))
+
+    def close(self) -> None:
+        """Closes all connections."""
+        if self._checker is not None:
+            self._checker.cancel()
+        self.retain(set())
+
+    async def _opened(self, candidate: Candidate, place: Place) -> _Link:
+        opening = self._opening_by_place.get(place)
+        if opening is None:
+            opening = asyncio.ensure_future(self._open(candidate, place))
+            self._opening_by_place[place] = opening
+            opening.add_done_callback(
+                lambda task: self._end_opening(place, task)
+            )
+        return await asyncio.shield(opening)
+
+    def _end_opening(self, place: Place, task: asyncio.Task[_Link]) -> None:
+        self._opening_by_place.pop(place, None)
+        if not task.cancelled():
+            # If all callers have given up, nobody else retrieves the error.
+            task.exception()
+
+    async def _open(self, candidate: Candidate, place: Place) -> _Link:
+        previous = self._links_by_place.get(place)
+        if previous is not None and await self._is_running(previous, candidate):
+            return previous
+        self._connection_number += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                connection = await self._handshake(
+                    candidate, self._connection_number
+                )
+        except (OSError, TimeoutError, TransportError, MessageError) as error:
+            self._note_lost(candidate.node_id, error)
+            raise UnreachableError(
+                f"cannot reach node {candidate.node_id}: {error}"
+            ) from error
+        node_id, incarnation = connection.peer
+        if node_id == candidate.node_id:
+            incarnation = max(incarnation, candidate.incarnation)
+        link = _Link(connection, incarnation)
+        self._links_by_place[place] = link
+        if previous is not None:
+            previous.connection.close()
+        self._note_regained(candidate.node_id)
+        if self._checker is None or self._checker.done():
+            self._checker = asyncio.ensure_future(self._check_connections())
+        return link
+
+    def _note_lost(self, node_id: str, error: Exception) -> None:
+        if node_id in self._lost_ms_by_id:
+            return
+        if len(self._lost_ms_by_id) >= MAX_LOST_NOTED:
+            del self._lost_ms_by_id[next(iter(self._lost_ms_by_id))]
+        self._lost_ms_by_id[node_id] = self._clock.now_ms()
+        events.emit(
+            events.DependencyLost,
+            dependency=node_id,
+            problem=str(error) or type(error).__name__,
+        )
+
+    def _note_regained(self, node_id: str) -> None:
+        lost_ms = self._lost_ms_by_id.pop(node_id, None)
+        if lost_ms is not None:
+            events.emit(
+                events.DependencyRegained,
+                dependency=node_id,
+                away_ms=self._clock.now_ms() - lost_ms,
+            )
+
+    async def _check_connections(self) -> None:
+        """Finds silent connections and closes those that nobody uses."""
+        interval_ms = self._settings.routing.silent_ms / 2
+        while True:
+            await self._clock.sleep_ms(interval_ms)
+            now_ms = self._clock.now_ms()
+            for link in list(self._links_by_place.values()):
+                connection = link.connection
+                if connection.outstanding_count:
+                    connection.check_progress(now_ms)
+                elif now_ms - connection.last_used_ms > IDLE_CLOSE_MS:
+                    connection.close()
+
+    async def _handshake(
+        self, candidate: Candidate, number: int
+    ) -> PeerConnection:
+        loop = asyncio.get_running_loop()
+        greeting: asyncio.Future[wire.Hello] = loop.create_future()
+
+        def receive(_connection: PeerConnection, frame: Frame) -> None:
+            if frame.kind is Kind.HELLO and not greeting.done():
+                greeting.set_result(wire.Hello.decode(frame.header))
+
+        def forget(connection: PeerConnection) -> None:
+            place = (candidate.address, candidate.port)
+            link = self._links_by_place.get(place)
+            if link is not None and link.connection is connection:
+                del self._links_by_place[place]
+            _emit_lost(connection)
+            if not greeting.done():
+                greeting.set_exception(ConnectionLostError("no greeting"))
+
+        _, connection = await loop.create_connection(
+            lambda: PeerConnection(
+                self._settings, self._clock, receive, forget
+            ),
+            candidate.address,
+            candidate.port,
+            ssl=self._ssl_context,
+        )
+        hello = wire.Hello(
+            frames.PROTOCOL_VERSION,
+            self._hello.node_id,
+            self._hello.incarnation,
+            number,
+            # Bytes between zones are dear; processor time within one is not
+            # worth it.
+            compressed=candidate.zone != self._settings.node.zone,
+        )
+        connection.send_hello(hello)
+        try:
+            connection.hello = await greeting
+        except BaseException:
+            # Nobody else knows of a connection that was not greeted.
+            connection.close()
+            raise
+        return connection
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+
+def _emit_lost(connection: PeerConnection) -> None:
+    """Notes the end of a connection with calls outstanding."""
+    if connection.outstanding_count == 0:
+        return
+    node_id, incarnation = connection.peer
+    events.emit(
+        events.PeerConnectionLost,
+        peer=node_id,
+        incarnation=incarnation,
+        outstanding=connection.outstanding_count,
+    )
--- a/tests/cover/test_tls.py
+++ b/tests/cover/test_tls.py
@@ -34,7 +34,7 @@
             while candidate is None:
                 candidate = near.directory.find("far")
                 await asyncio.sleep(0.01)
-        connection = await near.pool._connect(candidate)
+        connection = await near.pool._links.connect(candidate)
         assert connection._transport.get_extra_info("cipher") is not None
 
 
--- a/tests/cover/test_transport.py
+++ b/tests/cover/test_transport.py
@@ -14,7 +14,7 @@
 from celeryfield.internal.schema import settings as settings_schema
 from celeryfield.internal.schema import wire
 from celeryfield.internal.schema.base import MessageError
-from celeryfield.internal.transport import frames, server
+from celeryfield.internal.transport import frames, links, server
 from celeryfield.internal.transport.connection import PeerConnection
 from celeryfield.internal.transport.pool import PeerPool
 from celeryfield.internal.transport.server import PeerServer
@@ -501,3 +501,23 @@
         await asyncio.sleep(0.05)
         pool.retain({("server", INCARNATION + 1)})
         assert (await call).outcome is Outcome.OK
+
+
+async def test_connection_without_a_greeting_is_closed(monkeypatch):
+    """Guards against connections that stay open and belong to nobody."""
+    monkeypatch.setattr(links, "CONNECT_TIMEOUT_S", 0.1)
+    closed = asyncio.Event()
+
+    async def stay_silent(reader, writer):
+        while await reader.read(1_024):
+            pass
+        writer.close()
+        closed.set()
+
+    server = await asyncio.start_server(stay_silent, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    pool = PeerPool(make_settings(), Clock(), wire.Hello(1, "client", 1))
+    silent = Candidate("server", INCARNATION, "127.0.0.1", port, "z1", "s")
+    assert not await pool.reach(silent)
+    await asyncio.wait_for(closed.wait(), 10)
+    server.close()
