--- a/src/celeryfield/internal/event_types/fleet.py
+++ b/src/celeryfield/internal/event_types/fleet.py
@@ -121,3 +121,19 @@
     message: ClassVar[str] = "candidate returned"
     peer: str
     ejections: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RecordRemoved(Event):
+    """The record of a node that is gone for good was removed from the store.
+
+    Attributes:
+        peer: Id of the node.
+        version: Revision of the record.
+        away_ms: Time since the node was first found away.
+    """
+
+    message: ClassVar[str] = "record removed"
+    peer: str
+    version: int
+    away_ms: float
--- a/src/celeryfield/internal/events.py
+++ b/src/celeryfield/internal/events.py
@@ -18,6 +18,7 @@
     NeighbourChanged,
     PeerConnectionLost,
     PeerConnectionReplaced,
+    RecordRemoved,
 )
 from celeryfield.internal.event_types.node import (
     ConfigInForce,
@@ -64,6 +65,7 @@
     "OutcomeUnknown",
     "PeerConnectionLost",
     "PeerConnectionReplaced",
+    "RecordRemoved",
     "ReloadRequested",
     "ReportIgnored",
     "RequestAbandoned",
--- a/src/celeryfield/internal/registry/removal.py
+++ b/src/celeryfield/internal/registry/removal.py
@@ -19,6 +19,7 @@
 
 import mode
 
+from celeryfield.internal import events
 from celeryfield.internal.calls import Candidate
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.registry.catalog import Catalog
@@ -170,10 +171,12 @@
                 extra={"key": record.key, "problem": str(result.error)},
             )
             return
-        self._absences_by_id.pop(record.node_id, None)
-        logger.info(
-            "removed the record of a node that is gone",
-            extra={"key": record.key, "version": version},
+        absence = self._absences_by_id.pop(record.node_id)
+        events.emit(
+            events.RecordRemoved,
+            peer=record.node_id,
+            version=version,
+            away_ms=self._clock.now_ms() - absence.since_ms,
         )
 
     async def _is_away_for_others(self, record: NodeRecord) -> bool:
