Keep what a sender knows of candidates apart from their choice

The state of candidates and services and what answers teach of them move to routing/candidates.py; behaviour stays.

--- a/src/celeryfield/internal/routing/balancer.py
+++ b/src/celeryfield/internal/routing/balancer.py
@@ -9,6 +9,11 @@
 from celeryfield.errors import CeleryfieldError
 from celeryfield.internal.calls import Candidate, Outcome, Reason
 from celeryfield.internal.clock import Clock
+from celeryfield.internal.routing.candidates import (
+    DRAINING,
+    CandidateState,
+    ServiceState,
+)
 from celeryfield.internal.routing.outliers import (
     AttemptEnd,
     Health,
@@ -17,25 +22,15 @@
 from celeryfield.internal.schema.settings import NodeSettings
 
 READY = "ready"
-DRAINING = "draining"
 # Reports lose weight linearly until this age. Senders that share one stale
 # view would otherwise all prefer the candidate that looked idle in it.
 REPORT_TTL_MS = 1000.0
 # A state in a report is newer than gossip for about this long.
 STATE_TTL_MS = 5000.0
-MEAN_WEIGHT = 0.1
-# Service times are compared only while they are this fresh; afterwards those of
-# the peers stand in, so that a candidate that was slow is tried again.
-SERVICE_TIME_TTL_MS = 3000.0
 # Assumed while no candidate has told a service time.
 UNKNOWN_SERVICE_MS = 50.0
 # Time that a failed attempt costs its chain.
 FAILURE_COST_MS = 500.0
-FAILURE_WEIGHT = 0.1
-# A candidate that is avoided gives no news, so its failures fade.
-FAILURE_HALF_LIFE_MS = 1500.0
-# Less than this does not tell candidates apart.
-LEAST_FAILURE_SHARE = 0.01
 # Share of the service time by which a full upstream is slower than an idle one.
 BUSY_SLOWDOWN = 0.3
 # A cold candidate starts with this share of its limit.
@@ -61,69 +56,6 @@
     """No node can take a call."""
 
 
-@dataclasses.dataclass(slots=True)
-class _CandidateState:
-    """A candidate with what this sender knows about it.
-
-    Attributes:
-        candidate: Newest member record.
-        health: Failures and latency.
-        own_in_flight: Calls of this sender.
-        overdue: Own calls that take longer than the p95 of their class.
-        reported: Calls of other senders in flight and queued in the newest
-            report.
-        limit: Concurrency limit in the newest report, or announced slots.
-        reported_ms: Time of the newest report.
-        reported_state: State in the newest report.
-        cold_since_ms: Start of the slow start; None once warm.
-        service_ms_by_class: Typical service times in reports.
-        failure_share: Recent share of attempts that the upstream failed or
-            refused although it had room.
-        failure_ms: Time of the last attempt in that share.
-    """
-
-    candidate: Candidate
-    health: Health
-    own_in_flight: int = 0
-    overdue: int = 0
-    reported: int = 0
-    limit: int = 1
-    reported_ms: float = float("-inf")
-    reported_state: str = ""
-    cold_since_ms: float | None = None
-    service_ms_by_class: dict[str, float] = dataclasses.field(
-        default_factory=dict
-    )
-    failure_share: float = 0.0
-    failure_ms: float = 0.0
-
-    def fresh_failure_share(self, now: float) -> float:
-        """Returns the share of failures, faded by its age."""
-        if self.failure_share == 0.0:
-            return 0.0
-        age_ms = now - self.failure_ms
-        share = self.failure_share * 0.5 ** (age_ms / FAILURE_HALF_LIFE_MS)
-        return share if share >= LEAST_FAILURE_SHARE else 0.0
-
-    def fresh_service_ms(self, class_name: str, now: float) -> float | None:
-        """Returns the service time of a class that was told recently."""
-        if now - self.reported_ms > SERVICE_TIME_TTL_MS:
-            return None
-        return self.service_ms_by_class.get(class_name)
-
-
-class _Service:
-    """Candidates of one service."""
-
-    def __init__(self, outliers: OutlierDetector) -> None:
-        self.states_by_id: dict[str, _CandidateState] = {}
-        self.outliers = outliers
-        self.mean_load = 0.0
-        self.mean_service_ms_by_class: dict[str, float] = {}
-        self.mean_bytes_by_class: dict[str, float] = {}
-        self.next_index = 0
-
-
 class Balancer:
     """Chooses candidates by load, zone and health.
 
@@ -141,7 +73,7 @@
         self._clock = clock
         self._is_baseline = settings.routing.policy == "baseline"
         self._random = source or random.Random()
-        self._services_by_name: dict[str, _Service] = {}
+        self._services_by_name: dict[str, ServiceState] = {}
 
     def set_candidates(
         self, service: str, candidates: Sequence[Candidate]
@@ -159,7 +91,7 @@
         is_first = entry is None
         if entry is None:
             outliers = OutlierDetector(self._settings.routing, self._clock)
-            entry = _Service(outliers)
+            entry = ServiceState(outliers)
             self._services_by_name[service] = entry
         cold_since_ms = None if is_first else self._clock.now_ms()
         entry.states_by_id = {
@@ -171,17 +103,17 @@
 
     def _state_of(
         self,
-        entry: _Service,
+        entry: ServiceState,
         candidate: Candidate,
         cold_since_ms: float | None,
-    ) -> _CandidateState:
+    ) -> CandidateState:
         state = entry.states_by_id.get(candidate.node_id)
         is_known = (
             state is not None
             and state.candidate.incarnation == candidate.incarnation
         )
         if not is_known:
-            return _CandidateState(
+            return CandidateState(
                 candidate,
                 Health(candidate.node_id),
                 limit=max(candidate.slots, 1),
@@ -241,8 +173,8 @@
         return self._pick_by_time(entry, states, class_name, now).candidate
 
     def _eligible(
-        self, entry: _Service, excluded_ids: frozenset[str], now: float
-    ) -> list[_CandidateState]:
+        self, entry: ServiceState, excluded_ids: frozenset[str], now: float
+    ) -> list[CandidateState]:
         """Returns the best group of candidates that is not empty.
 
         Candidates that are ready and not ejected come first, then ejected
@@ -278,11 +210,11 @@
 
     def _pick_by_time(
         self,
-        entry: _Service,
-        states: list[_CandidateState],
+        entry: ServiceState,
+        states: list[CandidateState],
         class_name: str,
         now: float,
-    ) -> _CandidateState:
+    ) -> CandidateState:
         """Returns the candidate that is expected to answer first.
 
         Two random ones of the own zone compete with two of the others; a
@@ -299,7 +231,7 @@
             key=lambda state: self._expected_ms(entry, state, class_name, now),
         )
 
-    def _two_of(self, states: list[_CandidateState]) -> list[_CandidateState]:
+    def _two_of(self, states: list[CandidateState]) -> list[CandidateState]:
         count = len(states)
         if count < 2:
             return states
@@ -311,8 +243,8 @@
 
     def _expected_ms(
         self,
-        entry: _Service,
-        state: _CandidateState,
+        entry: ServiceState,
+        state: CandidateState,
         class_name: str,
         now: float,
     ) -> float:
@@ -328,14 +260,14 @@
             expected_ms += self._zone_penalty_ms(entry, class_name)
         return expected_ms
 
-    def _zone_penalty_ms(self, entry: _Service, class_name: str) -> float:
+    def _zone_penalty_ms(self, entry: ServiceState, class_name: str) -> float:
         """Returns the time that must be won by a call to another zone."""
         routing = self._settings.routing
         mean_kb = entry.mean_bytes_by_class.get(class_name, 0.0) / 1024.0
         return routing.zone_penalty_ms + routing.zone_penalty_kb_ms * mean_kb
 
     def _slowdown(
-        self, entry: _Service, state: _CandidateState, now: float
+        self, entry: ServiceState, state: CandidateState, now: float
     ) -> float:
         """Returns the factor by which load lengthens the service time.
 
@@ -346,7 +278,7 @@
         return max(load, 1.0) ** 2 + BUSY_SLOWDOWN * load
 
     def _in_flight(
-        self, entry: _Service, state: _CandidateState, now: float
+        self, entry: ServiceState, state: CandidateState, now: float
     ) -> float:
         """Returns own calls plus reported ones, discounted by age.
 
@@ -357,7 +289,7 @@
         return state.own_in_flight + trust * state.reported + (1 - trust) * mean
 
     def _score(
-        self, entry: _Service, state: _CandidateState, now: float
+        self, entry: ServiceState, state: CandidateState, now: float
     ) -> float:
         """Returns the load with the new call added; lower is better.
 
@@ -366,9 +298,9 @@
         """
         limit = state.limit * self._warm_share(state, now)
         in_flight = self._in_flight(entry, state, now)
-        return _penalty(state) * (in_flight + 1) / limit
+        return state.penalty * (in_flight + 1) / limit
 
-    def _warm_share(self, state: _CandidateState, now: float) -> float:
+    def _warm_share(self, state: CandidateState, now: float) -> float:
         if state.cold_since_ms is None:
             return 1.0
         age_ms = now - state.cold_since_ms
@@ -380,7 +312,7 @@
 
     def _find(
         self, candidate: Candidate
-    ) -> tuple[_Service, _CandidateState] | None:
+    ) -> tuple[ServiceState, CandidateState] | None:
         entry = self._services_by_name.get(candidate.service)
         if entry is None:
             return None
@@ -434,67 +366,13 @@
             return
         entry, state = found
         state.own_in_flight = max(state.own_in_flight - 1, 0)
+        now = self._clock.now_ms()
         if end.load is not None:
-            self._learn(entry, state, end)
+            entry.learn_report(state, end, now)
         elif end.reason is Reason.DRAINING and end.outcome is Outcome.NOT_RUN:
-            state.reported_state = DRAINING
-            state.reported_ms = self._clock.now_ms()
-        self._learn_failure(state, end)
+            state.learn_refusal(now)
+        state.learn_failure(end, now)
         if end.outcome is Outcome.OK:
-            _learn_mean(
-                entry.mean_bytes_by_class, end.class_name, end.body_bytes
-            )
+            entry.learn_size(end.class_name, end.body_bytes)
         if not self._is_baseline:
             entry.outliers.record_end(state.health, end)
-
-    def _learn(
-        self, entry: _Service, state: _CandidateState, end: AttemptEnd
-    ) -> None:
-        load = end.load
-        # The report counts the calls that this sender still has in flight.
-        total = load.in_flight + load.queued
-        state.reported = max(total - state.own_in_flight, 0)
-        self._learn_service_time(entry, state, end)
-        state.limit = load.limit or max(state.candidate.slots, 1)
-        state.reported_state = load.state
-        state.reported_ms = self._clock.now_ms()
-        change = total / state.limit - entry.mean_load
-        entry.mean_load += MEAN_WEIGHT * change
-
-    def _learn_failure(self, state: _CandidateState, end: AttemptEnd) -> None:
-        is_failure = end.is_failure or end.reason is Reason.UPSTREAM_SHED
-        is_success = end.outcome is Outcome.OK
-        if not (is_failure or is_success):
-            return
-        now = self._clock.now_ms()
-        share = state.fresh_failure_share(now)
-        change = (1.0 if is_failure else 0.0) - share
-        state.failure_share = share + FAILURE_WEIGHT * change
-        state.failure_ms = now
-
-    def _learn_service_time(
-        self, entry: _Service, state: _CandidateState, end: AttemptEnd
-    ) -> None:
-        service_ms = end.load.service_ms
-        if service_ms <= 0:
-            return
-        state.service_ms_by_class[end.class_name] = service_ms
-        _learn_mean(entry.mean_service_ms_by_class, end.class_name, service_ms)
-
-
-def _learn_mean(
-    means_by_class: dict[str, float], class_name: str, sample: float
-) -> None:
-    """Adds a sample to the running mean of a class."""
-    mean = means_by_class.get(class_name, sample)
-    means_by_class[class_name] = mean + MEAN_WEIGHT * (sample - mean)
-
-
-def _penalty(state: _CandidateState) -> int:
-    """Returns the factor by which trouble of a candidate weighs on its load.
-
-    Failures in a row weigh on candidates that may not be ejected because the
-    share of ejected ones is used up. Overdue calls show a straggler before
-    its first slow answer arrives; a single one is most often a long request.
-    """
-    return 1 + state.health.consecutive_failures + max(state.overdue - 1, 0)
