Let crashes and restarts of a stand-in upstream follow each other

Cause: a request that crashes the stand-in and a crash by the fault injector overlapped. The second crash took away the listener that the first restart was still opening, so the second restart bound the port and the first one failed to. Ruled out: the nodes under test; the error comes from the stand-in's own listener.

Change: crash and restart hold a lock. The new test provokes the overlap; it ended in the same OSError before and passes now.

--- a/src/celeryfield/standins/upstream.py
+++ b/src/celeryfield/standins/upstream.py
@@ -133,6 +133,8 @@
         self._slots = asyncio.Semaphore(spec.slots)
         self._waiting = 0
         self._runner: web.ServerRunner | None = None
+        # A crash and a restart of two causes may overlap.
+        self._listening = asyncio.Lock()
         self._session: aiohttp.ClientSession | None = None
         self._announcer: asyncio.Task[None] | None = None
         self._numbers = itertools.count()
@@ -172,17 +174,19 @@
 
     async def crash(self) -> None:
         """Resets all connections, refuses new ones and stops announcing."""
-        if self._runner is None:
-            return
-        for connection in list(self._runner.server.connections):
-            if connection.transport is not None:
-                connection.transport.abort()
-        await self._close_listener()
+        async with self._listening:
+            if self._runner is None:
+                return
+            for connection in list(self._runner.server.connections):
+                if connection.transport is not None:
+                    connection.transport.abort()
+            await self._close_listener()
 
     async def restart(self) -> None:
         """Listens again on the same port after a crash."""
-        if self._runner is None:
-            await self._listen(self.port)
+        async with self._listening:
+            if self._runner is None:
+                await self._listen(self.port)
 
     async def announce(self) -> None:
         """Sends one heartbeat to the node."""
