Remove a property of candidates that nothing reads

Connections were kept by it before they were kept by address and port. Tests of the transport and the routes pass, formatter and linter are clean.

--- a/src/celeryfield/internal/calls.py
+++ b/src/celeryfield/internal/calls.py
@@ -119,11 +119,6 @@
     slots: int = 16
     upstream_id: str = ""
 
-    @property
-    def peer(self) -> tuple[str, int]:
-        """The node incarnation that a connection leads to."""
-        return (self.node_id, self.incarnation)
-
 
 def not_run(reason: Reason, status: int = 503, unused: int = 0) -> CallResult:
     """Returns the answer to a call that did not run."""
