Poll the sockets once for several rounds of callbacks

Change: the event loop of a node uses a selector that skips up to 8 polls in a row that would not wait.

--- a/src/celeryfield/cli/node.py
+++ b/src/celeryfield/cli/node.py
@@ -10,7 +10,7 @@
 
 from celeryfield.cli.exits import ExitCode, exit_with_errors
 from celeryfield.errors import CeleryfieldError, SettingsError
-from celeryfield.internal import logs
+from celeryfield.internal import event_loop, logs
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.inifile import load_node_settings
 from celeryfield.internal.node import Node
@@ -39,7 +39,7 @@
         )
     logs.configure(result.ok)
     try:
-        asyncio.run(_run(result.ok))
+        event_loop.run(_run(result.ok))
     except SettingsError as error:
         exit_with_errors(ExitCode.INVALID, [f"{settings.name}, {error}"])
     except CeleryfieldError as error:
--- a/src/celeryfield/platform/__main__.py
+++ b/src/celeryfield/platform/__main__.py
@@ -5,7 +5,7 @@
 import signal
 import sys
 
-from celeryfield.internal import events, logs
+from celeryfield.internal import event_loop, events, logs
 from celeryfield.internal.clock import Clock
 from celeryfield.platform import settings as platform_settings
 from celeryfield.platform.node import PlatformNode
@@ -32,7 +32,7 @@
         sys.stderr.write(f"settings cannot be used: {loaded.error}\n")
         return EXIT_INVALID_SETTINGS
     writer = logs.configure(loaded.ok.node)
-    return asyncio.run(_run(loaded.ok, writer))
+    return event_loop.run(_run(loaded.ok, writer))
 
 
 async def _run(settings: PlatformSettings, writer: logs.LogWriter) -> int:
