Skip queued calls whose caller has left when a permit is released

Cause: a caller that closes a connection with several calls cancels them in one round of the event loop. The release of the running call then granted a permit to a waiter that was cancelled but still queued; set_result raised InvalidStateError out of release(), the permit stayed counted and later calls lost the slot.

Change: waiters whose decision is done are discarded when they are taken from the queue. The new test fails with InvalidStateError without the change.

Found by the tests of pipelined requests.

--- a/src/celeryfield/internal/dispatch/admission.py
+++ b/src/celeryfield/internal/dispatch/admission.py
@@ -343,7 +343,9 @@
             )
             if waiter is None:
                 break
-            self._start(waiter, now_ms)
+            # A waiter whose caller has left stays queued until its task runs.
+            if not waiter.decision.done():
+                self._start(waiter, now_ms)
         self._control.record_delay(limit)
 
     def _start(self, waiter: Waiter, now_ms: float) -> None:
@@ -365,6 +367,8 @@
         A suspect that was cleared while it waited runs without isolation.
         """
         waiter = self._isolated_runs.pop_waiter()
+        if waiter.decision.done():
+            return
         verdict = self.suspects.verdict(waiter.call.fingerprint, now_ms)
         if verdict is Verdict.REFUSE:
             self._isolated_runs.queue.reject(waiter, Reason.SUSPECT)
--- a/tests/cover/test_dispatch_admission.py
+++ b/tests/cover/test_dispatch_admission.py
@@ -76,6 +76,25 @@
     await asyncio.wait_for(controller.wait_idle(), 1)
 
 
+async def test_callers_that_leave_at_the_same_time_leave_no_permit_behind():
+    """Guards against a release that fails at a waiter which is cancelled, too.
+
+    A connection with several calls cancels them in one round of the event
+    loop, before the waiting ones have left the queue.
+    """
+    controller, _ = make_controller(slots=1)
+    running = await start(controller, make_call())
+    waiting = [await start(controller, make_call()) for _ in range(3)]
+    for task in waiting[:2]:
+        task.cancel()
+    controller.release(running.result().ok, OK)
+    await settle()
+    assert waiting[2].result().is_ok()
+    controller.release(waiting[2].result().ok, OK)
+    assert controller.load_report().in_flight == 0
+    await asyncio.wait_for(controller.wait_idle(), 1)
+
+
 @pytest.mark.parametrize(
     ("state", "reason"),
     [("draining", Reason.DRAINING), ("gone", Reason.NO_UPSTREAM)],
