Delay the next watch of the records with the size of the fleet

Cause: every node watches every record, so each change ends and renews a watch at each node.

Change: the delay before the next watch grows by 5 ms per record, from 50 ms to 1 s, less a random fifth.

Ruled out for now: watchers that pass changes on to peers; it needs digests to find gaps, while the delay alone bounds a node to about one call a second.

--- a/src/celeryfield/internal/registry/catalog.py
+++ b/src/celeryfield/internal/registry/catalog.py
@@ -14,6 +14,16 @@
 
 GONE = "gone"
 
+# Delay between a change of the records and the next watch, for each record.
+# Every node watches every record, so a change ends a watch at each of them.
+# With this delay the fleet starts at most 200 watches a second, whatever its
+# size.
+WATCH_DELAY_PER_RECORD_MS = 5.0
+# A record tells where an upstream may be found; its own node decides whether it
+# gets work. A second of delay costs a new upstream that much of its first work.
+MAX_WATCH_DELAY_MS = 1_000.0
+MIN_WATCH_DELAY_MS = 50.0
+
 
 class Catalog:
     """Holds the records and updates the balancer's candidates from them.
@@ -46,6 +56,12 @@
         """Candidates of all services."""
         return self._candidates_by_service
 
+    @property
+    def watch_delay_ms(self) -> float:
+        """Delay before the next watch of the records, in ms."""
+        delay_ms = len(self.records_by_id) * WATCH_DELAY_PER_RECORD_MS
+        return min(max(delay_ms, MIN_WATCH_DELAY_MS), MAX_WATCH_DELAY_MS)
+
     def replace_all(self, objects: tuple[StoreObject, ...]) -> None:
         """Replaces all records by those of a full listing of the store."""
         before = dict(self.records_by_id)
--- a/src/celeryfield/internal/store/prefix_watcher.py
+++ b/src/celeryfield/internal/store/prefix_watcher.py
@@ -1,6 +1,7 @@
 """Watches all objects under one prefix."""
 
 import logging
+import random
 from collections.abc import Callable
 
 import mode
@@ -18,6 +19,14 @@
 
 # Delay before the next watch, so that a burst of changes takes fewer calls.
 COALESCE_MS = 50.0
+# Share of the delay that is random, so that watchers which one change woke do
+# not call the store again at the same moment.
+JITTER = 0.2
+
+
+def default_delay_ms() -> float:
+    """Returns the delay of a prefix with few watchers or urgent changes."""
+    return COALESCE_MS
 
 
 class PrefixWatcher(mode.Service):
@@ -33,6 +42,7 @@
         prefix: Prefix of the keys.
         on_listing: Called with each full listing.
         on_changes: Called with the changes that each watch reports.
+        next_delay_ms: Returns the delay before the next watch, in ms.
 
     Attributes:
         last_confirmed_ms: Start of the last successful call; the state that
@@ -48,6 +58,7 @@
         prefix: str,
         on_listing: Callable[[StoreListing], None],
         on_changes: Callable[[StoreListing], None],
+        next_delay_ms: Callable[[], float] = default_delay_ms,
     ) -> None:
         super().__init__()
         self._client = client
@@ -55,6 +66,7 @@
         self._prefix = prefix
         self._on_listing = on_listing
         self._on_changes = on_changes
+        self._next_delay_ms = next_delay_ms
         self._backoff = client.new_backoff()
         self._revision: int | None = None
         self._is_connected = True
@@ -77,7 +89,8 @@
                 continue
             self._record_success(request_start_ms)
             self._handle_listing(result.ok)
-            await self._clock.sleep_ms(COALESCE_MS)
+            jitter = random.uniform(1.0 - JITTER, 1.0)
+            await self._clock.sleep_ms(self._next_delay_ms() * jitter)
 
     def _handle_listing(self, listing: StoreListing) -> None:
         has_changes = listing.objects or listing.deleted_keys
--- a/tests/cover/test_store_prefix_watcher.py
+++ b/tests/cover/test_store_prefix_watcher.py
@@ -122,3 +122,37 @@
     # A store that dropped its history was available throughout.
     assert len(seen - {None}) == 1
     await watcher.stop()
+
+
+async def test_changes_during_the_delay_take_one_watch():
+    """Guards against a watch per change at each node of a large fleet.
+
+    Every node watches every record, so calls would grow with the square of
+    the number of nodes during a rolling restart.
+    """
+
+    class ChangingClient(ScriptedClient):
+        calls = 0
+
+        async def watch_changes(self, _prefix, _after):
+            self.calls += 1
+            self.version += 1
+            changed = StoreObject("nodes/a", self.version, b"")
+            return Ok(StoreListing((changed,), self.version))
+
+    def ignore(_listing):
+        pass
+
+    clock = ManualClock()
+    client = ChangingClient([])
+    watcher = PrefixWatcher(
+        client, clock, "nodes/", ignore, ignore, lambda: 1_000.0
+    )
+    await watcher.start()
+    for _ in range(100):
+        for _ in range(5):
+            await asyncio.sleep(0)
+        clock.advance(100.0)
+    # Ten seconds with a change at any time; the delay is at least 0.8 s.
+    assert 9 <= client.calls <= 13
+    await watcher.stop()
