Serve requests that callers send ahead on a connection

Cause: requests behind another one of their connection ran in turn. The answer that closed a connection during a stop came before requests received behind it.

Change: a connection records when each request was received. Requests that may be repeated start beside those before them, up to 8, if all of these may be repeated; answers keep their order; others run in turn. Deadlines count from the receipt. A closing connection answers all that it has received. Waiting requests count as in flight during a drain. Lines of ended requests tell the wait (age_ms). Kinds of routes are named; uploads and unknown kinds are sent once, the latter with a warning.

Ruled out: matching by count; aiohttp parses buffered requests at moments of its own, and answers moved by one place beyond 32 requests (test).

Known limit: aiohttp drops requests that arrive in one segment with a malformed one behind them; they do not run and get 400.

--- a/src/celeryfield/internal/event_types/requests.py
+++ b/src/celeryfield/internal/event_types/requests.py
@@ -41,6 +41,8 @@
         config_version: Version of the route table.
         deadline_ms: Time until the deadline when the request was read.
         took_ms: Time until the answer.
+        age_ms: Time before that, spent behind other requests of the same
+            connection or on reading the body.
         outcome: ok, failed, unknown or not-run.
         reason: Why the outcome is not ok.
         status: HTTP status of the answer.
@@ -73,6 +75,7 @@
     config_version: int
     deadline_ms: float
     took_ms: float
+    age_ms: float
     outcome: str
     reason: str
     status: int
--- a/src/celeryfield/internal/routes/request_router.py
+++ b/src/celeryfield/internal/routes/request_router.py
@@ -46,6 +46,8 @@
         path: Path with its query, as sent.
         headers: Headers to forward.
         deadline_ms: Time that the caller waits, in ms; None if not given.
+        age_ms: Time since the request was received, in ms, spent behind other
+            requests of its connection or on reading its body.
     """
 
     request_id: str
@@ -55,6 +57,7 @@
     path: str
     headers: tuple[wire.Header, ...]
     deadline_ms: float | None
+    age_ms: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,6 +69,7 @@
         chain: The chain; None if the call is the root of one.
         parent_id: Id of the request during whose execution it was sent; empty
             if unknown.
+        age_ms: Time between the receipt of the request and the call, in ms.
         run: State of its execution; None before it starts.
         is_cancelled_by_shutdown: The process is ending and cancels the call;
             the caller still gets an answer.
@@ -74,6 +78,7 @@
     call: wire.Call
     chain: Chain | None
     parent_id: str = ""
+    age_ms: float = 0.0
     run: Run | None = None
     is_cancelled_by_shutdown: bool = False
 
@@ -145,7 +150,7 @@
             method=request.method,
             path=request.path,
             headers=request.headers,
-            deadline_left_ms=_deadline_ms(route, request),
+            deadline_left_ms=_deadline_ms(route, request) - request.age_ms,
             retry_allowance=max(route.max_attempts - 1, 0),
             repeatable=route.repeatable,
             route_name=route.name,
@@ -157,7 +162,7 @@
             call = self._chains.begin_sub_call(chain, call)
         if self._metrics is not None:
             self._metrics.record_start(call)
-        return RoutedCall(call, chain, request.parent_id)
+        return RoutedCall(call, chain, request.parent_id, request.age_ms)
 
     async def run(self, routed: RoutedCall, body: bytes) -> CallResult:
         """Runs a call and reports its end to its chain, log and metrics."""
@@ -243,6 +248,7 @@
             config_version=table.version if table else 0,
             deadline_ms=call.deadline_left_ms,
             took_ms=took_ms,
+            age_ms=routed.age_ms,
             outcome=outcome,
             reason=str(result.reason),
             status=result.status,
--- a/src/celeryfield/platform/config.py
+++ b/src/celeryfield/platform/config.py
@@ -1,5 +1,8 @@
 """Decodes the operator's configuration into a route table."""
 
+import enum
+import logging
+
 import pydantic
 from expression import Error, Ok, Result
 
@@ -13,13 +16,25 @@
 )
 from celeryfield.platform.fields import PlatformModel, describe_first_error
 
+logger = logging.getLogger(__name__)
+
 KIND = "config"
 KEY = "config/main"
 
 # The platform ranks 0 highest; here a higher number is shed later.
 HIGHEST_PRIORITY = 100
 
-_REPEATABLE_KIND = "safe"
+
+class _RouteKind(enum.StrEnum):
+    """Known kinds of routes.
+
+    Requests of ``upload`` routes have large bodies and run at most once, like
+    those of ``unsafe`` routes.
+    """
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    UPLOAD = "upload"
 
 
 class ConfigError(CeleryfieldError):
@@ -140,7 +155,7 @@
         host=spec.host,
         path_prefix=spec.path_prefix,
         weighted_services=weighted_services,
-        repeatable=spec.kind == _REPEATABLE_KIND,
+        repeatable=_is_repeatable(name, spec.kind),
         timeout_ms=spec.timeout_ms,
         target_latency_ms=spec.target_latency_ms,
         priority=HIGHEST_PRIORITY - min(spec.rank, HIGHEST_PRIORITY),
@@ -148,6 +163,16 @@
     )
 
 
+def _is_repeatable(route_name: str, kind: str) -> bool:
+    """Returns whether requests of a kind may run more than once."""
+    if kind not in set(_RouteKind):
+        logger.warning(
+            "route has an unknown kind; its requests are sent only once",
+            extra={"route": route_name, "kind": kind},
+        )
+    return kind == _RouteKind.SAFE
+
+
 def _make_service(name: str, content: dict[str, object]) -> Service:
     spec = _ServiceSpec.model_validate(content)
     return Service(name, spec.health_path, spec.max_connections)
--- a/src/celeryfield/platform/connections.py
+++ b/src/celeryfield/platform/connections.py
@@ -5,54 +5,64 @@
 configuration change is closed with its next response.
 """
 
-import asyncio
-from collections.abc import Awaitable, Callable
-
 from aiohttp import web
 
+from celeryfield.internal.clock import Clock
 from celeryfield.internal.routes.table import CallerLimits
+from celeryfield.platform.pipelining import (
+    CallerConnection,
+    CallerRequest,
+    IsRepeatable,
+    Serve,
+)
 
 # Interval between checks for idle connections. A connection is closed at most
 # this much after its idle limit, and never before it.
 IDLE_CHECK_MS = 1_000.0
-# aiohttp's own idle timer cannot be changed while a connection is open. A week
-# keeps it from firing before the check here.
-_LIBRARY_KEEPALIVE_S = 7 * 86_400.0
 # Lower limits are not passed to the parser: after a limit is raised, the parser
 # of an open connection would still reject larger headers with 400.
 MIN_HEADER_BYTES = 16_384
 
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-
 
 class CallerConnections(web.Server):
     """HTTP server that tracks the idle time of its connections.
 
     Args:
-        handle: Returns the response to one request.
+        clock: Time source.
+        is_repeatable: Returns whether a request may be repeated.
+        serve: Returns the response to a request, given when it was received.
     """
 
-    def __init__(self, handle: Handler) -> None:
-        super().__init__(handle, handler_cancellation=True)
+    def __init__(
+        self, clock: Clock, is_repeatable: IsRepeatable, serve: Serve
+    ) -> None:
+        super().__init__(
+            self._respond,
+            request_factory=self._new_request,
+            handler_cancellation=True,
+        )
+        self._clock = clock
+        self._is_repeatable = is_repeatable
+        self._serve = serve
+        self._is_keepalive_disabled = False
         self._limits = CallerLimits()
         self._busy: set[web.RequestHandler] = set()
         self._used_since_check: set[web.RequestHandler] = set()
         self._outdated: set[web.RequestHandler] = set()
         self._idle_since_ms: dict[web.RequestHandler, float] = {}
 
-    def __call__(self) -> web.RequestHandler:
+    def __call__(self) -> CallerConnection:
         """Returns the protocol of a new connection."""
         limit_bytes = _parser_limit_bytes(self._limits)
-        return web.RequestHandler(
-            self,
-            loop=asyncio.get_running_loop(),
-            access_log=None,
-            keepalive_timeout=_LIBRARY_KEEPALIVE_S,
-            max_line_size=limit_bytes,
-            max_field_size=limit_bytes,
-            auto_decompress=False,
+        return CallerConnection(
+            self, self._clock, limit_bytes, self._is_repeatable, self._serve
         )
 
+    @property
+    def waiting_count(self) -> int:
+        """Number of received requests that have not started."""
+        return sum(connection.waiting_count for connection in self.connections)
+
     def set_limits(self, limits: CallerLimits) -> None:
         """Applies new limits.
 
@@ -62,18 +72,36 @@
             self._outdated.update(self.connections)
         self._limits = limits
 
-    def on_request_started(self, connection: web.RequestHandler) -> None:
-        """Excludes a connection from the idle check while a request runs."""
-        self._busy.add(connection)
+    def disable_keepalive(self) -> None:
+        """Closes each connection with the response to its last request."""
+        self._is_keepalive_disabled = True
 
-    def on_request_ended(self, connection: web.RequestHandler) -> None:
-        """Restarts the idle time of a connection after its response."""
-        self._busy.discard(connection)
-        self._used_since_check.add(connection)
+    def _new_request(self, *args: object) -> CallerRequest:
+        return CallerRequest(*args, self._loop)
 
-    def is_outdated(self, connection: web.RequestHandler) -> bool:
-        """Returns whether the header limit rose while a connection was open."""
-        return connection in self._outdated
+    async def _respond(self, request: CallerRequest) -> web.Response:
+        connection = request.protocol
+        self._busy.add(connection)
+        try:
+            response = await connection.respond(request)
+        finally:
+            # The idle time starts anew after a response.
+            self._busy.discard(connection)
+            self._used_since_check.add(connection)
+        if self._is_last_response(connection):
+            response.force_close()
+        return response
+
+    def _is_last_response(self, connection: CallerConnection) -> bool:
+        """Returns whether the connection closes with the next response.
+
+        Requests that were received behind it would go unanswered, so they are
+        answered first.
+        """
+        # The parser of an outdated connection rejects headers that the
+        # configuration in force allows.
+        is_closing = self._is_keepalive_disabled or connection in self._outdated
+        return is_closing and connection.is_last_request
 
     def close_idle(self, now_ms: float) -> None:
         """Closes connections that exceed the idle limit.
--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -24,7 +24,7 @@
     RequestRouter,
     RoutedCall,
 )
-from celeryfield.internal.routes.table import CallerLimits
+from celeryfield.internal.routes.table import CallerLimits, Route
 from celeryfield.platform import headers
 from celeryfield.platform.connections import IDLE_CHECK_MS, CallerConnections
 from celeryfield.platform.settings import PlatformSettings
@@ -50,7 +50,7 @@
 
     Attributes:
         request_id: Id given by the caller.
-        read_ms: When the request head was read.
+        received_ms: When the request head was received.
         task: Task that serves the request.
         call: Call made from the request; None until its route is found.
         is_aborted: Whether the shutdown cancelled the request. Its caller then
@@ -58,7 +58,7 @@
     """
 
     request_id: str
-    read_ms: float
+    received_ms: float
     task: asyncio.Task[None]
     call: RoutedCall | None = None
     is_aborted: bool = False
@@ -78,7 +78,6 @@
     ) -> None:
         super().__init__()
         self._running: set[_RunningRequest] = set()
-        self._is_keepalive_disabled = False
         self._refuse_from_ms = math.inf
         self._refuse_sub_calls_from_ms = math.inf
         self._end_ms = math.inf
@@ -86,15 +85,17 @@
         self._clock = clock
         self._router = router
         self._limits = CallerLimits()
-        self._connections = CallerConnections(self._handle)
+        self._connections = CallerConnections(
+            clock, self._is_repeatable, self._serve
+        )
         self._runner = web.ServerRunner(
             self._connections, shutdown_timeout=SHUTDOWN_TIMEOUT_S
         )
 
     @property
     def in_flight(self) -> int:
-        """Number of requests whose head was read and that have no response."""
-        return len(self._running)
+        """Number of requests that were received and have no response."""
+        return len(self._running) + self._connections.waiting_count
 
     @property
     def has_unsent_bytes(self) -> bool:
@@ -114,8 +115,8 @@
         self._connections.set_limits(limits)
 
     def disable_keepalive(self) -> None:
-        """Closes each connection with its next response."""
-        self._is_keepalive_disabled = True
+        """Closes each connection with the response to its last request."""
+        self._connections.disable_keepalive()
 
     def refuse_new_requests(self, end_ms: float) -> None:
         """Refuses new requests, except for sub-calls of running ones.
@@ -141,8 +142,8 @@
             events.emit(
                 events.RequestAbandoned,
                 request=running.request_id,
-                age_ms=now_ms - running.read_ms,
-                leaving_ms=running.read_ms - drain_started_ms,
+                age_ms=now_ms - running.received_ms,
+                leaving_ms=running.received_ms - drain_started_ms,
             )
             running.is_aborted = True
             if running.call is not None:
@@ -168,22 +169,26 @@
             await self._clock.sleep_ms(IDLE_CHECK_MS)
             self._connections.close_idle(self._clock.now_ms())
 
-    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        connections, connection = self._connections, request.protocol
+    def _is_repeatable(self, request: web.BaseRequest) -> bool:
+        route = self._match_route(request)
+        return route is not None and route.repeatable
+
+    def _match_route(self, request: web.BaseRequest) -> Route | None:
+        host = request.host.partition(":")[0]
+        return self._router.match(host, request.raw_path.partition("?")[0])
+
+    async def _serve(
+        self, request: web.BaseRequest, received_ms: float
+    ) -> web.Response:
         request_id = request.headers.get(headers.REQUEST_ID, "")
         running = _RunningRequest(
-            request_id, self._clock.now_ms(), asyncio.current_task()
+            request_id, received_ms, asyncio.current_task()
         )
-        connections.on_request_started(connection)
         self._running.add(running)
         try:
-            response = await self._respond_or_abort(request, running)
+            return await self._respond_or_abort(request, running)
         finally:
             self._running.discard(running)
-            connections.on_request_ended(connection)
-        if self._is_keepalive_disabled or connections.is_outdated(connection):
-            response.force_close()
-        return response
 
     async def _respond_or_abort(
         self, request: web.BaseRequest, running: _RunningRequest
@@ -211,12 +216,11 @@
                     not_run_result(Reason.TOO_LARGE, 413)
                 )
             body = content
-        host = request.host.partition(":")[0]
-        route = self._router.match(host, request.raw_path.partition("?")[0])
+        route = self._match_route(request)
         if route is None:
             status = 404 if self._router.is_configured else 503
             return self._make_response(not_run_result(Reason.NO_ROUTE, status))
-        incoming = self._make_incoming_request(request)
+        incoming = self._make_incoming_request(request, running.received_ms)
         call = self._router.accept(route, incoming, body)
         running.call = call
         if not self._admits(call):
@@ -249,7 +253,7 @@
             return unknown_result(Reason.INTERNAL, 502)
 
     def _make_incoming_request(
-        self, request: web.BaseRequest
+        self, request: web.BaseRequest, received_ms: float
     ) -> IncomingRequest:
         request_id = request.headers.get(headers.REQUEST_ID, "")
         deadline = request.headers.get(headers.DEADLINE, "")
@@ -266,6 +270,7 @@
                 headers.forward_request_headers(request.headers, caller)
             ),
             deadline_ms=float(deadline) if is_number else None,
+            age_ms=self._clock.now_ms() - received_ms,
         )
 
     def _make_response(
--- /dev/null
+++ b/src/celeryfield/platform/pipelining.py
@@ -0,0 +1,172 @@
+"""Connections of callers that send requests before earlier ones are answered.
+
+Responses leave in the order of the requests. A request that may be repeated
+runs side by side with those before it if these may be repeated, too; otherwise
+a fast request would wait for the run of a slow one. All others run in turn, as
+RFC 9112 section 9.3.2 requires.
+"""
+
+import asyncio
+import dataclasses
+import itertools
+from collections.abc import Callable, Coroutine
+
+from aiohttp import web
+from aiohttp.http import RawRequestMessage
+from aiohttp.streams import StreamReader
+
+from celeryfield.internal.clock import Clock
+
+# Requests of one connection that run at the same time; further ones wait. They
+# bound the responses that a connection holds for a caller that reads slowly.
+MAX_CONCURRENT_REQUESTS = 8
+# aiohttp's own idle timer cannot be changed while a connection is open. A week
+# keeps it from firing before the check in ``connections``.
+_LIBRARY_KEEPALIVE_S = 7 * 86_400.0
+
+IsRepeatable = Callable[[web.BaseRequest], bool]
+Serve = Callable[
+    [web.BaseRequest, float], Coroutine[object, object, web.Response]
+]
+
+
+class CallerRequest(web.BaseRequest):
+    """A request that can be matched with its place on the connection."""
+
+    @property
+    def head(self) -> RawRequestMessage:
+        """The parsed head, which is a separate object for each request."""
+        return self._message
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class ReceivedRequest:
+    """A request whose turn to be answered has not come.
+
+    Attributes:
+        head: The parsed head; holds an error if it could not be parsed.
+        content: The body.
+        received_ms: When the head was received.
+        task: Serves the request; None until it starts.
+    """
+
+    head: RawRequestMessage
+    content: StreamReader
+    received_ms: float
+    task: asyncio.Task[web.Response] | None = None
+
+
+class CallerConnection(web.RequestHandler):
+    """Connection that knows its unanswered requests and starts them.
+
+    Args:
+        server: Server that owns the connection.
+        clock: Time source.
+        limit_bytes: Largest size of the request line and of each header.
+        is_repeatable: Returns whether a request may be repeated.
+        serve: Returns the response to a request, given when it was received.
+    """
+
+    __slots__ = ("_clock", "_is_repeatable", "_received_by_head", "_serve")
+
+    def __init__(
+        self,
+        server: web.Server,
+        clock: Clock,
+        limit_bytes: int,
+        is_repeatable: IsRepeatable,
+        serve: Serve,
+    ) -> None:
+        super().__init__(
+            server,
+            loop=asyncio.get_running_loop(),
+            access_log=None,
+            keepalive_timeout=_LIBRARY_KEEPALIVE_S,
+            max_line_size=limit_bytes,
+            max_field_size=limit_bytes,
+            auto_decompress=False,
+        )
+        self._clock = clock
+        self._is_repeatable = is_repeatable
+        self._serve = serve
+        # In the order of receipt, by the identity of the head.
+        self._received_by_head: dict[int, ReceivedRequest] = {}
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of received requests that have not started."""
+        entries = self._received_by_head.values()
+        return sum(entry.task is None for entry in entries)
+
+    @property
+    def is_last_request(self) -> bool:
+        """Whether no request was received behind the one being answered."""
+        return not self._received_by_head
+
+    def data_received(self, data: bytes) -> None:
+        """Parses the data and records each new request."""
+        super().data_received(data)
+        if not self._messages:
+            return
+        self._record_received()
+        if self._current_request is not None:
+            self._start_repeatable(self._current_request)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancels the requests behind the one that is being answered."""
+        super().connection_lost(exc)
+        for entry in self._received_by_head.values():
+            if entry.task is not None:
+                entry.task.cancel()
+        self._received_by_head.clear()
+
+    async def respond(self, request: CallerRequest) -> web.Response:
+        """Returns the response to the request whose turn has come."""
+        entry = self._received_by_head.pop(id(request.head), None)
+        if self._received_by_head:
+            self._start_repeatable(request)
+        if entry is None:
+            return await self._serve(request, self._clock.now_ms())
+        if entry.task is not None:
+            return await entry.task
+        return await self._serve(request, entry.received_ms)
+
+    def _record_received(self) -> None:
+        now_ms = self._clock.now_ms()
+        entries = []
+        for head, content in reversed(self._messages):
+            if id(head) in self._received_by_head:
+                break
+            entries.append(ReceivedRequest(head, content, now_ms))
+        for entry in reversed(entries):
+            self._received_by_head[id(entry.head)] = entry
+
+    def _start_repeatable(self, current: web.BaseRequest) -> None:
+        """Starts the requests that may run beside the current one."""
+        if not self._may_overlap(current):
+            return
+        entries = self._received_by_head.values()
+        for entry in itertools.islice(entries, MAX_CONCURRENT_REQUESTS - 1):
+            if entry.task is None and not self._start(entry):
+                return
+
+    def _start(self, entry: ReceivedRequest) -> bool:
+        """Starts a request if it may run now; returns whether it did."""
+        is_valid = isinstance(entry.head, RawRequestMessage)
+        if not is_valid or not entry.content.is_eof():
+            return False
+        request = CallerRequest(
+            entry.head, entry.content, self, None, None, self._loop
+        )
+        if not self._may_overlap(request):
+            return False
+        serve = self._serve(request, entry.received_ms)
+        entry.task = asyncio.ensure_future(serve)
+        return True
+
+    def _may_overlap(self, request: web.BaseRequest) -> bool:
+        """Returns whether requests behind this one may run before its end.
+
+        After ``Connection: close`` no further request is answered.
+        """
+        return request.keep_alive and self._is_repeatable(request)
