Keep background tasks running after an unexpected error

Cause: an unexpected exception in a step of a background task, for example an object of another writer that cannot be applied, ended the task, and with it the process after a drain.

Change: the watches of the store, the writer of the own record, the removal of records and the idle check log a failed step and go on with the next one. A watch lists its prefix again; the own record is written again. Housekeeping works on the node's own state only and still ends the node when it fails, as decision 0014 says (its test is unchanged).

Tests: test_unexpected_error_is_followed_by_a_listing and test_own_record_is_written_after_an_unexpected_error fail on the code before.

--- a/src/celeryfield/internal/event_types/node.py
+++ b/src/celeryfield/internal/event_types/node.py
@@ -49,6 +49,21 @@
     problem: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class TaskStepFailed(Event):
+    """A step of a background task failed; the task goes on with the next one.
+
+    Attributes:
+        task: Service that the task belongs to.
+        problem: Error message.
+    """
+
+    message: ClassVar[str] = "background task failed a step"
+    level: ClassVar[int] = logging.ERROR
+    task: str
+    problem: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class NodeStopped(Event):
     """The process ends.
--- a/src/celeryfield/internal/events.py
+++ b/src/celeryfield/internal/events.py
@@ -32,6 +32,7 @@
     ReloadRequested,
     ReportIgnored,
     SuspectFound,
+    TaskStepFailed,
     UpstreamChanged,
 )
 from celeryfield.internal.event_types.requests import (
@@ -71,6 +72,7 @@
     "RequestAbandoned",
     "RequestEnded",
     "SuspectFound",
+    "TaskStepFailed",
     "UpstreamChanged",
     "all_events",
     "emit",
--- a/src/celeryfield/internal/registry/neighbours.py
+++ b/src/celeryfield/internal/registry/neighbours.py
@@ -107,8 +107,12 @@
     async def _run(self) -> None:
         await self._clock.sleep_ms(FIRST_REQUEST_DELAY_MS)
         while self._neighbours and self._is_needed() and not self.should_stop:
-            if await self._fetch_all():
-                return
+            try:
+                if await self._fetch_all():
+                    return
+            except Exception:
+                # The store remains as the other source of the objects.
+                logger.exception("copies of neighbours cannot be applied")
             await self._clock.sleep_ms(REQUEST_INTERVAL_MS)
 
     async def _fetch_all(self) -> bool:
--- a/src/celeryfield/internal/registry/publisher.py
+++ b/src/celeryfield/internal/registry/publisher.py
@@ -5,6 +5,7 @@
 
 import mode
 
+from celeryfield.internal import supervision
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.registry.records import NodeRecord
 from celeryfield.internal.store.client import StoreClient
@@ -60,11 +61,14 @@
 
     @mode.Service.task
     async def _run(self) -> None:
-        while not self.should_stop:
-            await self._write_needed.wait()
+        await supervision.repeat_step(self, self._clock, self._write_if_needed)
+
+    async def _write_if_needed(self) -> None:
+        await self._write_needed.wait()
+        if self._desired is not None and self._desired != self._stored:
+            await self._write(self._desired)
+        if self._desired == self._stored:
             self._write_needed.clear()
-            if self._desired is not None and self._desired != self._stored:
-                await self._write(self._desired)
 
     async def _write(self, record: NodeRecord) -> None:
         result = await self._client.replace(record.key, record.encode())
@@ -75,7 +79,6 @@
             )
             # The write may have succeeded, so the store may hold either record.
             self._stored = None
-            self._write_needed.set()
             await self._clock.sleep_ms(self._backoff.next_delay_ms())
             return
         self._backoff.reset()
--- a/src/celeryfield/internal/registry/removal.py
+++ b/src/celeryfield/internal/registry/removal.py
@@ -19,7 +19,7 @@
 
 import mode
 
-from celeryfield.internal import events
+from celeryfield.internal import events, supervision
 from celeryfield.internal.calls import Candidate
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.registry.catalog import Catalog
@@ -126,10 +126,12 @@
 
     @mode.Service.task
     async def _run(self) -> None:
-        while not self.should_stop:
-            jitter = self._rng.uniform(0.8, 1.2)
-            await self._clock.sleep_ms(CHECK_INTERVAL_MS * jitter)
-            await self.check_predecessors()
+        await supervision.repeat_step(self, self._clock, self._check_once)
+
+    async def _check_once(self) -> None:
+        jitter = self._rng.uniform(0.8, 1.2)
+        await self._clock.sleep_ms(CHECK_INTERVAL_MS * jitter)
+        await self.check_predecessors()
 
     async def check_predecessors(self) -> None:
         """Checks preceding nodes up to the first one that is reachable."""
--- a/src/celeryfield/internal/store/prefix_watcher.py
+++ b/src/celeryfield/internal/store/prefix_watcher.py
@@ -6,7 +6,7 @@
 
 import mode
 
-from celeryfield.internal import events
+from celeryfield.internal import events, supervision
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.store.client import StoreClient
 from celeryfield.internal.store.errors import (
@@ -76,32 +76,35 @@
 
     @mode.Service.task
     async def _run(self) -> None:
-        while not self.should_stop:
-            request_start_ms = self._clock.now_ms()
-            if self._revision is None:
-                result = await self._client.list_all(self._prefix)
-            else:
-                result = await self._client.watch_changes(
-                    self._prefix, self._revision
-                )
-            if result.is_error():
-                await self._handle_error(result.error)
-                continue
-            self._record_success(request_start_ms)
-            self._handle_listing(result.ok)
-            jitter = random.uniform(1.0 - JITTER, 1.0)
-            await self._clock.sleep_ms(self._next_delay_ms() * jitter)
-
-    def _handle_listing(self, listing: StoreListing) -> None:
-        has_changes = listing.objects or listing.deleted_keys
-        if self._revision is None:
+        await supervision.repeat_step(self, self._clock, self._call_store)
+
+    async def _call_store(self) -> None:
+        # After an error of any kind, the next call lists the prefix.
+        revision, self._revision = self._revision, None
+        request_start_ms = self._clock.now_ms()
+        if revision is None:
+            result = await self._client.list_all(self._prefix)
+        else:
+            result = await self._client.watch_changes(self._prefix, revision)
+        if result.is_error():
+            await self._handle_error(result.error, revision)
+            return
+        self._record_success(request_start_ms)
+        self._revision = self._handle_listing(result.ok, revision)
+        jitter = random.uniform(1.0 - JITTER, 1.0)
+        await self._clock.sleep_ms(self._next_delay_ms() * jitter)
+
+    def _handle_listing(
+        self, listing: StoreListing, watched_revision: int | None
+    ) -> int | None:
+        """Reports a listing; returns the revision to watch from, or None."""
+        if watched_revision is None:
             self._on_listing(listing)
-            self._revision = listing.revision
-        elif has_changes:
+            return listing.revision
+        if listing.objects or listing.deleted_keys:
             self._on_changes(listing)
-            self._revision = listing.revision
-        else:
-            self._revision = None
+            return listing.revision
+        return None
 
     def _record_success(self, request_start_ms: float) -> None:
         self.last_confirmed_ms = request_start_ms
@@ -116,8 +119,9 @@
                 away_ms=self._clock.now_ms() - self._disconnected_ms,
             )
 
-    async def _handle_error(self, error: StoreError) -> None:
-        revision, self._revision = self._revision, None
+    async def _handle_error(
+        self, error: StoreError, revision: int | None
+    ) -> None:
         if isinstance(error, StoreHistoryLostError):
             logger.info(
                 "store dropped its change history; listing the prefix again",
--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -9,7 +9,7 @@
 from mode import Service
 from multidict import CIMultiDict
 
-from celeryfield.internal import events
+from celeryfield.internal import events, supervision
 from celeryfield.internal.bodies import read_bounded
 from celeryfield.internal.calls import (
     CallResult,
@@ -165,9 +165,11 @@
 
     @Service.task
     async def _run_idle_check(self) -> None:
-        while not self.should_stop:
-            await self._clock.sleep_ms(IDLE_CHECK_MS)
-            self._connections.close_idle(self._clock.now_ms())
+        await supervision.repeat_step(self, self._clock, self._check_idle)
+
+    async def _check_idle(self) -> None:
+        await self._clock.sleep_ms(IDLE_CHECK_MS)
+        self._connections.close_idle(self._clock.now_ms())
 
     def _is_repeatable(self, request: web.BaseRequest) -> bool:
         route = self._match_route(request)
--- a/tests/cover/test_registry.py
+++ b/tests/cover/test_registry.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from celeryfield.internal import supervision
 from celeryfield.internal.clock import Clock, ManualClock
 from celeryfield.internal.dispatch.permits import Permit
 from celeryfield.internal.dispatch.suspects import SuspectTable, Verdict
@@ -216,3 +217,24 @@
     assert recorder.refresh()
     assert len(recorder.recorded_suspects) == MAX_RECORDED_SUSPECTS
     assert not recorder.refresh()
+
+
+async def test_own_record_is_written_after_an_unexpected_error(monkeypatch):
+    """Guards against a node whose record is never written again."""
+    monkeypatch.setattr(supervision, "FAILED_STEP_DELAY_MS", 0.0)
+
+    class FaultyStore(Store):
+        async def replace(self, key, value):
+            if not self.values:
+                self.values.append(value)
+                raise ValueError("response of an unknown form")
+            return await super().replace(key, value)
+
+    store = FaultyStore()
+    publisher = RecordPublisher(store, Clock())
+    await publisher.start()
+    own = record("a")
+    publisher.publish(own)
+    await asyncio.wait_for(publisher.wait_until_stored(own), 5)
+    assert not publisher.crashed
+    await publisher.stop()
--- a/tests/cover/test_store_prefix_watcher.py
+++ b/tests/cover/test_store_prefix_watcher.py
@@ -156,3 +156,23 @@
     # Ten seconds with a change at any time; the delay is at least 0.8 s.
     assert 9 <= client.calls <= 13
     await watcher.stop()
+
+
+async def test_unexpected_error_is_followed_by_a_listing():
+    """Guards against a node that ends because it cannot apply one object."""
+    changed = StoreObject("config/main", 2, b"")
+    client = ScriptedClient([Ok(StoreListing((changed,), 2))])
+    seen = []
+
+    def fail(_listing):
+        raise RecursionError("object nested too deeply")
+
+    clock = ManualClock()
+    watcher = PrefixWatcher(client, clock, "config/", seen.append, fail)
+    await watcher.start()
+    while not client.exhausted.is_set():
+        clock.advance(100.0)
+        await asyncio.sleep(0)
+    assert not watcher.crashed
+    assert len(seen) == client.lists == 2
+    await watcher.stop()
