Send a repeated request on another connection

Cause: an upstream may send a second copy of a response late, where the next response is expected. A request that is sent again keeps its id, so on the same connection the copy of the first refusal passed for the response to the repeat: the caller was told that the request had not run while the upstream ran it.

Change: a connection remembers the ids of its last 16 requests; a repeat takes another connection.

Test: test_a_request_is_sent_again_on_another_connection fails before (503 instead of 200).

--- a/src/celeryfield/internal/upstream/connection.py
+++ b/src/celeryfield/internal/upstream/connection.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 from collections.abc import Callable
 
@@ -30,6 +31,9 @@
 MAX_FRAMING_PER_BODY_BYTE = 8
 # Responses to earlier requests that are skipped in one exchange.
 MAX_SKIPPED_RESPONSES = 4
+# Ids of earlier requests that a connection remembers. A late copy of a response
+# arrives within the next exchanges.
+MAX_REMEMBERED_IDS = 16
 _BODILESS_STATUSES = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
 
@@ -43,12 +47,15 @@
         target: Path with its query, as sent.
         headers: Headers in the order in which they are sent.
         body: Whole request body.
+        request_id: Id that the upstream repeats in its response; empty if
+            there is none.
     """
 
     method: str
     target: str
     headers: list[tuple[str, str]]
     body: bytes = b""
+    request_id: str = ""
 
     def encode(self) -> bytes:
         """Returns the bytes of the request."""
@@ -111,6 +118,9 @@
         self._waiter: asyncio.Future[HttpResponse] | None = None
         self._matches: ResponseMatcher | None = None
         self._is_head = False
+        self._carried_ids: collections.deque[str] = collections.deque(
+            maxlen=MAX_REMEMBERED_IDS
+        )
         self._skipped_count = 0
         self._is_closed = False
         self._buffered_bytes = 0
@@ -121,6 +131,14 @@
         """Bytes buffered of an incomplete response."""
         return self._buffered_bytes
 
+    def has_carried(self, request_id: str) -> bool:
+        """Returns whether the request was sent on this connection before.
+
+        A late second copy of the first response could not be told from the
+        response to a repeat.
+        """
+        return bool(request_id) and request_id in self._carried_ids
+
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -232,6 +250,8 @@
         self.exchanges += 1
         if self._is_closed or self._transport is None:
             raise ResponseLostError("the connection is closed", was_reused=True)
+        if request.request_id:
+            self._carried_ids.append(request.request_id)
         self._matches = matches
         self._is_head = request.method == "HEAD"
         self._skipped_count = 0
--- a/src/celeryfield/internal/upstream/pool.py
+++ b/src/celeryfield/internal/upstream/pool.py
@@ -95,14 +95,16 @@
             UpstreamError: The request was sent, but no complete response was
                 received.
         """
-        connection = self._pop_idle(is_repeatable)
+        connection = self._pop_idle(request.request_id, is_repeatable)
         if connection is None:
             connection = await self._open()
         response = await connection.exchange(request, matches)
         self._release(connection)
         return response
 
-    def _pop_idle(self, is_repeatable: bool) -> UpstreamConnection | None:
+    def _pop_idle(
+        self, request_id: str, is_repeatable: bool
+    ) -> UpstreamConnection | None:
         now_ms = self._clock.now_ms()
         while self._idle:
             connection = self._idle[-1]
@@ -113,6 +115,8 @@
                 continue
             if not is_repeatable and idle_ms > NON_REPEATABLE_MAX_IDLE_MS:
                 return None
+            if connection.has_carried(request_id):
+                return None
             return self._idle.pop()
         return None
 
--- a/src/celeryfield/platform/upstream.py
+++ b/src/celeryfield/platform/upstream.py
@@ -88,7 +88,11 @@
         if not self._pool.address:
             return not_run_result(Reason.NO_UPSTREAM)
         request = HttpRequest(
-            call.method, call.path, self._headers(call, timeout_ms), body
+            call.method,
+            call.path,
+            self._headers(call, timeout_ms),
+            body,
+            call.request_id,
         )
         is_own_response = functools.partial(_is_response_to, call.request_id)
         try:
--- a/tests/cover/test_upstream_connection.py
+++ b/tests/cover/test_upstream_connection.py
@@ -80,8 +80,8 @@
         server.close()
 
 
-def send(pool, name=b"a", is_repeatable=True):
-    request = HttpRequest("GET", "/", [("Host", "x")])
+def send(pool, name=b"a", is_repeatable=True, request_id=""):
+    request = HttpRequest("GET", "/", [("Host", "x")], request_id=request_id)
 
     def belongs(answer):
         return answer.headers.get("X-Id", "").encode() == name
@@ -358,3 +358,27 @@
         answer = await send(pool)
     assert answer.body == b"body"
     assert upstream.connections == 2
+
+
+async def test_a_request_is_sent_again_on_another_connection():
+    """Guards against a late second copy of a refusal.
+
+    The copy has the id of the request that is sent again. It would say that
+    the request did not run while the upstream runs it.
+    """
+    refusal = b"HTTP/1.1 503 Full\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n"
+    late_copy = refusal + COMPLETE % b"a"
+    upstream = ScriptedUpstream([[refusal, late_copy], [COMPLETE % b"a"]])
+    async with serving_pool(upstream) as pool:
+        assert (await send(pool, request_id="a")).status == 503
+        assert (await send(pool, request_id="a")).status == 200
+
+
+async def test_a_connection_carries_requests_with_different_ids():
+    """Guards against a new connection for each request."""
+    script = [COMPLETE % b"a", COMPLETE % b"b", COMPLETE % b"c"]
+    upstream = ScriptedUpstream([script])
+    async with serving_pool(upstream) as pool:
+        for name in (b"a", b"b", b"c"):
+            await send(pool, name, request_id=name.decode())
+    assert upstream.connections == 1
