Start the node of the platform with fewer imports' costs

Change: a small launcher disables garbage collection during the imports, which the node enables again once it has started, and keeps aiohttp from reading the certificates of all authorities, which nothing on the platform needs. The rest of the program moves to platform/process.py.

--- a/src/celeryfield/platform/__main__.py
+++ b/src/celeryfield/platform/__main__.py
@@ -1,90 +1,25 @@
-"""Runs the node beside one upstream of the platform until SIGTERM."""
+"""Starts the node beside one upstream of the platform."""
 
-import asyncio
 import gc
-import signal
+import os
 import sys
 
-from celeryfield.internal import event_loop, events, logs
-from celeryfield.internal.clock import Clock
-from celeryfield.platform import settings as platform_settings
-from celeryfield.platform.node import PlatformNode
-from celeryfield.platform.settings import PlatformSettings
-
-# A garbage collection visits all tracked objects. Calls create few reference
-# cycles, so rare collections cost little memory and do not raise the p99
-# latency.
-GC_THRESHOLDS = (50_000, 20, 50)
-EXIT_CRASHED = 1
-EXIT_INVALID_SETTINGS = 2
-# Shortest interval between reports of the number of dropped log lines.
-DROPPED_LINES_INTERVAL_S = 5.0
-
 
 def main() -> int:
-    """Runs the node.
+    """Imports the program and runs the node until SIGTERM.
 
     Returns:
         The exit status of the process.
     """
-    loaded = platform_settings.load()
-    if loaded.is_error():
-        sys.stderr.write(f"settings cannot be used: {loaded.error}\n")
-        return EXIT_INVALID_SETTINGS
-    writer = logs.configure(loaded.ok.node)
-    return event_loop.run(_run(loaded.ok, writer))
-
-
-async def _run(settings: PlatformSettings, writer: logs.LogWriter) -> int:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _log_reload_request)
-    node = PlatformNode(settings, Clock())
-    await node.start()
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
-    report_task = asyncio.ensure_future(_report_dropped_lines(writer))
-    status = await run_until_stopped(node, stop)
-    report_task.cancel()
-    events.report_left_out(writer.pop_dropped_count())
-    return status
-
-
-async def run_until_stopped(node: PlatformNode, stop: asyncio.Event) -> int:
-    """Runs a started node until a stop is requested or one of its tasks fails.
-
-    A node without one of its tasks would act on stale data, so it drains, exits
-    and is restarted by the platform.
-
-    Returns:
-        The exit status of the process.
-    """
-    stop_requested = asyncio.ensure_future(stop.wait())
-    node_ended = asyncio.ensure_future(node.wait_until_stopped())
-    await asyncio.wait(
-        (stop_requested, node_ended), return_when=asyncio.FIRST_COMPLETED
-    )
-    stop_requested.cancel()
-    node_ended.cancel()
-    if node.crashed:
-        events.emit(events.NodeCrashed, problem=repr(node.crash_reason))
-    await node.drain()
-    await node.stop()
-    return EXIT_CRASHED if node.crashed else 0
-
-
-async def _report_dropped_lines(writer: logs.LogWriter) -> None:
-    while True:
-        await asyncio.sleep(DROPPED_LINES_INTERVAL_S)
-        events.report_left_out(writer.pop_dropped_count())
-
-
-def _log_reload_request() -> None:
-    """Handles SIGHUP, which by default ends the process; reloads nothing."""
-    events.emit(events.ReloadRequested)
+    # The objects that imports create live as long as the process, so
+    # collections would only traverse them. The node enables them again.
+    gc.disable()
+    # aiohttp reads the certificates of all authorities when it is imported. No
+    # peer of a node on the platform speaks TLS.
+    os.environ.setdefault("SSL_CERT_FILE", os.devnull)
+    from celeryfield.platform import process
+
+    return process.main()
 
 
 if __name__ == "__main__":
--- a/tests/cover/test_platform_drain.py
+++ b/tests/cover/test_platform_drain.py
@@ -8,7 +8,7 @@
 from platform_standins import HOST, running_task, until
 
 from celeryfield.platform import node as platform_node
-from celeryfield.platform.__main__ import run_until_stopped
+from celeryfield.platform.process import run_until_stopped
 
 NOTICE_MS = 200.0
 REPORT_INTERVAL_S = 0.5
