Make only the candidate of a changed record anew

Cause: each watch of the records compared all records field by field and made the candidates of the whole fleet anew, at every node.

Change: unchanged records are told by identity, and a candidate is kept with the record it was made from.

--- a/src/celeryfield/internal/registry/catalog.py
+++ b/src/celeryfield/internal/registry/catalog.py
@@ -45,6 +45,11 @@
         self._own_id = own_id
         self._balancer = balancer
         self._candidates_by_service: dict[str, list[Candidate]] = {}
+        # Kept with the record that each was made from, so that a change of one
+        # record makes one candidate anew.
+        self._candidates_by_id: dict[
+            str, tuple[NodeRecord, Candidate | None]
+        ] = {}
         self._callbacks: list[Callable[[], None]] = []
 
     def subscribe(self, on_change: Callable[[], None]) -> None:
@@ -136,8 +141,10 @@
         """Emits an event for each changed record of another node."""
         after = self.records_by_id
         for node_id in before.keys() | after.keys():
-            record = after.get(node_id)
-            if node_id == self._own_id or record == before.get(node_id):
+            record, previous = after.get(node_id), before.get(node_id)
+            if record is previous or node_id == self._own_id:
+                continue
+            if record == previous:
                 continue
             upstream = record.upstream if record else None
             events.emit(
@@ -162,6 +169,15 @@
             (record.address, record.port): record.node_id for record in ordered
         }
 
+    def _candidate_of(self, record: NodeRecord) -> Candidate | None:
+        """Returns the candidate of a record; makes it once per record."""
+        known = self._candidates_by_id.get(record.node_id)
+        if known is not None and known[0] is record:
+            return known[1]
+        candidate = record.candidate()
+        self._candidates_by_id[record.node_id] = (record, candidate)
+        return candidate
+
     def _refresh(self) -> None:
         by_service: dict[str, list[Candidate]] = {}
         newest_node_by_address = self._newest_node_by_address()
@@ -171,9 +187,13 @@
                 != record.node_id
             ):
                 continue
-            candidate = record.candidate()
+            candidate = self._candidate_of(record)
             if candidate is not None:
                 by_service.setdefault(candidate.service, []).append(candidate)
+        for node_id in (
+            self._candidates_by_id.keys() - self.records_by_id.keys()
+        ):
+            del self._candidates_by_id[node_id]
         previous = self._candidates_by_service
         for service in previous.keys() | by_service.keys():
             candidates = by_service.get(service, [])
--- a/tests/cover/test_registry.py
+++ b/tests/cover/test_registry.py
@@ -238,3 +238,17 @@
     await asyncio.wait_for(publisher.wait_until_stored(own), 5)
     assert not publisher.crashed
     await publisher.stop()
+
+
+def test_a_change_leaves_the_candidates_of_other_records_as_they_are():
+    """Guards against work for the whole fleet with each change of a record."""
+    catalog = Catalog("own", Balancer())
+    catalog.replace_all((stored(record("a")), stored(record("b"))))
+    (first, second) = catalog.candidates_by_service["stock"]
+    changed = record("b", incarnation=2)
+    catalog.apply_changes((stored(changed, 2),), ())
+    candidates = catalog.candidates_by_service["stock"]
+    assert candidates[0] is first
+    assert candidates[1].incarnation == 2 != second.incarnation
+    catalog.apply_changes((), (changed.key,))
+    assert catalog.candidates_by_service["stock"] == [first]
