Choose among many candidates from a few random draws

Cause: each call looked at all candidates of its service to find those that may be used, before it compared two of the local zone and two of others.

Change: in services with at least 8 candidates in both groups, candidates are drawn until two of each group may be used; after 6 draws without success all are looked at, as before. Two draws of usable candidates have the same distribution as before.

Tests: the number of candidates looked at, the spread over the local zone, and the only usable candidate.

--- a/src/celeryfield/internal/routing/balancer.py
+++ b/src/celeryfield/internal/routing/balancer.py
@@ -58,11 +58,20 @@
     """No candidate is available for a call."""
 
 
+# Candidates of the local zone, and of all other zones, that are compared.
+SAMPLES_PER_GROUP = 2
+# With fewer candidates in a group, looking at all of them takes no longer.
+MIN_SAMPLED_CANDIDATES = 8
+# Draws for a group. They find two candidates in most cases even if only half of
+# the group can be used.
+MAX_DRAWS = 6
+
+
 class Balancer:
     """Chooses candidates by load, zone and health.
 
-    Each choice is linear in the number of candidates of the service; the
-    expected number is 18.
+    A choice looks at a few random candidates. It is linear in the number of
+    candidates of the service only if most of them cannot be used.
     """
 
     def __init__(
@@ -96,12 +105,13 @@
             entry = ServiceState(outliers)
             self._services_by_name[service] = entry
         cold_since_ms = None if is_first else self._clock.now_ms()
-        entry.states_by_id = {
+        states_by_id = {
             candidate.node_id: self._updated_state(
                 entry, candidate, cold_since_ms
             )
             for candidate in candidates
         }
+        entry.set_states(states_by_id, self._settings.node.zone)
         healths = [state.health for state in entry.states_by_id.values()]
         entry.outliers.set_healths(healths)
 
@@ -171,13 +181,44 @@
         if entry is None:
             return None
         now_ms = self._clock.now_ms()
+        if not self._is_baseline:
+            sampled = self._sample_usable(entry, excluded_ids, now_ms)
+            if sampled:
+                return self._fastest(entry, sampled, class_name, now_ms)
         states = self._eligible(entry, excluded_ids, now_ms)
         if not states:
             return None
         if self._is_baseline:
             entry.next_index += 1
             return states[entry.next_index % len(states)].candidate
-        return self._pick_fastest(entry, states, class_name, now_ms).candidate
+        return self._pick_fastest(entry, states, class_name, now_ms)
+
+    def _sample_usable(
+        self, entry: ServiceState, excluded_ids: frozenset[str], now_ms: float
+    ) -> list[CandidateState]:
+        """Returns two usable candidates of the local zone and two of others.
+
+        Returns an empty list if a few draws do not find them; which candidates
+        may be used then has to be decided by looking at all.
+        """
+        sampled: list[CandidateState] = []
+        oldest_ms = now_ms - STATE_TTL_MS
+        for states in (entry.local, entry.remote):
+            if len(states) < MIN_SAMPLED_CANDIDATES:
+                return []
+            wanted = len(sampled) + SAMPLES_PER_GROUP
+            for _ in range(MAX_DRAWS):
+                state = states[int(self._random.random() * len(states))]
+                if state in sampled or not _is_usable(
+                    state, excluded_ids, oldest_ms, now_ms
+                ):
+                    continue
+                sampled.append(state)
+                if len(sampled) == wanted:
+                    break
+            else:
+                return []
+        return sampled
 
     def _eligible(
         self, entry: ServiceState, excluded_ids: frozenset[str], now_ms: float
@@ -188,13 +229,11 @@
         Candidates in other states are used only if none is ready.
         """
         oldest_ms = now_ms - STATE_TTL_MS
-        ready = []
-        for state in entry.states_by_id.values():
-            name = state.candidate.state
-            if state.reported_state and state.reported_ms >= oldest_ms:
-                name = state.reported_state
-            if name == READY:
-                ready.append(state)
+        ready = [
+            state
+            for state in entry.states_by_id.values()
+            if _is_ready(state, oldest_ms)
+        ]
         if not ready:
             ready = [
                 state
@@ -207,12 +246,7 @@
                 for state in ready
                 if state.candidate.node_id not in excluded_ids
             ]
-        usable = [
-            state
-            for state in ready
-            if state.health.ejected_until_ms is None
-            or state.health.is_usable(now_ms)
-        ]
+        usable = [state for state in ready if state.health.is_usable(now_ms)]
         return usable or ready
 
     def _pick_fastest(
@@ -221,7 +255,7 @@
         states: list[CandidateState],
         class_name: str,
         now_ms: float,
-    ) -> CandidateState:
+    ) -> Candidate:
         """Returns the candidate with the lowest expected time to an answer.
 
         Two random candidates of the local zone are compared with two of other
@@ -232,14 +266,24 @@
         local = [state for state in states if state.candidate.zone == zone]
         remote = [state for state in states if state.candidate.zone != zone]
         sampled = self._sample_two(local) + self._sample_two(remote)
+        return self._fastest(entry, sampled, class_name, now_ms)
+
+    def _fastest(
+        self,
+        entry: ServiceState,
+        sampled: list[CandidateState],
+        class_name: str,
+        now_ms: float,
+    ) -> Candidate:
         if len(sampled) == 1:
-            return sampled[0]
-        return min(
+            return sampled[0].candidate
+        fastest = min(
             sampled,
             key=lambda state: self._expected_ms(
                 entry, state, class_name, now_ms
             ),
         )
+        return fastest.candidate
 
     def _sample_two(self, states: list[CandidateState]) -> list[CandidateState]:
         count = len(states)
@@ -393,3 +437,30 @@
             entry.record_body_size(end.class_name, end.body_bytes)
         if not self._is_baseline:
             entry.outliers.record_end(state.health, end)
+
+
+def _is_ready(state: CandidateState, oldest_ms: float) -> bool:
+    """Returns whether a candidate is ready.
+
+    Args:
+        state: The candidate.
+        oldest_ms: Reports from before this time, in ms, do not count.
+    """
+    name = state.candidate.state
+    if state.reported_state and state.reported_ms >= oldest_ms:
+        name = state.reported_state
+    return name == READY
+
+
+def _is_usable(
+    state: CandidateState,
+    excluded_ids: frozenset[str],
+    oldest_ms: float,
+    now_ms: float,
+) -> bool:
+    """Returns whether a candidate is in the group that is preferred."""
+    return (
+        state.candidate.node_id not in excluded_ids
+        and _is_ready(state, oldest_ms)
+        and state.health.is_usable(now_ms)
+    )
--- a/src/celeryfield/internal/routing/candidates.py
+++ b/src/celeryfield/internal/routing/candidates.py
@@ -106,6 +106,8 @@
 
     Attributes:
         states_by_id: Candidates by node id.
+        local: Candidates in the zone of this node.
+        remote: All other candidates.
         outliers: Ejects candidates of the service.
         mean_load: Mean reported load relative to the limit.
         mean_service_ms_by_class: Mean reported service time.
@@ -115,12 +117,23 @@
 
     def __init__(self, outliers: OutlierDetector) -> None:
         self.states_by_id: dict[str, CandidateState] = {}
+        self.local: list[CandidateState] = []
+        self.remote: list[CandidateState] = []
         self.outliers = outliers
         self.mean_load = 0.0
         self.mean_service_ms_by_class: dict[str, float] = {}
         self.mean_bytes_by_class: dict[str, float] = {}
         self.next_index = 0
 
+    def set_states(
+        self, states_by_id: dict[str, CandidateState], zone: str
+    ) -> None:
+        """Replaces the candidates; ``zone`` is the zone of this node."""
+        self.states_by_id = states_by_id
+        states = states_by_id.values()
+        self.local = [each for each in states if each.candidate.zone == zone]
+        self.remote = [each for each in states if each.candidate.zone != zone]
+
     def record_report(
         self, state: CandidateState, end: AttemptEnd, now_ms: float
     ) -> None:
--- a/tests/cover/test_routing_balancing.py
+++ b/tests/cover/test_routing_balancing.py
@@ -1,6 +1,7 @@
 """Tests of load balancing and outlier ejection."""
 
 import collections
+import dataclasses
 import random
 
 from hypothesis import given
@@ -9,6 +10,7 @@
 
 from celeryfield.internal.calls import Outcome, Reason
 from celeryfield.internal.clock import ManualClock
+from celeryfield.internal.routing import balancer as balancer_module
 from celeryfield.internal.routing.balancer import Balancer
 from celeryfield.internal.routing.outliers import (
     MAX_EJECT_FACTOR,
@@ -294,3 +296,53 @@
     assert picked_ids(balancer)["s-0"] < 30
     clock.advance(15_000)
     assert picked_ids(balancer)["s-0"] > 30
+
+
+def make_large_service(count=40):
+    """Returns candidates in the local zone and as many in another one."""
+    candidates = make_candidates("s", 2 * count)
+    return [
+        dataclasses.replace(candidate, zone="z1" if index < count else "z2")
+        for index, candidate in enumerate(candidates)
+    ]
+
+
+def test_choice_in_a_large_service_looks_at_a_few_candidates(monkeypatch):
+    """Guards against a call whose cost grows with the size of the fleet."""
+    looked_at = []
+
+    def is_usable(state, *args):
+        looked_at.append(state)
+        return usable(state, *args)
+
+    usable = balancer_module._is_usable
+    monkeypatch.setattr(balancer_module, "_is_usable", is_usable)
+    balancer = make_balancer(make_large_service(400))
+    assert len(picked_ids(balancer, 200)) > 100
+    assert len(looked_at) <= 200 * 2 * balancer_module.MAX_DRAWS
+
+
+def test_choice_in_a_large_service_is_spread_over_the_local_zone():
+    """Guards against samples that favour the first candidates."""
+    candidates = make_large_service()
+    balancer = make_balancer(candidates)
+    for candidate in candidates:
+        report(balancer, candidate, in_flight=4)
+    counts = picked_ids(balancer, 4_000)
+    local_ids = {candidate.node_id for candidate in candidates[:40]}
+    assert counts.keys() == local_ids
+    assert max(counts.values()) <= 2 * 4_000 / 40
+
+
+def test_few_usable_candidates_of_a_large_service_are_found():
+    """Guards against samples that miss the only usable candidate."""
+    candidates = make_large_service()
+    balancer = make_balancer(candidates)
+    only = candidates[17]
+    for candidate in candidates:
+        state = "ready" if candidate is only else "draining"
+        report(balancer, candidate, state=state)
+    assert picked_ids(balancer, 100).keys() == {only.node_id}
+    excluded_ids = frozenset(each.node_id for each in candidates[1:])
+    balancer = make_balancer(candidates)
+    assert balancer.choose("s", excluded_ids) is candidates[0]
