Split the sampling of candidates from the balancer

Which candidates are compared is now in routing/sampling.py; the balancer estimates their load and chooses. The state of a service knows the zone of its node. No change of behaviour; the tests of balancing are the same but for the module that holds the draws.

--- a/src/celeryfield/internal/routing/balancer.py
+++ b/src/celeryfield/internal/routing/balancer.py
@@ -9,8 +9,9 @@
 from celeryfield.errors import CeleryfieldError
 from celeryfield.internal.calls import Candidate, Outcome, Reason
 from celeryfield.internal.clock import Clock
+from celeryfield.internal.routing import sampling
 from celeryfield.internal.routing.candidates import (
-    DRAINING,
+    READY,
     CandidateState,
     ServiceState,
 )
@@ -21,13 +22,9 @@
 )
 from celeryfield.internal.schema.settings import NodeSettings
 
-READY = "ready"
 # The weight of a load report falls linearly to zero at this age. Otherwise
 # senders with the same stale report would all prefer the same candidate.
 REPORT_TTL_MS = 1000.0
-# A reported state overrides the state from gossip for this long; by then gossip
-# has caught up.
-STATE_TTL_MS = 5000.0
 # Assumed service time until a candidate reports one.
 UNKNOWN_SERVICE_MS = 50.0
 # Assumed cost of a failed attempt for its chain.
@@ -58,15 +55,6 @@
     """No candidate is available for a call."""
 
 
-# Candidates of the local zone, and of all other zones, that are compared.
-SAMPLES_PER_GROUP = 2
-# With fewer candidates in a group, looking at all of them takes no longer.
-MIN_SAMPLED_CANDIDATES = 8
-# Draws for a group. They find two candidates in most cases even if only half of
-# the group can be used.
-MAX_DRAWS = 6
-
-
 class Balancer:
     """Chooses candidates by load, zone and health.
 
@@ -102,7 +90,7 @@
         is_first = entry is None
         if entry is None:
             outliers = OutlierDetector(self._settings.routing, self._clock)
-            entry = ServiceState(outliers)
+            entry = ServiceState(outliers, self._settings.node.zone)
             self._services_by_name[service] = entry
         cold_since_ms = None if is_first else self._clock.now_ms()
         states_by_id = {
@@ -111,7 +99,7 @@
             )
             for candidate in candidates
         }
-        entry.set_states(states_by_id, self._settings.node.zone)
+        entry.set_states(states_by_id)
         healths = [state.health for state in entry.states_by_id.values()]
         entry.outliers.set_healths(healths)
 
@@ -181,91 +169,13 @@
         if entry is None:
             return None
         now_ms = self._clock.now_ms()
-        if not self._is_baseline:
-            sampled = self._sample_usable(entry, excluded_ids, now_ms)
-            if sampled:
-                return self._fastest(entry, sampled, class_name, now_ms)
-        states = self._eligible(entry, excluded_ids, now_ms)
-        if not states:
-            return None
         if self._is_baseline:
+            states = sampling.preferred(entry, excluded_ids, now_ms)
             entry.next_index += 1
+            if not states:
+                return None
             return states[entry.next_index % len(states)].candidate
-        return self._pick_fastest(entry, states, class_name, now_ms)
-
-    def _sample_usable(
-        self, entry: ServiceState, excluded_ids: frozenset[str], now_ms: float
-    ) -> list[CandidateState]:
-        """Returns two usable candidates of the local zone and two of others.
-
-        Returns an empty list if a few draws do not find them; which candidates
-        may be used then has to be decided by looking at all.
-        """
-        sampled: list[CandidateState] = []
-        oldest_ms = now_ms - STATE_TTL_MS
-        for states in (entry.local, entry.remote):
-            if len(states) < MIN_SAMPLED_CANDIDATES:
-                return []
-            wanted = len(sampled) + SAMPLES_PER_GROUP
-            for _ in range(MAX_DRAWS):
-                state = states[int(self._random.random() * len(states))]
-                if state in sampled or not _is_usable(
-                    state, excluded_ids, oldest_ms, now_ms
-                ):
-                    continue
-                sampled.append(state)
-                if len(sampled) == wanted:
-                    break
-            else:
-                return []
-        return sampled
-
-    def _eligible(
-        self, entry: ServiceState, excluded_ids: frozenset[str], now_ms: float
-    ) -> list[CandidateState]:
-        """Returns the best non-empty group of candidates.
-
-        Ready candidates that are not ejected are preferred, then ejected ones.
-        Candidates in other states are used only if none is ready.
-        """
-        oldest_ms = now_ms - STATE_TTL_MS
-        ready = [
-            state
-            for state in entry.states_by_id.values()
-            if _is_ready(state, oldest_ms)
-        ]
-        if not ready:
-            ready = [
-                state
-                for state in entry.states_by_id.values()
-                if state.candidate.state != DRAINING
-            ] or list(entry.states_by_id.values())
-        if excluded_ids:
-            ready = [
-                state
-                for state in ready
-                if state.candidate.node_id not in excluded_ids
-            ]
-        usable = [state for state in ready if state.health.is_usable(now_ms)]
-        return usable or ready
-
-    def _pick_fastest(
-        self,
-        entry: ServiceState,
-        states: list[CandidateState],
-        class_name: str,
-        now_ms: float,
-    ) -> Candidate:
-        """Returns the candidate with the lowest expected time to an answer.
-
-        Two random candidates of the local zone are compared with two of other
-        zones. If all candidates were compared, all nodes would choose the same
-        one.
-        """
-        zone = self._settings.node.zone
-        local = [state for state in states if state.candidate.zone == zone]
-        remote = [state for state in states if state.candidate.zone != zone]
-        sampled = self._sample_two(local) + self._sample_two(remote)
+        sampled = sampling.sample(entry, excluded_ids, now_ms, self._random)
         return self._fastest(entry, sampled, class_name, now_ms)
 
     def _fastest(
@@ -274,7 +184,10 @@
         sampled: list[CandidateState],
         class_name: str,
         now_ms: float,
-    ) -> Candidate:
+    ) -> Candidate | None:
+        """Returns the candidate with the lowest expected time to an answer."""
+        if not sampled:
+            return None
         if len(sampled) == 1:
             return sampled[0].candidate
         fastest = min(
@@ -285,16 +198,6 @@
         )
         return fastest.candidate
 
-    def _sample_two(self, states: list[CandidateState]) -> list[CandidateState]:
-        count = len(states)
-        if count < 2:
-            return states
-        index = int(self._random.random() * count)
-        other = int(self._random.random() * (count - 1))
-        if other >= index:
-            other += 1
-        return [states[index], states[other]]
-
     def _expected_ms(
         self,
         entry: ServiceState,
@@ -437,30 +340,3 @@
             entry.record_body_size(end.class_name, end.body_bytes)
         if not self._is_baseline:
             entry.outliers.record_end(state.health, end)
-
-
-def _is_ready(state: CandidateState, oldest_ms: float) -> bool:
-    """Returns whether a candidate is ready.
-
-    Args:
-        state: The candidate.
-        oldest_ms: Reports from before this time, in ms, do not count.
-    """
-    name = state.candidate.state
-    if state.reported_state and state.reported_ms >= oldest_ms:
-        name = state.reported_state
-    return name == READY
-
-
-def _is_usable(
-    state: CandidateState,
-    excluded_ids: frozenset[str],
-    oldest_ms: float,
-    now_ms: float,
-) -> bool:
-    """Returns whether a candidate is in the group that is preferred."""
-    return (
-        state.candidate.node_id not in excluded_ids
-        and _is_ready(state, oldest_ms)
-        and state.health.is_usable(now_ms)
-    )
--- a/src/celeryfield/internal/routing/candidates.py
+++ b/src/celeryfield/internal/routing/candidates.py
@@ -9,6 +9,7 @@
     OutlierDetector,
 )
 
+READY = "ready"
 DRAINING = "draining"
 MEAN_WEIGHT = 0.1
 # Reported service times are used up to this age. Afterwards the mean of the
@@ -106,7 +107,8 @@
 
     Attributes:
         states_by_id: Candidates by node id.
-        local: Candidates in the zone of this node.
+        zone: Zone of this node.
+        local: Candidates in that zone.
         remote: All other candidates.
         outliers: Ejects candidates of the service.
         mean_load: Mean reported load relative to the limit.
@@ -115,7 +117,8 @@
         next_index: Position of the round robin of the baseline policy.
     """
 
-    def __init__(self, outliers: OutlierDetector) -> None:
+    def __init__(self, outliers: OutlierDetector, zone: str) -> None:
+        self.zone = zone
         self.states_by_id: dict[str, CandidateState] = {}
         self.local: list[CandidateState] = []
         self.remote: list[CandidateState] = []
@@ -125,12 +128,10 @@
         self.mean_bytes_by_class: dict[str, float] = {}
         self.next_index = 0
 
-    def set_states(
-        self, states_by_id: dict[str, CandidateState], zone: str
-    ) -> None:
-        """Replaces the candidates; ``zone`` is the zone of this node."""
+    def set_states(self, states_by_id: dict[str, CandidateState]) -> None:
+        """Replaces the candidates."""
         self.states_by_id = states_by_id
-        states = states_by_id.values()
+        states, zone = states_by_id.values(), self.zone
         self.local = [each for each in states if each.candidate.zone == zone]
         self.remote = [each for each in states if each.candidate.zone != zone]
 
--- a/tests/cover/test_routing_balancing.py
+++ b/tests/cover/test_routing_balancing.py
@@ -10,7 +10,7 @@
 
 from celeryfield.internal.calls import Outcome, Reason
 from celeryfield.internal.clock import ManualClock
-from celeryfield.internal.routing import balancer as balancer_module
+from celeryfield.internal.routing import sampling
 from celeryfield.internal.routing.balancer import Balancer
 from celeryfield.internal.routing.outliers import (
     MAX_EJECT_FACTOR,
@@ -315,11 +315,11 @@
         looked_at.append(state)
         return usable(state, *args)
 
-    usable = balancer_module._is_usable
-    monkeypatch.setattr(balancer_module, "_is_usable", is_usable)
+    usable = sampling._is_usable
+    monkeypatch.setattr(sampling, "_is_usable", is_usable)
     balancer = make_balancer(make_large_service(400))
     assert len(picked_ids(balancer, 200)) > 100
-    assert len(looked_at) <= 200 * 2 * balancer_module.MAX_DRAWS
+    assert len(looked_at) <= 200 * 2 * sampling.MAX_DRAWS
 
 
 def test_choice_in_a_large_service_is_spread_over_the_local_zone():
