Bound the request bodies that a node holds

Cause: bodies of uploads were read whole and without a bound on all of them together, also for requests without a route, and a caller that stalled in the middle of a body held its memory for good.

Change: a budget counts the bodies held; a request that would exceed 48 MB is refused unread, like one that is announced as too large or has no route. The time limit of the route bounds the reading.

The tests with a full budget, without a route and with a stalled body hang or fail before.

--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -10,7 +10,7 @@
 from multidict import CIMultiDict
 
 from celeryfield.internal import events, supervision
-from celeryfield.internal.bodies import read_bounded
+from celeryfield.internal.bodies import BodyBudget, BodyError
 from celeryfield.internal.calls import (
     CallResult,
     Outcome,
@@ -20,6 +20,7 @@
 )
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.routes.request_router import (
+    DEFAULT_DEADLINE_MS,
     IncomingRequest,
     RequestRouter,
     RoutedCall,
@@ -40,9 +41,18 @@
 # Sub-calls are refused during this time before the process ends, because its
 # end would abort them.
 SUB_CALL_MARGIN_MS = 1_000.0
+# Limit on the request bodies that a node holds. A small node has 200 MB in
+# total, and a body takes as much memory again while it is joined and sent.
+MAX_HELD_BODY_BYTES = 48 * 1024 * 1024
 # Time to write the remaining responses after the listener has closed.
 SHUTDOWN_TIMEOUT_S = 0.2
 
+# The answer to a request whose body is not read.
+_BODY_REFUSALS = {
+    BodyError.TOO_LARGE: lambda: not_run_result(Reason.TOO_LARGE, 413),
+    BodyError.NO_MEMORY: lambda: not_run_result(Reason.QUEUE_FULL),
+}
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _RunningRequest:
@@ -85,6 +95,7 @@
         self._clock = clock
         self._router = router
         self._limits = CallerLimits()
+        self._bodies = BodyBudget(MAX_HELD_BODY_BYTES)
         self._connections = CallerConnections(
             clock, self._is_repeatable, self._serve
         )
@@ -208,20 +219,36 @@
     async def _respond(
         self, request: web.BaseRequest, running: _RunningRequest
     ) -> web.Response:
-        body = b""
-        if request.body_exists:
-            content = await read_bounded(
-                request.content, self._limits.max_body_bytes
-            )
-            if content is None:
-                return self._make_response(
-                    not_run_result(Reason.TOO_LARGE, 413)
-                )
-            body = content
         route = self._match_route(request)
         if route is None:
             status = 404 if self._router.is_configured else 503
             return self._make_response(not_run_result(Reason.NO_ROUTE, status))
+        if not request.body_exists:
+            return await self._respond_to(request, running, route, b"")
+        timeout_ms = route.timeout_ms or DEFAULT_DEADLINE_MS
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                read = await self._bodies.read(
+                    request.content,
+                    self._limits.max_body_bytes,
+                    request.content_length or 0,
+                )
+        except TimeoutError:
+            return self._make_response(not_run_result(Reason.DEADLINE))
+        if read.is_error():
+            return self._make_response(_BODY_REFUSALS[read.error]())
+        try:
+            return await self._respond_to(request, running, route, read.ok)
+        finally:
+            self._bodies.release(read.ok)
+
+    async def _respond_to(
+        self,
+        request: web.BaseRequest,
+        running: _RunningRequest,
+        route: Route,
+        body: bytes,
+    ) -> web.Response:
         incoming = self._make_incoming_request(request, running.received_ms)
         call = self._router.accept(route, incoming, body)
         running.call = call
