--- a/src/celeryfield/internal/registry/catalog.py
+++ b/src/celeryfield/internal/registry/catalog.py
@@ -15,9 +15,8 @@
 GONE = "gone"
 
 # Delay between a change of the records and the next watch, for each record.
-# Every node watches every record, so a change ends a watch at each of them.
-# With this delay the fleet starts at most 200 watches a second, whatever its
-# size.
+# Every node watches every record, so a change ends a watch at each of them. Up
+# to the largest delay, a fleet of any size starts about 200 watches a second.
 WATCH_DELAY_PER_RECORD_MS = 5.0
 # A record tells where an upstream may be found; its own node decides whether it
 # gets work. A second of delay costs a new upstream that much of its first work.
