--- /dev/null
+++ b/tests/cover/caller_connections.py
@@ -0,0 +1,36 @@
+"""Connections of callers without an HTTP library, for the platform tests."""
+
+import asyncio
+import contextlib
+
+from platform_standins import HOST
+
+DEADLINE_MS = 2_000
+
+
+def request_head(request_id, deadline_ms=DEADLINE_MS, method="GET", size=0):
+    return (
+        f"{method} /stock/{request_id} HTTP/1.1\r\nHost: shop.example\r\n"
+        f"X-Attempt-Id: {request_id}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
+        f"Content-Length: {size}\r\n\r\n"
+    ).encode()
+
+
+@contextlib.asynccontextmanager
+async def connection_to(node):
+    port = node.settings.caller_address.port
+    reader, writer = await asyncio.open_connection(HOST, port)
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+
+
+async def read_response(reader):
+    """Returns status, headers and body of the next response."""
+    head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), timeout=20)
+    first, *lines = head.decode().strip().split("\r\n")
+    pairs = (line.partition(": ") for line in lines)
+    fields = {name.lower(): value for name, _, value in pairs}
+    body = await reader.readexactly(int(fields.get("content-length", 0)))
+    return int(first.split()[1]), fields, body
--- a/tests/cover/test_platform_uploads.py
+++ b/tests/cover/test_platform_uploads.py
@@ -2,13 +2,13 @@
 
 import asyncio
 
-from platform_fleet import running_platform_fleet
-from platform_standins import until
-from test_platform_pipelining import (
+from caller_connections import (
     connection_to,
     read_response,
     request_head,
 )
+from platform_fleet import running_platform_fleet
+from platform_standins import until
 
 from celeryfield.platform import ingress
 
