Let upstreams answer at their time limit before the node stops waiting

Callers saw a 504 of the node where the upstream was about to send its own: the node waited exactly as long as the limit that it told the upstream, so its timer often fired first and closed the connection while the upstream was at work.

The upstream is now told a limit that is 25 ms shorter, or a tenth of the limit if that is less. Both clients use the same function. An answer 504 at the limit, and a refusal by an upstream that held the request in its queue until then, get the reason "deadline". The dispatcher, the outlier detection and the executor hence treat them as they treated the node's own timer: no error of the upstream, no ejection, and no retry in the ms that are left. Status, headers and body of the answer are kept.

The stand-in for upstreams in the tests now stops at its limit and answers 504.

--- a/src/celeryfield/internal/upstream/client.py
+++ b/src/celeryfield/internal/upstream/client.py
@@ -15,7 +15,7 @@
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.schema import settings as settings_schema
 from celeryfield.internal.schema import wire
-from celeryfield.internal.upstream import headers
+from celeryfield.internal.upstream import headers, time_limits
 
 SHED_STATUS = 503
 FIRST_ERROR_STATUS = 500
@@ -92,21 +92,24 @@
             call: Call to send.
             body: Body of the request.
             traceparent: Value of the trace header that identifies the call.
-            timeout_ms: Time limit, in ms; also sent to the upstream.
+            timeout_ms: Time limit, in ms; the upstream is told a slightly
+                shorter one.
         """
         if self._session is None:
             return not_run_result(Reason.NO_UPSTREAM)
         request_headers = headers.as_pairs(call.headers)
         request_headers.append((headers.WORKSPACE, call.workspace))
         request_headers.append((headers.TRACEPARENT, traceparent))
-        request_headers.append((headers.TIMEOUT, str(int(timeout_ms))))
+        limit_ms = time_limits.upstream_limit_ms(timeout_ms)
+        request_headers.append((headers.TIMEOUT, str(limit_ms)))
         if call.idempotency_key:
             request_headers.append(
                 (headers.IDEMPOTENCY_KEY, call.idempotency_key)
             )
+        started_ms = self._clock.now_ms()
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
-                return await self._exchange(call, body, request_headers)
+                result = await self._exchange(call, body, request_headers)
         except TimeoutError:
             return unknown_result(Reason.DEADLINE, 504)
         except aiohttp.ClientConnectorError:
@@ -115,6 +118,8 @@
             return unknown_result(Reason.TRUNCATED, 502)
         except (aiohttp.ClientError, OSError, ValueError):
             return unknown_result(Reason.CONNECTION_LOST, 502)
+        elapsed_ms = self._clock.now_ms() - started_ms
+        return time_limits.mark_expired(result, timeout_ms, elapsed_ms)
 
     async def _exchange(
         self,
--- a/src/celeryfield/platform/upstream.py
+++ b/src/celeryfield/platform/upstream.py
@@ -13,6 +13,7 @@
 )
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.schema import wire
+from celeryfield.internal.upstream import time_limits
 from celeryfield.internal.upstream.connection import HttpRequest, HttpResponse
 from celeryfield.internal.upstream.errors import (
     InvalidResponseError,
@@ -52,6 +53,7 @@
     """
 
     def __init__(self, clock: Clock) -> None:
+        self._clock = clock
         self._pool = UpstreamPool(clock)
         self._upstream_id = ""
         self.load: UpstreamLoad | None = None
@@ -83,7 +85,8 @@
         Args:
             call: The call.
             body: Body of the request.
-            timeout_ms: Longest time for the whole response.
+            timeout_ms: Longest time for the whole response, in ms. The upstream
+                is told a slightly shorter one.
         """
         if not self._pool.address:
             return not_run_result(Reason.NO_UPSTREAM)
@@ -94,6 +97,7 @@
             body,
             call.request_id,
         )
+        started_ms = self._clock.now_ms()
         is_own_response = functools.partial(_is_response_to, call.request_id)
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
@@ -111,13 +115,17 @@
         except ResponseTooLargeError:
             return unknown_result(Reason.TOO_LARGE, 502)
         self._update_load(response.headers.get(headers.LOAD, ""))
-        return _classify(response)
+        elapsed_ms = self._clock.now_ms() - started_ms
+        return time_limits.mark_expired(
+            _classify(response), timeout_ms, elapsed_ms
+        )
 
     def _headers(
         self, call: wire.Call, timeout_ms: float
     ) -> list[tuple[str, str]]:
         pairs = headers.as_pairs(call.headers)
-        pairs.append((headers.DEADLINE, str(max(int(timeout_ms), 1))))
+        limit_ms = time_limits.upstream_limit_ms(timeout_ms)
+        pairs.append((headers.DEADLINE, str(limit_ms)))
         pairs.append((headers.TARGET, self._upstream_id))
         return pairs
 
--- a/tests/cover/platform_standins.py
+++ b/tests/cover/platform_standins.py
@@ -169,6 +169,8 @@
 class UpstreamStandin:
     """An upstream that answers all requests in the same way.
 
+    It stops work at the time limit of a request and then answers 504.
+
     Attributes:
         status: Status of the responses.
         body: Body of the responses.
@@ -180,6 +182,7 @@
         received: Requests received so far.
         cancelled_count: Number of requests whose connection was closed before
             the response.
+        expired_ids: Ids of the requests that reached their time limit.
     """
 
     def __init__(self, upstream_id="i-1", service="stock"):
@@ -194,6 +197,7 @@
         self.aborts_connections = False
         self.received = []
         self.cancelled_count = 0
+        self.expired_ids = []
         self.sequence = 0
 
     def report(self, **fields):
@@ -218,8 +222,10 @@
         request_id = request.headers.get("X-Attempt-Id", "")
         if request.headers.get("X-Target-Instance") != self.id:
             return web.Response(status=421, headers={"X-Not-Executed": "1"})
+        limit_s = int(request.headers["X-Deadline-Ms"]) / 1000.0
+        is_expired = self.delay_s > limit_s
         try:
-            await asyncio.sleep(self.delay_s)
+            await asyncio.sleep(min(self.delay_s, limit_s))
         except asyncio.CancelledError:
             self.cancelled_count += 1
             raise
@@ -231,8 +237,12 @@
             return web.Response(status=503, headers=answer_headers)
         if self.is_signed:
             answer_headers["X-Server-Signature"] = f"proof-{request_id}"
+        status = self.status
+        if is_expired:
+            self.expired_ids.append(request_id)
+            status = 504
         return web.Response(
-            status=self.status, body=self.body, headers=answer_headers
+            status=status, body=self.body, headers=answer_headers
         )
 
 
