Let work that starts during a stop end before the process aborts it

Callers got a 502 of the node, or a peer lost its connection, for requests that a stopping node had taken after its SIGTERM while their upstream was at work.

Cause: sub-calls are taken until a second before the end, calls of other nodes and of callers through the notice, each with the time limit of its caller, which may lie far behind the end of the process.

From the SIGTERM on, each attempt that a node sends and each call that it gives to its upstream has a limit that ends 0.2 s before the abort. The upstream is told this limit and answers 504 itself, or admission refuses the call as too long, which then has not run. A call that only this limit ended has the reason "draining", so that a sender on another node, which has time left, may try again there. Retries, hedges, queue waits and requests behind others on their connection are covered, since the limit is applied when an attempt starts.

The reports of the test fleet move from test_platform_drain.py to platform_fleet.py; no assertion changes.

--- a/src/celeryfield/internal/dispatch/dispatcher.py
+++ b/src/celeryfield/internal/dispatch/dispatcher.py
@@ -1,6 +1,7 @@
 """Runs calls on the local upstream."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from celeryfield.internal import events
@@ -19,6 +20,7 @@
 from celeryfield.internal.schema import wire
 from celeryfield.internal.transport.server import RunState
 from celeryfield.internal.upstream.client import UpstreamClient
+from celeryfield.internal.upstream.time_limits import REPLY_MARGIN_MS
 
 # A round trip to the upstream takes at least this long.
 MINIMUM_TIMEOUT_MS = 1.0
@@ -63,6 +65,18 @@
         self._repeats = RepeatBudget()
         self.repeat_totals = RepeatTotals()
         self._crash_check: asyncio.Task[bool] | None = None
+        self._end_ms = math.inf
+
+    def limit_deadlines(self, end_ms: float) -> None:
+        """Ends the time limits of calls that start later at this time.
+
+        Args:
+            end_ms: Monotonic time by which the upstream stops work on them.
+        """
+        self._end_ms = end_ms
+
+    def _bounded_ms(self, left_ms: float) -> float:
+        return min(left_ms, self._end_ms - self._clock.now_ms())
 
     async def run(
         self, call: wire.Call, body: bytes, state: RunState
@@ -70,13 +84,26 @@
         """Waits for a permit and runs the call once."""
         stats = ChainStats()
         deadline_left_ms = call.deadline_left_ms
+        deadline_ms = self._clock.now_ms() + deadline_left_ms
+        call.deadline_left_ms = self._bounded_ms(deadline_left_ms)
         result = None
         try:
             result = await self._run_limited(call, body, state, stats)
+            self._mark_shortened(result, deadline_ms)
         finally:
             self._emit_end(call, result, stats, deadline_left_ms)
         return self._attach_load(call, result)
 
+    def _mark_shortened(self, result: CallResult, deadline_ms: float) -> None:
+        """Changes the reason if only the end of this node ended a call.
+
+        Its sender has time left, so it may try another node.
+        """
+        # The sender may have applied the same bound a moment earlier.
+        is_shortened = deadline_ms - self._end_ms > REPLY_MARGIN_MS
+        if is_shortened and result.reason is Reason.DEADLINE:
+            result.reason = Reason.DRAINING
+
     async def _run_limited(
         self, call: wire.Call, body: bytes, state: RunState, stats: ChainStats
     ) -> CallResult:
@@ -109,7 +136,9 @@
         run_end = RunEnd(0.0, EndKind.CANCELLED)
         stats.slot_wait_ms = self._clock.now_ms() - received_ms
         try:
-            timeout_ms = call.deadline_left_ms - stats.slot_wait_ms
+            timeout_ms = self._bounded_ms(
+                call.deadline_left_ms - stats.slot_wait_ms
+            )
             if timeout_ms < MINIMUM_TIMEOUT_MS:
                 return not_run_result(
                     Reason.DEADLINE, 504, unused=call.retry_allowance
--- a/src/celeryfield/internal/routing/attempts.py
+++ b/src/celeryfield/internal/routing/attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import functools
+import math
 import operator
 from collections.abc import Awaitable, Callable
 
@@ -117,8 +118,13 @@
         self._transport_send = send
         self._levels = levels
         self._hedging = hedging
+        self._end_ms = math.inf
         self.total = 0
 
+    def limit_deadlines(self, end_ms: float) -> None:
+        """Ends the time limits of later attempts at this monotonic time."""
+        self._end_ms = end_ms
+
     async def send(
         self, run: Run, candidate: Candidate, handed_down: int
     ) -> CallResult:
@@ -130,7 +136,7 @@
             handed_down: Allowance passed on with the attempt.
         """
         started_ms = self._clock.now_ms()
-        left_ms = run.deadline_ms - started_ms
+        left_ms = min(run.deadline_ms, self._end_ms) - started_ms
         if left_ms <= 0:
             return not_run_result(
                 Reason.DEADLINE, status=GATEWAY_TIMEOUT, unused=handed_down
--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -38,8 +38,9 @@
 EXPECTED_DRAIN_MS = 1_000.0
 # Typical time from the end of a process until its successor serves.
 EXPECTED_RESTART_S = 1.0
-# Sub-calls are refused during this time before the process ends, because its
-# end would abort them.
+# Sub-calls are refused during this time before the process ends. Their time
+# limits end a little before it, so later ones would have less time than most
+# requests take.
 SUB_CALL_MARGIN_MS = 1_000.0
 # Limit on the request bodies that a node holds. A small node has 200 MB in
 # total, and a body takes as much memory again while it is joined and sent.
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -46,6 +46,7 @@
 from celeryfield.platform.ingress import CallerListener
 from celeryfield.platform.reports import ReportListener, ready_listener
 from celeryfield.platform.settings import PlatformSettings
+from celeryfield.platform.stop_times import plan_stop
 from celeryfield.platform.upstream import PlatformUpstream
 
 logger = logging.getLogger(__name__)
@@ -55,8 +56,6 @@
 DRAIN_POLL_MS = 20.0
 # Callers stop sending after two failed readiness checks, one second apart.
 READINESS_NOTICE_MS = 2_300.0
-# Time to close connections before the platform kills the process.
-EXIT_MARGIN_MS = 400.0
 
 
 class PlatformNode(Service):
@@ -298,7 +297,9 @@
         events.emit(events.NodeLeaving, in_flight=self._in_flight)
         self.is_leaving = True
         self.caller_listener.disable_keepalive()
-        end_ms = started_ms + self.settings.grace_ms - EXIT_MARGIN_MS
+        times = plan_stop(self.settings.grace_ms)
+        end_ms = started_ms + times.abort_ms
+        self._limit_deadlines(started_ms + times.limit_ms)
         notice_ms = min(READINESS_NOTICE_MS, self.settings.grace_ms / 2)
         await self.clock.sleep_ms(notice_ms)
         self.caller_listener.refuse_new_requests(end_ms)
@@ -312,6 +313,11 @@
         )
         self.caller_listener.abort_requests(started_ms)
 
+    def _limit_deadlines(self, end_ms: float) -> None:
+        """Makes all work that starts from now on end by itself in time."""
+        self.executor.sender.limit_deadlines(end_ms)
+        self.dispatcher.limit_deadlines(end_ms)
+
     @property
     def _in_flight(self) -> int:
         """Number of running requests from callers and from other nodes."""
--- a/tests/cover/platform_fleet.py
+++ b/tests/cover/platform_fleet.py
@@ -1,5 +1,6 @@
 """Several platform nodes with stand-ins for the store and the upstreams."""
 
+import asyncio
 import contextlib
 
 import aiohttp
@@ -13,6 +14,8 @@
     until,
 )
 
+REPORT_INTERVAL_S = 0.5
+
 
 class Fleet:
     """A store and nodes with their upstreams."""
@@ -72,6 +75,14 @@
         ) as response:
             return response.status, response.headers, await response.read()
 
+    async def keep_reporting(self, count=None):
+        """Reports for the first upstreams, or for all, until cancelled."""
+        while True:
+            pairs = zip(self.nodes, self.upstreams, strict=True)
+            for node, upstream in list(pairs)[:count]:
+                await self.report(node, upstream)
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
 
 @contextlib.asynccontextmanager
 async def running_platform_fleet(count, configured=True, **route_fields):
--- a/tests/cover/platform_standins.py
+++ b/tests/cover/platform_standins.py
@@ -177,6 +177,7 @@
         rejects_requests: Whether responses say that the request did not run.
         is_signed: Whether responses carry the upstream's signature.
         delay_s: Service time of a request.
+        delay_s_by_path: Service times of requests that differ from it.
         aborts_connections: Whether the connection is closed without a
             response.
         received: Requests received so far.
@@ -194,6 +195,7 @@
         self.rejects_requests = False
         self.is_signed = True
         self.delay_s = 0.0
+        self.delay_s_by_path = {}
         self.aborts_connections = False
         self.received = []
         self.cancelled_count = 0
@@ -223,9 +225,10 @@
         if request.headers.get("X-Target-Instance") != self.id:
             return web.Response(status=421, headers={"X-Not-Executed": "1"})
         limit_s = int(request.headers["X-Deadline-Ms"]) / 1000.0
-        is_expired = self.delay_s > limit_s
+        delay_s = self.delay_s_by_path.get(request.raw_path, self.delay_s)
+        is_expired = delay_s > limit_s
         try:
-            await asyncio.sleep(min(self.delay_s, limit_s))
+            await asyncio.sleep(min(delay_s, limit_s))
         except asyncio.CancelledError:
             self.cancelled_count += 1
             raise
--- a/tests/cover/test_platform_drain.py
+++ b/tests/cover/test_platform_drain.py
@@ -11,17 +11,9 @@
 from celeryfield.platform.process import run_until_stopped
 
 NOTICE_MS = 200.0
-REPORT_INTERVAL_S = 0.5
 REQUEST_INTERVAL_S = 0.05
 
 
-async def keep_reporting(fleet):
-    while True:
-        for node, upstream in zip(fleet.nodes, fleet.upstreams, strict=True):
-            await fleet.report(node, upstream)
-        await asyncio.sleep(REPORT_INTERVAL_S)
-
-
 async def keep_requesting(fleet, node, responses):
     """Sends requests to a node and ignores its readiness check."""
     requests = []
@@ -47,7 +39,7 @@
             upstream.delay_s = 0.15
         responses = []
         async with (
-            running_task(keep_reporting(fleet)),
+            running_task(fleet.keep_reporting()),
             running_task(keep_requesting(fleet, node, responses)),
         ):
             await node.drain()
@@ -68,7 +60,7 @@
     async with running_platform_fleet(1, timeoutMs=20_000) as fleet:
         (node,), (upstream,) = fleet.nodes, fleet.upstreams
         upstream.delay_s = 3.0
-        async with running_task(keep_reporting(fleet)):
+        async with running_task(fleet.keep_reporting()):
             # The upstream beside the node is the only one at this time.
             parent = asyncio.ensure_future(
                 fleet.request(
