Log requests whose connection the node closes without an answer

A request that was read and then dropped with its connection left no line in the log: 'request abandoned' is written only for what runs at the end of a stop, and the listener did not tell how many requests had not started.

'request dropped' names each request that was read and whose connection this node closes, whether it had started, its age, and whether the node was leaving. It is not written when the caller ends the connection (EOF or reset), which the connection now notes. 'node stopped' says how many requests had not started.

--- a/src/celeryfield/internal/event_types/node.py
+++ b/src/celeryfield/internal/event_types/node.py
@@ -70,12 +70,14 @@
 
     Attributes:
         in_flight: Number of requests that did not end in time.
+        waiting: Number of these that had not started.
         took_ms: Time since the start of the shutdown.
     """
 
     message: ClassVar[str] = "node stopped"
     per_second: ClassVar[int | None] = None
     in_flight: int
+    waiting: int
     took_ms: float
 
 
--- a/src/celeryfield/internal/event_types/requests.py
+++ b/src/celeryfield/internal/event_types/requests.py
@@ -26,6 +26,26 @@
     leaving_ms: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestDropped(Event):
+    """The node closed a connection on which a request waited for its answer.
+
+    Attributes:
+        request: Id that the caller gave the request.
+        is_started: Whether the request had started and may have run.
+        age_ms: Time since the request was read.
+        is_leaving: Whether the node was shutting down.
+    """
+
+    message: ClassVar[str] = "request dropped"
+    level: ClassVar[int] = logging.WARNING
+    per_second: ClassVar[int | None] = 100
+    request: str
+    is_started: bool
+    age_ms: float
+    is_leaving: bool
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RequestEnded(Event):
     """The node that received a request from a caller has answered it.
--- a/src/celeryfield/internal/events.py
+++ b/src/celeryfield/internal/events.py
@@ -41,6 +41,7 @@
     CallEnded,
     OutcomeUnknown,
     RequestAbandoned,
+    RequestDropped,
     RequestEnded,
 )
 from celeryfield.internal.log_rate_limit import LogRateLimiter
@@ -70,6 +71,7 @@
     "ReloadRequested",
     "ReportIgnored",
     "RequestAbandoned",
+    "RequestDropped",
     "RequestEnded",
     "SuspectFound",
     "TaskStepFailed",
--- a/src/celeryfield/internal/request_trace.py
+++ b/src/celeryfield/internal/request_trace.py
@@ -68,9 +68,14 @@
         "ago, {leaving_ms} ms after the node was asked to end (negative: "
         "before that)"
     ),
+    "request dropped": (
+        "closed the connection of the request without an answer; it was read "
+        "{age_ms} ms ago (started: {is_started}, node leaving: {is_leaving})"
+    ),
     "node is leaving": "was asked to end with {in_flight} requests in flight",
     "node stopped": (
-        "ended after {took_ms} ms with {in_flight} requests in flight"
+        "ended after {took_ms} ms with {in_flight} requests in flight, "
+        "{waiting} of them not started"
     ),
     "connection to a node lost": (
         "lost the connection to {peer} (process of {incarnation}) with "
--- a/src/celeryfield/platform/connections.py
+++ b/src/celeryfield/platform/connections.py
@@ -7,12 +7,15 @@
 
 from aiohttp import web
 
+from celeryfield.internal import events
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.routes.table import CallerLimits
+from celeryfield.platform import headers
 from celeryfield.platform.pipelining import (
     CallerConnection,
     CallerRequest,
     IsRepeatable,
+    ReceivedRequest,
     Serve,
 )
 
@@ -55,7 +58,12 @@
         """Returns the protocol of a new connection."""
         limit_bytes = _parser_limit_bytes(self._limits)
         return CallerConnection(
-            self, self._clock, limit_bytes, self._is_repeatable, self._serve
+            self,
+            self._clock,
+            limit_bytes,
+            self._is_repeatable,
+            self._serve,
+            self._report_dropped,
         )
 
     @property
@@ -79,6 +87,15 @@
     def _new_request(self, *args: object) -> CallerRequest:
         return CallerRequest(*args, self._loop)
 
+    def _report_dropped(self, entry: ReceivedRequest) -> None:
+        events.emit(
+            events.RequestDropped,
+            request=entry.head.headers.get(headers.REQUEST_ID, ""),
+            is_started=entry.is_started,
+            age_ms=self._clock.now_ms() - entry.received_ms,
+            is_leaving=self._is_keepalive_disabled,
+        )
+
     async def _respond(self, request: CallerRequest) -> web.Response:
         connection = request.protocol
         self._busy.add(connection)
--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -107,7 +107,12 @@
     @property
     def in_flight(self) -> int:
         """Number of requests that were received and have no response."""
-        return len(self._running) + self._connections.waiting_count
+        return len(self._running) + self.waiting_count
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of received requests that have not started."""
+        return self._connections.waiting_count
 
     @property
     def has_unsent_bytes(self) -> bool:
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -309,6 +309,7 @@
         events.emit(
             events.NodeStopped,
             in_flight=self._in_flight,
+            waiting=self.caller_listener.waiting_count,
             took_ms=self.clock.now_ms() - started_ms,
         )
         self.caller_listener.abort_requests(started_ms)
--- a/src/celeryfield/platform/pipelining.py
+++ b/src/celeryfield/platform/pipelining.py
@@ -47,13 +47,20 @@
         head: The parsed head; holds an error if it could not be parsed.
         content: The body.
         received_ms: When the head was received.
-        task: Serves the request; None until it starts.
+        task: Serves the request beside earlier ones; None until it starts.
+        is_answering: Whether the turn of the request has come.
     """
 
     head: RawRequestMessage
     content: StreamReader
     received_ms: float
     task: asyncio.Task[web.Response] | None = None
+    is_answering: bool = False
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the request runs or has run."""
+        return self.is_answering or self.task is not None
 
 
 class CallerConnection(web.RequestHandler):
@@ -65,9 +72,18 @@
         limit_bytes: Largest size of the request line and of each header.
         is_repeatable: Returns whether a request may be repeated.
         serve: Returns the response to a request, given when it was received.
+        report_dropped: Is told of each request that this node leaves
+            unanswered.
     """
 
-    __slots__ = ("_clock", "_is_repeatable", "_received_by_head", "_serve")
+    __slots__ = (
+        "_clock",
+        "_has_caller_left",
+        "_is_repeatable",
+        "_received_by_head",
+        "_report_dropped",
+        "_serve",
+    )
 
     def __init__(
         self,
@@ -76,6 +92,7 @@
         limit_bytes: int,
         is_repeatable: IsRepeatable,
         serve: Serve,
+        report_dropped: Callable[[ReceivedRequest], None],
     ) -> None:
         super().__init__(
             server,
@@ -89,6 +106,8 @@
         self._clock = clock
         self._is_repeatable = is_repeatable
         self._serve = serve
+        self._report_dropped = report_dropped
+        self._has_caller_left = False
         # In the order of receipt, by the identity of the head.
         self._received_by_head: dict[int, ReceivedRequest] = {}
 
@@ -96,7 +115,7 @@
     def waiting_count(self) -> int:
         """Number of received requests that have not started."""
         entries = self._received_by_head.values()
-        return sum(entry.task is None for entry in entries)
+        return sum(not entry.is_started for entry in entries)
 
     @property
     def is_last_request(self) -> bool:
@@ -112,24 +131,43 @@
         if self._current_request is not None:
             self._start_repeatable(self._current_request)
 
+    def eof_received(self) -> None:
+        """Notes that the caller, not this node, ends the connection."""
+        self._has_caller_left = True
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancels the requests behind the one that is being answered."""
         super().connection_lost(exc)
+        if exc is not None:
+            self._has_caller_left = True
         for entry in self._received_by_head.values():
-            if entry.task is not None:
-                entry.task.cancel()
+            self._drop(entry)
         self._received_by_head.clear()
 
+    def _drop(self, entry: ReceivedRequest) -> None:
+        if entry.task is not None:
+            entry.task.cancel()
+        is_valid = isinstance(entry.head, RawRequestMessage)
+        if is_valid and not self._has_caller_left:
+            self._report_dropped(entry)
+
     async def respond(self, request: CallerRequest) -> web.Response:
         """Returns the response to the request whose turn has come."""
         entry = self._received_by_head.pop(id(request.head), None)
+        if entry is None:
+            now_ms = self._clock.now_ms()
+            entry = ReceivedRequest(request.head, request.content, now_ms)
+        entry.is_answering = True
         if self._received_by_head:
             self._start_repeatable(request)
-        if entry is None:
-            return await self._serve(request, self._clock.now_ms())
-        if entry.task is not None:
-            return await entry.task
-        return await self._serve(request, entry.received_ms)
+        try:
+            if entry.task is not None:
+                return await entry.task
+            return await self._serve(request, entry.received_ms)
+        except asyncio.CancelledError:
+            self._drop(entry)
+            raise
 
     def _record_received(self) -> None:
         now_ms = self._clock.now_ms()
