Accept no requests behind the response that closes a connection

Callers saw requests on a kept connection end without an answer. When a response closes its connection, this is decided before the response is written. A slow caller makes the writing of a large response last seconds. Requests that arrived meanwhile were parsed, recorded as received, and then dropped with the connection.

The connection is now told through one method, finish(), that its last response is chosen: by a planned stop, by outdated limits, at the request of the caller, or by an error. It parses no further requests from then on; the rest of the refused body of the last request is still read.

Such a request was not seen to start: aiohttp has no current request while it writes, so _start_repeatable is not reached.

--- a/src/celeryfield/platform/connections.py
+++ b/src/celeryfield/platform/connections.py
@@ -105,16 +105,20 @@
             # The idle time starts anew after a response.
             self._busy.discard(connection)
             self._used_since_check.add(connection)
-        if self._is_last_response(connection):
+        if self._is_last_response(request):
+            connection.finish(request)
             response.force_close()
         return response
 
-    def _is_last_response(self, connection: CallerConnection) -> bool:
-        """Returns whether the connection closes with the next response.
+    def _is_last_response(self, request: CallerRequest) -> bool:
+        """Returns whether the connection closes with the response.
 
-        Requests that were received behind it would go unanswered, so they are
-        answered first.
+        A caller that asks for it sends no further requests. For other reasons,
+        requests that were received behind this one are answered first.
         """
+        if not request.keep_alive:
+            return True
+        connection = request.protocol
         # The parser of an outdated connection rejects headers that the
         # configuration in force allows.
         is_closing = self._is_keepalive_disabled or connection in self._outdated
--- a/src/celeryfield/platform/pipelining.py
+++ b/src/celeryfield/platform/pipelining.py
@@ -80,6 +80,7 @@
         "_clock",
         "_has_caller_left",
         "_is_repeatable",
+        "_last_content",
         "_received_by_head",
         "_report_dropped",
         "_serve",
@@ -108,6 +109,9 @@
         self._serve = serve
         self._report_dropped = report_dropped
         self._has_caller_left = False
+        # The body of the last request that is answered; None until the
+        # response that closes the connection is chosen.
+        self._last_content: StreamReader | None = None
         # In the order of receipt, by the identity of the head.
         self._received_by_head: dict[int, ReceivedRequest] = {}
 
@@ -122,8 +126,30 @@
         """Whether no request was received behind the one being answered."""
         return not self._received_by_head
 
+    def finish(self, request: web.BaseRequest) -> None:
+        """Reads no further requests, since this is the last one answered.
+
+        Callers send requests again that were not read, but may not do so with
+        requests that were read and whose connection closed.
+        """
+        self._last_content = request.content
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Returns the response to an error, which closes the connection."""
+        self.finish(request)
+        return super().handle_error(request, status, exc, message)
+
     def data_received(self, data: bytes) -> None:
         """Parses the data and records each new request."""
+        if self._last_content is not None:
+            self._read_last_content(data)
+            return
         super().data_received(data)
         if not self._messages:
             return
@@ -131,6 +157,12 @@
         if self._current_request is not None:
             self._start_repeatable(self._current_request)
 
+    def _read_last_content(self, data: bytes) -> None:
+        if self._last_content.is_eof():
+            return
+        super().data_received(data)
+        self._messages.clear()
+
     def eof_received(self) -> None:
         """Notes that the caller, not this node, ends the connection."""
         self._has_caller_left = True
--- a/tests/cover/caller_connections.py
+++ b/tests/cover/caller_connections.py
@@ -17,9 +17,9 @@
 
 
 @contextlib.asynccontextmanager
-async def connection_to(node):
+async def connection_to(node, **fields):
     port = node.settings.caller_address.port
-    reader, writer = await asyncio.open_connection(HOST, port)
+    reader, writer = await asyncio.open_connection(HOST, port, **fields)
     try:
         yield reader, writer
     finally:
--- a/tests/cover/test_platform_closing.py
+++ b/tests/cover/test_platform_closing.py
@@ -1,11 +1,30 @@
 """Tests of how the connections of callers end."""
 
+import asyncio
+import contextlib
 import logging
 
 import pytest
-from caller_connections import connection_to, request_head
+from caller_connections import connection_to, read_response, request_head
 from platform_fleet import running_platform_fleet
-from platform_standins import until
+from platform_standins import running_task, until
+
+from celeryfield.internal.routes.table import CallerLimits
+
+LARGE_BODY = b"x" * 8_000_000
+
+
+@contextlib.asynccontextmanager
+async def unread_last_response(node):
+    """Leaves a large response unread that closes the connection of a stop."""
+    async with (
+        running_task(node.drain()),
+        connection_to(node, limit=1_024) as (reader, writer),
+    ):
+        writer.write(request_head("a1"))
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b"Connection: close" in head
+        yield reader, writer
 
 
 def dropped_requests(caplog):
@@ -50,3 +69,32 @@
             await until(lambda: len(upstream.received) == 2)
         await until(lambda: node.caller_listener.in_flight == 0)
     assert dropped_requests(caplog) == {}
+
+
+async def test_requests_behind_the_last_response_are_not_accepted(caplog):
+    """Guards against requests that are received and cannot be answered."""
+    async with running_platform_fleet(1) as fleet:
+        (node,), (upstream,) = fleet.nodes, fleet.upstreams
+        upstream.body = LARGE_BODY
+        async with unread_last_response(node) as (reader, writer):
+            writer.write(request_head("a2"))
+            await asyncio.sleep(0.3)
+            assert len(await reader.read()) == len(LARGE_BODY)
+    assert len(upstream.received) == 1
+    assert dropped_requests(caplog) == {}
+
+
+async def test_body_behind_its_response_is_read_but_no_further_request():
+    """Guards against a run that the end of a refused body starts."""
+    async with running_platform_fleet(1) as fleet:
+        (node,), (upstream,) = fleet.nodes, fleet.upstreams
+        node.caller_listener.set_limits(CallerLimits(max_body_bytes=3))
+        async with (
+            running_task(node.drain()),
+            connection_to(node) as (reader, writer),
+        ):
+            writer.write(request_head("a1", method="PUT", size=4) + b"x")
+            assert (await read_response(reader))[0] == 413
+            writer.write(b"xxx" + request_head("a2"))
+            assert await reader.read() == b""
+    assert upstream.received == []
