Close the write side first, so that a close destroys no response

Callers that sent a further request when their connection closed lost the response on its way. After the last response the socket was closed at once. Bytes that were unread then, or came afterwards, made the kernel reset the connection, and a reset discards what has not been delivered yet.

CallerTransport, which aiohttp gets instead of the transport, only closes the write side (RFC 9112, section 9.6). What arrives is discarded without parsing until the caller closes, or until a second after all bytes went to the kernel; the check that closes idle connections closes these, too, so there is no timer or task per connection. They are no requests in flight; unsent bytes still keep a drain waiting, also those of connections that were closed by force, which were not counted before. Requests that are dropped by a close are cancelled and logged at once, not when the connection is lost. While the last response is written, reading pauses: further requests stay unread in the kernel.

--- a/src/celeryfield/platform/connections.py
+++ b/src/celeryfield/platform/connections.py
@@ -11,6 +11,7 @@
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.routes.table import CallerLimits
 from celeryfield.platform import headers
+from celeryfield.platform.closing import LingeringTransports
 from celeryfield.platform.pipelining import (
     CallerConnection,
     CallerRequest,
@@ -47,6 +48,7 @@
         self._clock = clock
         self._is_repeatable = is_repeatable
         self._serve = serve
+        self._lingering = LingeringTransports()
         self._is_keepalive_disabled = False
         self._limits = CallerLimits()
         self._busy: set[web.RequestHandler] = set()
@@ -64,6 +66,7 @@
             self._is_repeatable,
             self._serve,
             self._report_dropped,
+            self._lingering,
         )
 
     @property
@@ -71,6 +74,16 @@
         """Number of received requests that have not started."""
         return sum(connection.waiting_count for connection in self.connections)
 
+    @property
+    def lingering_count(self) -> int:
+        """Number of connections whose callers have yet to close them."""
+        return len(self._lingering)
+
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether bytes of a response wait for a caller to read."""
+        return any(each.has_unsent_bytes for each in self.connections)
+
     def set_limits(self, limits: CallerLimits) -> None:
         """Applies new limits.
 
@@ -125,16 +138,19 @@
         return is_closing and connection.is_last_request
 
     def close_idle(self, now_ms: float) -> None:
-        """Closes connections that exceed the idle limit.
+        """Closes connections that exceed the idle limit or have lingered.
 
         Time spent on an incomplete request head counts as idle time, so the
         header timeout is added to the idle timeout.
         """
+        self._lingering.close_expired(now_ms)
         limits = self._limits
         max_idle_ms = limits.idle_timeout_ms + limits.header_timeout_ms
         previous_since_ms = self._idle_since_ms
         self._idle_since_ms = {}
         for connection in self.connections:
+            if connection.is_closing:
+                continue
             idle_since_ms = previous_since_ms.get(connection, now_ms)
             if connection in self._busy or connection in self._used_since_check:
                 idle_since_ms = now_ms
@@ -145,6 +161,10 @@
         self._used_since_check.clear()
         self._outdated &= self._idle_since_ms.keys()
 
+    def end_lingering(self) -> None:
+        """Closes the connections whose callers have not closed them."""
+        self._lingering.end()
+
 
 def _parser_limit_bytes(limits: CallerLimits) -> int:
     return max(limits.max_header_bytes, MIN_HEADER_BYTES)
--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -120,11 +120,12 @@
 
         Bytes buffered for a slow caller are lost when the process ends.
         """
-        return any(
-            connection.transport is not None
-            and connection.transport.get_write_buffer_size() > 0
-            for connection in self._connections.connections
-        )
+        return self._connections.has_unsent_bytes
+
+    @property
+    def lingering_count(self) -> int:
+        """Number of connections whose callers have yet to close them."""
+        return self._connections.lingering_count
 
     def set_limits(self, limits: CallerLimits) -> None:
         """Applies limits on request sizes and idle connections."""
@@ -179,6 +180,7 @@
     async def on_stop(self) -> None:
         """Closes the listener."""
         await self._runner.cleanup()
+        self._connections.end_lingering()
 
     @Service.task
     async def _run_idle_check(self) -> None:
--- a/src/celeryfield/platform/pipelining.py
+++ b/src/celeryfield/platform/pipelining.py
@@ -16,6 +16,7 @@
 from aiohttp.streams import StreamReader
 
 from celeryfield.internal.clock import Clock
+from celeryfield.platform.closing import CallerTransport, LingeringTransports
 
 # Requests of one connection that run at the same time; further ones wait. They
 # bound the responses that a connection holds for a caller that reads slowly.
@@ -74,13 +75,16 @@
         serve: Returns the response to a request, given when it was received.
         report_dropped: Is told of each request that this node leaves
             unanswered.
+        lingering: Is given the transport when this node closes it.
     """
 
     __slots__ = (
+        "_caller_transport",
         "_clock",
         "_has_caller_left",
         "_is_repeatable",
         "_last_content",
+        "_lingering",
         "_received_by_head",
         "_report_dropped",
         "_serve",
@@ -94,6 +98,7 @@
         is_repeatable: IsRepeatable,
         serve: Serve,
         report_dropped: Callable[[ReceivedRequest], None],
+        lingering: LingeringTransports,
     ) -> None:
         super().__init__(
             server,
@@ -108,6 +113,8 @@
         self._is_repeatable = is_repeatable
         self._serve = serve
         self._report_dropped = report_dropped
+        self._lingering = lingering
+        self._caller_transport: CallerTransport | None = None
         self._has_caller_left = False
         # The body of the last request that is answered; None until the
         # response that closes the connection is chosen.
@@ -126,6 +133,25 @@
         """Whether no request was received behind the one being answered."""
         return not self._received_by_head
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether this node or the caller has closed the connection."""
+        transport = self._caller_transport
+        return transport is None or transport.is_closing()
+
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether bytes wait for the caller to read."""
+        transport = self._caller_transport
+        return transport is not None and transport.has_unsent_bytes
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Serves the connection by a transport that lingers when it closes."""
+        self._caller_transport = CallerTransport(
+            transport, self._lingering, self._drop_unanswered
+        )
+        super().connection_made(self._caller_transport)
+
     def finish(self, request: web.BaseRequest) -> None:
         """Reads no further requests, since this is the last one answered.
 
@@ -133,6 +159,9 @@
         requests that were read and whose connection closed.
         """
         self._last_content = request.content
+        # What stays in the kernel counts as not read.
+        if request.content.is_eof() and self.transport is not None:
+            self.transport.pause_reading()
 
     def handle_error(
         self,
@@ -147,6 +176,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses the data and records each new request."""
+        if self.is_closing:
+            return
         if self._last_content is not None:
             self._read_last_content(data)
             return
@@ -170,9 +201,15 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancels the requests behind the one that is being answered."""
-        super().connection_lost(exc)
         if exc is not None:
             self._has_caller_left = True
+        self._caller_transport.detach()
+        # The transport refers to this object; few cycles are collected early.
+        self._caller_transport = None
+        super().connection_lost(exc)
+        self._drop_unanswered()
+
+    def _drop_unanswered(self) -> None:
         for entry in self._received_by_head.values():
             self._drop(entry)
         self._received_by_head.clear()
--- a/tests/cover/caller_connections.py
+++ b/tests/cover/caller_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 from platform_standins import HOST
 
@@ -26,6 +27,30 @@
         writer.close()
 
 
+@contextlib.contextmanager
+def slow_caller(node):
+    """Connects a socket that takes few bytes ahead of its reader."""
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        caller.connect((HOST, node.settings.caller_address.port))
+        caller.setblocking(False)
+        yield caller
+
+
+async def receive_all(caller):
+    """Returns what a socket receives until its peer closes.
+
+    Raises:
+        ConnectionResetError: The peer reset the connection.
+    """
+    loop = asyncio.get_running_loop()
+    parts = []
+    async with asyncio.timeout(20):
+        while part := await loop.sock_recv(caller, 65_536):
+            parts.append(part)
+    return b"".join(parts)
+
+
 async def read_response(reader):
     """Returns status, headers and body of the next response."""
     head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), timeout=20)
--- a/tests/cover/test_platform_closing.py
+++ b/tests/cover/test_platform_closing.py
@@ -5,7 +5,13 @@
 import logging
 
 import pytest
-from caller_connections import connection_to, read_response, request_head
+from caller_connections import (
+    connection_to,
+    read_response,
+    receive_all,
+    request_head,
+    slow_caller,
+)
 from platform_fleet import running_platform_fleet
 from platform_standins import running_task, until
 
@@ -98,3 +104,26 @@
             writer.write(b"xxx" + request_head("a2"))
             assert await reader.read() == b""
     assert upstream.received == []
+
+
+async def test_bytes_behind_the_last_response_do_not_destroy_it():
+    """Guards against a reset that discards a response on its way."""
+    closing = request_head("a1").replace(
+        b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"
+    )
+    loop = asyncio.get_running_loop()
+    async with running_platform_fleet(1) as fleet:
+        (node,), (upstream,) = fleet.nodes, fleet.upstreams
+        upstream.body = LARGE_BODY
+        with slow_caller(node) as caller:
+            await loop.sock_sendall(caller, closing)
+            await until(lambda: node.caller_listener.has_unsent_bytes)
+            received_count = 0
+            while node.caller_listener.has_unsent_bytes:
+                received_count += len(await loop.sock_recv(caller, 4_096))
+            await asyncio.sleep(0.1)
+            await loop.sock_sendall(caller, request_head("a2"))
+            await asyncio.sleep(0.1)
+            received_count += len(await receive_all(caller))
+    assert received_count > len(LARGE_BODY)
+    assert len(upstream.received) == 1
