Wait for answers at the limit of a stop until the abort

A stopping node gave its attempts a limit that ends 0.2 s before the abort, and also gave up waiting at that moment. If it was not scheduled for some 20 ms around the limit, its timer ran before the answer of the upstream was read, and the caller got a 504 of the node although it had time left.

The sender of attempts now waits for these answers until the abort. The limit told does not change, and neither does the wait of a call whose own limit ends first.

Tests: test_platform_stop_deadlines.py. Before (sender without the second time), `pytest tests/cover/test_platform_stop_deadlines.py` failed with "assert <Outcome.UNKNOWN: 'unknown'> is <Outcome.OK: 'ok'>". A second test, which passed before as well, holds that no retry is sent after the limit.

--- a/src/celeryfield/internal/routing/attempts.py
+++ b/src/celeryfield/internal/routing/attempts.py
@@ -119,11 +119,20 @@
         self._levels = levels
         self._hedging = hedging
         self._end_ms = math.inf
+        self._wait_until_ms = math.inf
         self.total = 0
 
-    def limit_deadlines(self, end_ms: float) -> None:
-        """Ends the time limits of later attempts at this monotonic time."""
+    def limit_deadlines(self, end_ms: float, wait_until_ms: float) -> None:
+        """Bounds the time limits of later attempts.
+
+        Args:
+            end_ms: Monotonic time at which the limits end.
+            wait_until_ms: Monotonic time until which this node waits for the
+                answers. Answers at the limit may be late, and their callers
+                have time left.
+        """
         self._end_ms = end_ms
+        self._wait_until_ms = wait_until_ms
 
     async def send(
         self, run: Run, candidate: Candidate, handed_down: int
@@ -147,7 +156,8 @@
         self._balancer.record_start(candidate)
         result = None
         try:
-            result = await self._send_until(candidate, call, run.body, left_ms)
+            wait_ms = min(run.deadline_ms, self._wait_until_ms) - started_ms
+            result = await self._send_until(candidate, call, run.body, wait_ms)
         finally:
             self._record_end(run, candidate, result, started_ms)
         if result.outcome is not Outcome.NOT_RUN:
@@ -175,13 +185,13 @@
         return call
 
     async def _send_until(
-        self, candidate: Candidate, call: wire.Call, body: bytes, left_ms: float
+        self, candidate: Candidate, call: wire.Call, body: bytes, wait_ms: float
     ) -> CallResult:
-        """Sends an attempt and cancels it at the deadline."""
+        """Sends an attempt and cancels it after a time."""
         try:
             async with asyncio.timeout(None) as scope:
                 timer = self._timers.schedule(
-                    left_ms, functools.partial(expire_timeout, scope)
+                    wait_ms, functools.partial(expire_timeout, scope)
                 )
                 try:
                     return await self._transport_send(candidate, call, body)
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -299,7 +299,7 @@
         self.caller_listener.disable_keepalive()
         times = plan_stop(self.settings.grace_ms)
         end_ms = started_ms + times.abort_ms
-        self._limit_deadlines(started_ms + times.limit_ms)
+        self._limit_deadlines(started_ms + times.limit_ms, end_ms)
         notice_ms = min(READINESS_NOTICE_MS, self.settings.grace_ms / 2)
         await self.clock.sleep_ms(notice_ms)
         self.caller_listener.refuse_new_requests(end_ms)
@@ -314,10 +314,10 @@
         )
         self.caller_listener.abort_requests(started_ms)
 
-    def _limit_deadlines(self, end_ms: float) -> None:
+    def _limit_deadlines(self, limit_ms: float, abort_ms: float) -> None:
         """Makes all work that starts from now on end by itself in time."""
-        self.executor.sender.limit_deadlines(end_ms)
-        self.dispatcher.limit_deadlines(end_ms)
+        self.executor.sender.limit_deadlines(limit_ms, abort_ms)
+        self.dispatcher.limit_deadlines(limit_ms)
 
     @property
     def _in_flight(self) -> int:
--- a/tests/cover/test_platform_stop_deadlines.py
+++ b/tests/cover/test_platform_stop_deadlines.py
@@ -8,9 +8,10 @@
 from hypothesis import strategies
 from platform_fleet import has_candidates, running_platform_fleet
 from platform_standins import running_task, until
+from routing_fakes import make_call, make_executor
 
 from celeryfield.internal.calls import CallResult, Outcome, Reason
-from celeryfield.internal.clock import Clock
+from celeryfield.internal.clock import Clock, ManualClock
 from celeryfield.internal.dispatch.admission import AdmissionController
 from celeryfield.internal.dispatch.chain_limits import ChainLimits
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
@@ -162,6 +163,63 @@
     assert times.abort_ms >= 5 / 6 * grace_ms - 1e-6
 
 
+async def advance(clock, duration_ms):
+    clock.advance(duration_ms)
+    for _ in range(8):
+        await asyncio.sleep(0)
+
+
+async def test_answer_that_is_late_for_the_limit_of_a_stop_is_awaited():
+    """Guards against a stopping node that drops an answer on its way.
+
+    The limit of the stop is not that of the caller, who still waits.
+    """
+    clock = ManualClock()
+    started = []
+
+    async def send(_candidate, call, _body):
+        started.append(call.deadline_left_ms)
+        await clock.sleep_ms(1_150)
+        return CallResult(Outcome.OK)
+
+    executor, _, _ = make_executor(send, clock=clock)
+    now_ms = clock.now_ms()
+    executor.sender.limit_deadlines(now_ms + 1_000, now_ms + 1_200)
+    own_limit = asyncio.ensure_future(
+        executor.execute(make_call(call_id="own", deadline_left_ms=1_100), b"")
+    )
+    capped = asyncio.ensure_future(
+        executor.execute(make_call(deadline_left_ms=9_000), b"")
+    )
+    await advance(clock, 0)
+    assert started == [1_000, 1_000]
+    await advance(clock, 1_100)
+    assert (await own_limit).reason is Reason.DEADLINE
+    await advance(clock, 50)
+    assert (await capped).outcome is Outcome.OK
+
+
+async def test_retry_after_the_limit_of_a_stop_is_not_sent():
+    """Guards against repeats that the end of the node would break off."""
+    clock = ManualClock()
+    sent = []
+
+    async def send(_candidate, call, _body):
+        sent.append(call.call_id)
+        await clock.sleep_ms(1_010)
+        return CallResult(Outcome.FAILED, Reason.UPSTREAM_ERROR, 500)
+
+    executor, _, _ = make_executor(send, clock=clock)
+    now_ms = clock.now_ms()
+    executor.sender.limit_deadlines(now_ms + 1_000, now_ms + 1_200)
+    call = make_call(deadline_left_ms=9_000, retry_allowance=3)
+    task = asyncio.ensure_future(executor.execute(call, b""))
+    await advance(clock, 0)
+    await advance(clock, 1_010)
+    result = await task
+    assert (result.status, sent) == (500, ["c"])
+
+
 class ExpiringUpstream:
     """Answers each request as an upstream does at its time limit."""
 
