--- a/tests/cover/test_platform_stop_deadlines.py
+++ b/tests/cover/test_platform_stop_deadlines.py
@@ -122,6 +122,18 @@
     ]
 
 
+async def test_call_that_would_not_end_before_a_stop_runs_elsewhere():
+    """Guards against 503 for callers while another node has time to serve."""
+    async with running_platform_fleet(2) as fleet:
+        stopping, sender = fleet.nodes
+        stopping.dispatcher.limit_deadlines(stopping.clock.now_ms())
+        responses = [
+            await send(fleet, sender, f"a{number}") for number in range(8)
+        ]
+    assert {status for status, _, _ in responses} == {200}
+    assert not fleet.upstreams[0].received
+
+
 async def test_no_request_taken_during_a_stop_is_broken_off():
     """Guards against answers of the node's own while an upstream works.
 
