Give the nodes of platform tests ports that no connection takes

Tests that start several nodes failed now and then with "OSError: [Errno 98] error while attempting to bind on address" (2 of 124 cases in one run of the new test_platform_copies.py). free_port() asked the system for an ephemeral port and closed it; an outgoing connection could take it before the node was started. The port is now drawn at random from below the usual ephemeral range (32768 and above) and checked by binding it.

--- a/tests/cover/platform_standins.py
+++ b/tests/cover/platform_standins.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import json
+import random
 import socket
 
 from aiohttp import web
@@ -14,12 +15,19 @@
 
 HOST = "127.0.0.1"
 HISTORY_LENGTH = 200
+LISTENING_PORTS = (10_000, 32_000)
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Returns a port that no outgoing connection takes before it is bound.
+
+    The system takes the ports of outgoing connections from a range above.
+    """
+    while True:
+        port = random.randrange(*LISTENING_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 def json_response(content, status=200):
