Take no response without an id for that of a request on a used connection

What callers saw: 503 ("not run, try again") for requests without repetition that the upstream had run, or such a request ran on a second upstream. A faulty upstream wrote an earlier refusal once more, without its id, on a kept connection. A copy of a 200 without an id reached the next caller as its answer.

Cause: a response without X-Attempt-Id was taken for the response to the current request on any connection.

Change: upstreams repeat the id, so a response without one is accepted only on a connection that has carried no other request, or as a refusal of a request that has no id itself (an upstream never runs those). Otherwise the exchange fails with an unknown outcome and the connection is closed: a request that may be repeated is retried, the others get 502.

--- a/src/celeryfield/internal/upstream/connection.py
+++ b/src/celeryfield/internal/upstream/connection.py
@@ -75,15 +75,21 @@
         status: HTTP status.
         headers: Response headers.
         body: Whole response body.
+        is_on_new_connection: The connection has carried no other request, so
+            that the response can only belong to the current one.
     """
 
     status: int
     headers: CIMultiDict[str]
     body: bytes
+    is_on_new_connection: bool = True
 
 
 ResponseMatcher = Callable[[HttpResponse], bool]
-"""Returns whether a response belongs to the current request."""
+"""Returns whether a response belongs to the current request.
+
+Raises InvalidResponseError if that cannot be told.
+"""
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -308,10 +314,18 @@
             self.is_reusable = False
             return
         response = HttpResponse(
-            self._status, self._headers, b"".join(self._body_parts)
+            self._status,
+            self._headers,
+            b"".join(self._body_parts),
+            is_on_new_connection=self.exchanges == 1,
         )
         self._reset_response()
-        if self._matches is not None and not self._matches(response):
+        try:
+            is_own = self._matches is None or self._matches(response)
+        except InvalidResponseError as error:
+            self._fail(error)
+            return
+        if not is_own:
             self._skip_response()
             return
         self._parse_keep_alive(response.headers)
--- a/src/celeryfield/platform/upstream.py
+++ b/src/celeryfield/platform/upstream.py
@@ -138,8 +138,23 @@
 
 
 def _is_response_to(request_id: str, response: HttpResponse) -> bool:
-    """Returns whether a response has this request id or none."""
-    return response.headers.get(headers.REQUEST_ID, request_id) == request_id
+    """Returns whether a response belongs to the request with an id.
+
+    Upstreams repeat the id. A response without one may be a copy of the
+    response to an earlier request on the same connection. It is accepted on a
+    new connection, and as a refusal of a request without an id, which an
+    upstream never runs.
+
+    Raises:
+        InvalidResponseError: It cannot be told.
+    """
+    response_id = response.headers.get(headers.REQUEST_ID)
+    if response_id is not None:
+        return response_id == request_id
+    is_refusal = headers.NOT_EXECUTED in response.headers
+    if response.is_on_new_connection or (is_refusal and not request_id):
+        return True
+    raise InvalidResponseError("a response without an id")
 
 
 def _classify(response: HttpResponse) -> CallResult:
