Draw each port of the platform tests once

Ports drawn at random met twice within a test: "OSError: [Errno 98] error while attempting to bind on address ('127.0.0.1', 18662)" in 1 of 202 cases of test_platform_copies.py. A port is now drawn again only after all others.

--- a/tests/cover/platform_standins.py
+++ b/tests/cover/platform_standins.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import json
 import random
 import socket
@@ -15,16 +16,17 @@
 
 HOST = "127.0.0.1"
 HISTORY_LENGTH = 200
-LISTENING_PORTS = (10_000, 32_000)
+LISTENING_PORTS = range(10_000, 32_000)
+_PORTS = itertools.cycle(random.sample(LISTENING_PORTS, k=len(LISTENING_PORTS)))
 
 
 def free_port():
-    """Returns a port that no outgoing connection takes before it is bound.
+    """Returns a port that nothing else takes before it is bound.
 
-    The system takes the ports of outgoing connections from a range above.
+    The system takes the ports of outgoing connections from a range above. A
+    port is returned again only after all others.
     """
-    while True:
-        port = random.randrange(*LISTENING_PORTS)
+    for port in _PORTS:
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind((HOST, port))
             return port
