Reject a response whose head contains the status line of another one

What callers saw: 503 ("not run") for a request without repetition that the upstream had run, and a status of one response with the signature of another. A faulty upstream wrote a truncated copy of an earlier refusal before the response to the next request.

Cause: if the copy ends within its reason phrase or a header value, the next status line continues that value. The parser reads both as one head, with the status and the first headers of the copy and the id and the signature of the response to the current request.

Change: a response with a status line in its reason phrase or in a header value is invalid; the exchange ends with an unknown outcome and the connection is closed. The message types move to messages.py.

--- a/src/celeryfield/internal/upstream/connection.py
+++ b/src/celeryfield/internal/upstream/connection.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import collections
-import dataclasses
 from collections.abc import Callable
 
 import httptools
@@ -21,6 +20,12 @@
     ResponseTooLargeError,
     UpstreamError,
 )
+from celeryfield.internal.upstream.messages import (
+    HttpRequest,
+    HttpResponse,
+    ResponseMatcher,
+    contains_status_line,
+)
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 # Limit on heads, chunk sizes, chunk extensions and trailers of one exchange.
@@ -38,60 +43,6 @@
 _FIRST_FINAL_STATUS = 200
 
 
-@dataclasses.dataclass(slots=True)
-class HttpRequest:
-    """A request to the upstream.
-
-    Attributes:
-        method: HTTP method.
-        target: Path with its query, as sent.
-        headers: Headers in the order in which they are sent.
-        body: Whole request body.
-        request_id: Id that the upstream repeats in its response; empty if
-            there is none.
-    """
-
-    method: str
-    target: str
-    headers: list[tuple[str, str]]
-    body: bytes = b""
-    request_id: str = ""
-
-    def encode(self) -> bytes:
-        """Returns the bytes of the request."""
-        lines = [f"{self.method} {self.target} HTTP/1.1"]
-        lines += [f"{name}: {value}" for name, value in self.headers]
-        if self.body or self.method in ("POST", "PUT", "PATCH"):
-            lines.append(f"Content-Length: {len(self.body)}")
-        head = "\r\n".join(lines) + "\r\n\r\n"
-        return head.encode("utf-8", "surrogateescape") + self.body
-
-
-@dataclasses.dataclass(slots=True)
-class HttpResponse:
-    """A complete response of the upstream.
-
-    Attributes:
-        status: HTTP status.
-        headers: Response headers.
-        body: Whole response body.
-        is_on_new_connection: The connection has carried no other request, so
-            that the response can only belong to the current one.
-    """
-
-    status: int
-    headers: CIMultiDict[str]
-    body: bytes
-    is_on_new_connection: bool = True
-
-
-ResponseMatcher = Callable[[HttpResponse], bool]
-"""Returns whether a response belongs to the current request.
-
-Raises InvalidResponseError if that cannot be told.
-"""
-
-
 class UpstreamConnection(asyncio.Protocol):
     """Carries one exchange at a time.
 
@@ -196,12 +147,23 @@
         """Records that a response has begun."""
         self._has_response_begun = True
 
+    def on_status(self, part: bytes) -> None:
+        """Stores a part of the reason phrase."""
+        self._reason += part
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header."""
+        self._contains_two_heads |= contains_status_line(value)
         self._headers.add(name.decode("latin-1"), value.decode("latin-1"))
 
     def on_headers_complete(self) -> None:
         """Determines how the end of the body is found."""
+        self._contains_two_heads |= contains_status_line(self._reason)
+        if self._contains_two_heads:
+            # The head of a truncated response runs into the next head: the
+            # status and the first headers belong to another response.
+            self._fail(InvalidResponseError("two heads in one"))
+            return
         self._status = self._parser.get_status_code()
         has_length = "Content-Length" in self._headers
         is_chunked = "Transfer-Encoding" in self._headers
@@ -302,6 +264,8 @@
 
     def _reset_response(self) -> None:
         self._status = 0
+        self._reason = bytearray()
+        self._contains_two_heads = False
         self._headers: CIMultiDict[str] = CIMultiDict()
         self._body_parts: list[bytes] = []
         self._has_response_begun = False
--- a/tests/cover/test_platform_copies.py
+++ b/tests/cover/test_platform_copies.py
@@ -189,3 +189,54 @@
         expected = b"answer to a1" if result == 200 else b""
         assert (result in (200, 503), body) == (True, expected)
         assert runs_of(fleet, "a1") == (result == 200)
+
+
+CUT_COPY = refusal(503, "X-Attempt-Id: first")
+CUT_SUCCESS = success("first", "X-Note: 1")
+
+
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+@pytest.mark.parametrize(
+    "copy",
+    [
+        pytest.param(copy[:end], id=repr(copy[max(end - 9, 0) : end].decode()))
+        for copy in (CUT_COPY, CUT_SUCCESS)
+        for end in (
+            4,
+            13,
+            len("HTTP/1.1 503 Refu"),
+            copy.index(b":") + 1,
+            copy.index(b"\r\nX-", 30),
+            copy.index(b"first") + 3,
+            copy.index(b"first") + 7,
+            len(copy) - 3,
+            len(copy) - 1,
+        )
+    ],
+)
+async def test_truncated_copy_does_not_answer_the_next_request(copy, kind):
+    """Guards against a status that belongs to the head of another answer.
+
+    The head of a truncated copy ran into the head of the next answer: together
+    they were a refusal with the id of a request that had run.
+    """
+    answers = CopyingAnswers(
+        refusal(503, "X-Attempt-Id: first"), copy, write_before_answer
+    )
+    await exchange_after_copy(answers, kind)
+
+
+@pytest.mark.parametrize("own_status", [200, 500])
+async def test_status_of_a_truncated_copy_is_not_given_to_the_caller(
+    own_status,
+):
+    """Guards against the status of one answer with the signature of another."""
+
+    async def write(connection, copy, own):
+        await connection.send(
+            copy + own.replace(b"200 OK", b"%d X" % own_status)
+        )
+
+    for first in (b"HTTP/1.1 503 Fu", b"HTTP/1.1 404 Not", b"HTTP/1.1 200 O"):
+        answers = CopyingAnswers(first_answer(503), first, write)
+        assert await exchange_after_copy(answers, "unsafe") == 502
