Reject a body into which another response was written

What callers saw: a success whose body was the begin of an earlier response or contained it. A faulty upstream wrote the copy between the head and the body of the next response, or within that body.

Cause: a body with a length is complete after as many bytes, whatever they are. As many of its own bytes followed; they were dropped with the connection as extra bytes after a complete response.

Change: if bytes follow a response on a connection that has carried other requests, and the body contains a status line or ends within one, the exchange ends with an unknown outcome. Extra bytes after any other body still leave the response valid. A rest that arrives in a later read than the end of the body is not recognised.

Evidence: before the change all cases "within the answer" and "in the middle of the body" failed: pytest tests/cover/test_platform_copies.py 20 x "AssertionError: assert ('proof-own0'...TP/1.1 503 R') == ..." (statuses 200, 400, 421, 429 and 503) and 20 x "('proof-own0'...swer to HTTP') == ..."

--- a/src/celeryfield/internal/upstream/connection.py
+++ b/src/celeryfield/internal/upstream/connection.py
@@ -25,6 +25,7 @@
     HttpResponse,
     ResponseMatcher,
     contains_status_line,
+    may_contain_response,
 )
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
@@ -108,9 +109,11 @@
             self.abort()
             return
         self._received_bytes += len(data)
+        self._has_extra_bytes |= self._waiter.done()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
+            self._has_extra_bytes = self._waiter.done()
             self._fail(InvalidResponseError(f"invalid response: {error}"))
             return
         framing = self._received_bytes - self._body_size
@@ -146,6 +149,8 @@
     def on_message_begin(self) -> None:
         """Records that a response has begun."""
         self._has_response_begun = True
+        if self._waiter is not None and self._waiter.done():
+            self._has_extra_bytes = True
 
     def on_status(self, part: bytes) -> None:
         """Stores a part of the reason phrase."""
@@ -229,6 +234,7 @@
         is_whole = False
         try:
             response = await self._waiter
+            self._check_body(response)
             is_whole = True
             if self._has_response_begun:
                 # A second response has begun; its rest would be read as the
@@ -245,6 +251,18 @@
             if not (is_whole and is_sent):
                 self.abort()
 
+    def _check_body(self, response: HttpResponse) -> None:
+        """Rejects a body into which another response was written.
+
+        As many of its own bytes then follow the response.
+        """
+        if (
+            self._has_extra_bytes
+            and not response.is_on_new_connection
+            and may_contain_response(response.body)
+        ):
+            raise InvalidResponseError("a response within a body")
+
     def reject_response(self) -> None:
         """Fails the exchange because its response takes too much memory."""
         self._fail(ResponseTooLargeError("the response takes too much memory"))
@@ -260,6 +278,7 @@
         # These count the whole exchange, including skipped responses.
         self._received_bytes = 0
         self._body_size = 0
+        self._has_extra_bytes = False
         self._reset_response()
 
     def _reset_response(self) -> None:
--- a/src/celeryfield/internal/upstream/messages.py
+++ b/src/celeryfield/internal/upstream/messages.py
@@ -7,6 +7,9 @@
 from multidict import CIMultiDict
 
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}")
+_STATUS_LINE_BEGIN_AT_END = re.compile(
+    rb"(?:H|HT|HTT|HTTP|HTTP/[\d.]*(?: \d*)?)\Z"
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,3 +69,10 @@
 def contains_status_line(data: bytes) -> bool:
     """Returns whether the bytes contain a status line."""
     return b"HTTP/1." in data and _STATUS_LINE.search(data) is not None
+
+
+def may_contain_response(body: bytes) -> bool:
+    """Returns whether a body contains a status line or ends within one."""
+    if contains_status_line(body):
+        return True
+    return _STATUS_LINE_BEGIN_AT_END.search(body[-16:]) is not None
--- a/tests/cover/test_platform_copies.py
+++ b/tests/cover/test_platform_copies.py
@@ -37,6 +37,19 @@
     await connection.send(own + copy)
 
 
+async def write_within_answer(connection, copy, own):
+    end = own.index(b"\r\n\r\n") + 4
+    await connection.send(own[:end])
+    await connection.send(copy)
+    await connection.send(own[end:])
+
+
+async def write_in_the_middle(connection, copy, own):
+    await connection.send(own[:-4])
+    await connection.send(copy)
+    await connection.send(own[-4:])
+
+
 async def write_many(connection, copy, own):
     await connection.send(copy * 6)
     await connection.send(own)
@@ -46,6 +59,8 @@
     "before the answer": write_before_answer,
     "in the segment of the answer": write_in_one_segment,
     "after the answer": write_after_answer,
+    "within the answer": write_within_answer,
+    "in the middle of the body": write_in_the_middle,
     "more than are skipped": write_many,
 }
 
