Reuse no connection of the product's client that has unread bytes

What callers saw: "not run" for a request that had run, and after that each request on the connection got the response to the one before it. An upstream wrote an earlier response once more on an idle connection.

Cause: aiohttp keeps a response that arrives on an idle connection and returns it as the response to the next request. It checks for unread bytes when a connection becomes idle, not when it is used again.

Change: the connector closes such a connection instead of using it again.

Evidence: without the change pytest tests/cover/test_upstream_client.py failed in test_extra_response_does_not_answer_later_requests for refusal-idle, refusals-idle ("(<Outcome.NOT...ot-run'>, b'') == (<Outcome.OK:...>, b'/second')") and success-idle ("(<Outcome.OK:...'>, b'/first') == ..."). The other cases passed before.

Open: the upstreams of the product's own mesh repeat no id, so a copy that arrives after the next request was sent cannot be told from its response.

--- a/src/celeryfield/internal/upstream/client.py
+++ b/src/celeryfield/internal/upstream/client.py
@@ -16,6 +16,7 @@
 from celeryfield.internal.schema import settings as settings_schema
 from celeryfield.internal.schema import wire
 from celeryfield.internal.upstream import headers, time_limits
+from celeryfield.internal.upstream.connector import CleanConnector
 
 SHED_STATUS = 503
 FIRST_ERROR_STATUS = 500
@@ -52,9 +53,7 @@
         self._address = address
         previous = self._session
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=connections, keepalive_timeout=60
-            ),
+            connector=CleanConnector(limit=connections, keepalive_timeout=60),
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None),
--- a/tests/cover/test_upstream_client.py
+++ b/tests/cover/test_upstream_client.py
@@ -26,6 +26,13 @@
             await writer.drain()
             writer.close()
 
+    async with serving_client(serve) as client:
+        yield client, requests
+
+
+@contextlib.asynccontextmanager
+async def serving_client(serve):
+    """Yields a client of an upstream that passes its connections to serve."""
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     settings = settings_schema.NodeSettings.model_validate(
         {
@@ -37,7 +44,7 @@
     port = server.sockets[0].getsockname()[1]
     client.set_upstream(f"127.0.0.1:{port}", 10)
     try:
-        yield client, requests
+        yield client
     finally:
         await client.close()
         server.close()
@@ -91,3 +98,57 @@
     result = await client.request(call, b"", "00-0-0-01", 1000)
     await client.close()
     assert (result.outcome, result.started) == (Outcome.NOT_RUN, False)
+
+
+SHED = b"HTTP/1.1 503 Full\r\nx-upstream-outcome: not-run\r\n"
+SHED += b"content-length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize("is_idle", [True, False], ids=["idle", "at once"])
+@pytest.mark.parametrize(
+    "extra",
+    [
+        SHED,
+        SHED * 6,
+        SHED[:30],
+        ok_response(b"/first", "content-length: 6"),
+        b"\r\nnot http",
+    ],
+    ids=["refusal", "refusals", "cut refusal", "success", "no http"],
+)
+async def test_extra_response_does_not_answer_later_requests(extra, is_idle):
+    """Guards against answers that all go to the next request.
+
+    An upstream wrote a refusal once more on an idle connection. The next
+    request ran and was reported as not run; each later one got the answer to
+    the request before it.
+    """
+    copied = asyncio.Event()
+
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                path = (await reader.readuntil(b"\r\n\r\n")).split()[1]
+                length = f"content-length: {len(path)}"
+                own = ok_response(path, length)
+                is_first = path == b"/first"
+                writer.write(own + extra if is_first and not is_idle else own)
+                await writer.drain()
+                if is_first and is_idle:
+                    await asyncio.sleep(0.02)
+                    writer.write(extra)
+                copied.set()
+        writer.close()
+
+    async with serving_client(serve) as client:
+        for path in ("/first", "/second", "/third"):
+            call = wire.Call(method="GET", path=path)
+            result = await client.request(call, b"", "00-0-0-01", 5000)
+            own = (Outcome.OK, path.encode())
+            # aiohttp rejects a response that bytes other than HTTP follow.
+            lost = (Outcome.UNKNOWN, b"")
+            expected = {own, lost} if path == "/first" else {own}
+            assert (result.outcome, result.body) in expected
+            await copied.wait()
+            # The client reads the copy in this time.
+            await asyncio.sleep(0.05)
