--- a/tests/cover/raw_upstream.py
+++ b/tests/cover/raw_upstream.py
@@ -64,10 +64,15 @@
 
     def reset(self):
         """Closes the connection with a TCP reset."""
-        sock = self.writer.get_extra_info("socket")
-        linger = struct.pack("ii", 1, 0)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        self.writer.transport.abort()
+        reset_connection(self.writer)
+
+
+def reset_connection(writer):
+    """Closes the connection of a stream with a TCP reset."""
+    sock = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
 
 
 class RawUpstream(UpstreamStandin):
