Pass received bytes to the parser head by head

A caller whose well-formed requests came in one segment with a malformed one behind them got a single 400 for all of them: aiohttp's parser returns no requests of the bytes in which it finds an error. The same happened to a request with 'Connection: close' that any further request followed, also in HTTP/1.0, and a request behind an upgrade request to h2c got no answer at all.

Received bytes are now passed on in at most 32 parts that end where a head may end, so each head is returned before what follows it is parsed.

One answer comes later than before: if a chunked body with an error follows its head in the same segment, the request now waits for its body until the time limit of its route, as it did when the two came in separate segments.

Before: pytest test_platform_closing.py on with the three new tests: 'IncompleteReadError: 0 bytes read' and twice 'assert 400 == 200'.

--- a/src/celeryfield/platform/pipelining.py
+++ b/src/celeryfield/platform/pipelining.py
@@ -9,7 +9,7 @@
 import asyncio
 import dataclasses
 import itertools
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
 
 from aiohttp import web
 from aiohttp.http import RawRequestMessage
@@ -21,6 +21,10 @@
 # Requests of one connection that run at the same time; further ones wait. They
 # bound the responses that a connection holds for a caller that reads slowly.
 MAX_CONCURRENT_REQUESTS = 8
+_HEAD_END = b"\r\n\r\n"
+# Parts into which received data is split at most; it may be a body that
+# consists of line ends.
+_MAX_PARTS = 32
 # aiohttp's own idle timer cannot be changed while a connection is open. A week
 # keeps it from firing before the check in ``connections``.
 _LIBRARY_KEEPALIVE_S = 7 * 86_400.0
@@ -200,7 +204,8 @@
         if self._last_content is not None:
             self._read_last_content(data)
             return
-        super().data_received(data)
+        for part in _split_behind_heads(data):
+            super().data_received(part)
         if not self._messages:
             return
         self._record_received()
@@ -296,3 +301,20 @@
         After ``Connection: close`` no further request is answered.
         """
         return request.keep_alive and self._is_repeatable(request)
+
+
+def _split_behind_heads(data: bytes) -> Iterator[bytes]:
+    """Yields data in parts that end where a request head may end.
+
+    The parser returns no requests of a part that contains an error, so a
+    malformed request would take those before it away.
+    """
+    start = 0
+    for _ in range(_MAX_PARTS - 1):
+        found = data.find(_HEAD_END, start)
+        end = found + len(_HEAD_END)
+        if found < 0 or end == len(data):
+            break
+        yield data[start:end]
+        start = end
+    yield data[start:]
--- a/tests/cover/test_platform_closing.py
+++ b/tests/cover/test_platform_closing.py
@@ -18,6 +18,7 @@
 
 from celeryfield.internal.routes.table import CallerLimits
 
+MALFORMED = b"\x00 nonsense\r\n\r\n"
 LARGE_BODY = b"x" * 8_000_000
 
 
@@ -173,3 +174,44 @@
             assert (await read_response(reader))[0] == 503
             assert await asyncio.wait_for(reader.read(), 5) == b""
     assert upstream.received == []
+
+
+async def test_malformed_request_in_the_same_segment_takes_no_answer_away():
+    """Guards against well-formed requests that are dropped with a 400."""
+    async with running_platform_fleet(1) as fleet:
+        (node,), (upstream,) = fleet.nodes, fleet.upstreams
+        async with connection_to(node) as (reader, writer):
+            writer.write(request_head("a1") + request_head("a2") + MALFORMED)
+            responses = [await read_response(reader) for _ in range(3)]
+            assert await reader.read() == b""
+    assert [status for status, _, _ in responses] == [200, 200, 400]
+    assert len(upstream.received) == 2
+
+
+async def test_malformed_request_behind_a_body_takes_no_answer_away():
+    """Guards against an upload that is dropped with a 400."""
+    async with (
+        running_platform_fleet(1) as fleet,
+        connection_to(fleet.nodes[0]) as (reader, writer),
+    ):
+        body = b"\r\n\r\nx\r\n\r\n"
+        head = request_head("a1", method="PUT", size=len(body))
+        writer.write(head + body + MALFORMED)
+        assert (await read_response(reader))[0] == 200
+        assert (await read_response(reader))[0] == 400
+    assert [each.body for each in fleet.upstreams[0].received] == [body]
+
+
+async def test_bytes_behind_a_closing_request_do_not_take_its_answer_away():
+    """Guards against a 400 for a request that another one follows."""
+    closing = request_head("a1").replace(
+        b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"
+    )
+    async with (
+        running_platform_fleet(1) as fleet,
+        connection_to(fleet.nodes[0]) as (reader, writer),
+    ):
+        writer.write(closing + request_head("a2"))
+        assert (await read_response(reader))[0] == 200
+        assert await reader.read() == b""
+    assert len(fleet.upstreams[0].received) == 1
