Close no connection as idle that has just received a request

A request could start and lose its answer when its bytes arrived in the round of the event loop that closed its connection as idle: the check knew only requests that were being served, and the new one was served in the next round, on a closed connection. The same check dropped requests that waited behind a response which a slow caller took longer than the idle limit to read.

A connection is now idle if it has received no request that is not answered, and its last response is written.

Before: pytest test_platform_limits.py on with the new test: test_request_that_crosses_the_idle_check_is_answered failed with 'IncompleteReadError: 0 bytes read'. The second case was found by reading and has no test.

--- a/src/celeryfield/platform/connections.py
+++ b/src/celeryfield/platform/connections.py
@@ -51,7 +51,6 @@
         self._lingering = LingeringTransports()
         self._is_keepalive_disabled = False
         self._limits = CallerLimits()
-        self._busy: set[web.RequestHandler] = set()
         self._used_since_check: set[web.RequestHandler] = set()
         self._outdated: set[web.RequestHandler] = set()
         self._idle_since_ms: dict[web.RequestHandler, float] = {}
@@ -120,12 +119,10 @@
 
     async def _respond(self, request: CallerRequest) -> web.Response:
         connection = request.protocol
-        self._busy.add(connection)
         try:
             response = await connection.respond(request)
         finally:
             # The idle time starts anew after a response.
-            self._busy.discard(connection)
             self._used_since_check.add(connection)
         if self._is_last_response(request):
             connection.finish(request)
@@ -161,7 +158,8 @@
             if connection.is_closing:
                 continue
             idle_since_ms = previous_since_ms.get(connection, now_ms)
-            if connection in self._busy or connection in self._used_since_check:
+            is_used = connection in self._used_since_check
+            if is_used or not connection.is_idle:
                 idle_since_ms = now_ms
             if now_ms - idle_since_ms >= max_idle_ms:
                 connection.force_close()
--- a/tests/cover/test_platform_limits.py
+++ b/tests/cover/test_platform_limits.py
@@ -13,6 +13,9 @@
 from celeryfield.platform.ingress import CallerListener
 
 SHORT_MS = 100.0
+IDLE_LIMIT_MS = (
+    CallerLimits().idle_timeout_ms + CallerLimits().header_timeout_ms
+)
 
 
 def limits_spec(version, **fields):
@@ -56,6 +59,10 @@
             f"X-Long: {header}\r\nContent-Length: {len(body)}\r\n\r\n"
         )
         self.writer.write(head.encode() + body)
+        return await self.read_response()
+
+    async def read_response(self):
+        """Returns status and head of the next response."""
         response = await asyncio.wait_for(
             self.reader.readuntil(b"\r\n\r\n"), timeout=20
         )
@@ -153,6 +160,24 @@
             assert await caller.is_closed(timeout_s=10)
 
 
+async def test_request_that_crosses_the_idle_check_is_answered():
+    """Guards against closing a connection that has just got a request."""
+    clock = ManualClock()
+    async with running_listener(clock) as (listener, address):
+        connections = listener._connections
+        async with connect_caller(address) as caller:
+            assert (await caller.request())[0] == 404
+            connections.close_idle(clock.now_ms())
+            clock.advance(IDLE_LIMIT_MS)
+            (connection,) = connections.connections
+            # The bytes arrive in the round of the loop that runs the check.
+            connection.data_received(
+                b"GET /stock/7 HTTP/1.1\r\nHost: shop.example\r\n\r\n"
+            )
+            connections.close_idle(clock.now_ms())
+            assert (await caller.read_response())[0] == 404
+
+
 async def test_raised_idle_limit_applies_to_open_connections():
     """Guards against open connections that keep the earlier limit."""
     clock = ManualClock()
