Follow the generation that the store names in its responses

A store that comes back from an older copy has lost its newest writes and gives their revisions out again. The client could not tell, so a write that the lost history had acknowledged counted as stored, and revisions of both histories were compared with each other.

The client now reads the generation from a header of each response, whatever its status, and tells subscribers about a change. A response of an earlier generation whose request was sent before the change does not count: a read fails and may be repeated at once, a write has an unknown outcome. A lower generation in a response to a later request is logged and taken as a change as well; a missing one is logged once and leaves the known one. A listing begins anew, three times at most, if the store is restored between two pages. put_and_confirm sends nothing again in a new generation, since its expected version may belong to another write.

If the first generation follows responses without one, that counts as a change: what was acknowledged before may be lost. A store that never names a generation works as before.

--- a/src/celeryfield/internal/event_types/fleet.py
+++ b/src/celeryfield/internal/event_types/fleet.py
@@ -138,3 +138,48 @@
     peer: str
     version: int
     away_ms: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoreRestored(Event):
+    """The store came back from an older copy and lost its newest writes.
+
+    Attributes:
+        previous: Generation known before; 0 if the store named none.
+        current: Generation that the store names now.
+    """
+
+    message: ClassVar[str] = "store restored"
+    level: ClassVar[int] = logging.WARNING
+    previous: int
+    current: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoreGenerationFell(Event):
+    """The store names a lower generation; it is taken as restored.
+
+    Attributes:
+        previous: Generation known before.
+        current: Generation that the store names now.
+    """
+
+    message: ClassVar[str] = "store generation fell"
+    level: ClassVar[int] = logging.WARNING
+    per_second: ClassVar[int | None] = 1
+    previous: int
+    current: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StoreGenerationMissing(Event):
+    """A response of the store names no generation, unlike earlier ones.
+
+    Attributes:
+        generation: Generation known before, which stays.
+    """
+
+    message: ClassVar[str] = "store generation missing"
+    level: ClassVar[int] = logging.WARNING
+    per_second: ClassVar[int | None] = 1
+    generation: int
--- a/src/celeryfield/internal/events.py
+++ b/src/celeryfield/internal/events.py
@@ -19,6 +19,9 @@
     PeerConnectionLost,
     PeerConnectionReplaced,
     RecordRemoved,
+    StoreGenerationFell,
+    StoreGenerationMissing,
+    StoreRestored,
 )
 from celeryfield.internal.event_types.node import (
     ConfigInForce,
@@ -73,6 +76,9 @@
     "RequestAbandoned",
     "RequestDropped",
     "RequestEnded",
+    "StoreGenerationFell",
+    "StoreGenerationMissing",
+    "StoreRestored",
     "SuspectFound",
     "TaskStepFailed",
     "UpstreamChanged",
--- a/src/celeryfield/internal/store/client.py
+++ b/src/celeryfield/internal/store/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import functools
 import random
 import urllib.parse
@@ -24,8 +25,10 @@
     StoreError,
     StoreMissingError,
     StoreOutcomeUnknownError,
+    StoreRestoredError,
     StoreUnavailableError,
 )
+from celeryfield.internal.store.generation import GenerationTracker
 from celeryfield.internal.store.responses import (
     StoreListing,
     StoreObject,
@@ -35,6 +38,8 @@
 
 # Attempts to determine the outcome of a write before it counts as unknown.
 MAX_CONFIRM_ATTEMPTS = 3
+# Listings begun anew because the store was restored between two pages.
+MAX_LIST_RESTARTS = 3
 # Expected version of a write that replaces an object of any version.
 ANY_VERSION = -1
 
@@ -84,6 +89,20 @@
             collections.Counter()
         )
         self.last_response_ms: float | None = None
+        self._generations = GenerationTracker()
+
+    @property
+    def generation(self) -> int | None:
+        """Newest known generation of the store; None if it names none."""
+        return self._generations.current
+
+    def subscribe_generation(self, callback: Callable[[int], None]) -> None:
+        """Calls a function with the new generation when the store is restored.
+
+        It is called during the call that found the change, before that call
+        returns.
+        """
+        self._generations.subscribe(callback)
 
     async def close(self) -> None:
         """Closes all connections; later calls fail without a response."""
@@ -108,10 +127,26 @@
         return (await self.list_all(prefix)).map(_get_objects)
 
     async def list_all(self, prefix: str) -> Result[StoreListing, StoreError]:
-        """Reads all objects under a prefix and the store's revision."""
+        """Reads all objects under a prefix and the store's revision.
+
+        Begins anew if the store is restored meanwhile, so that all pages are
+        of one generation.
+        """
+        for _ in range(1 + MAX_LIST_RESTARTS):
+            result = await self._list_pages(prefix)
+            if result.is_ok() or not isinstance(
+                result.error, StoreRestoredError
+            ):
+                break
+        return result
+
+    async def _list_pages(
+        self, prefix: str
+    ) -> Result[StoreListing, StoreError]:
         objects: StoreObjects = []
         revision = 0
         after = ""
+        changes = self._generations.changes
         while True:
             response = await self._read(
                 self._dialect.build_list(prefix, after), 0.0
@@ -122,12 +157,21 @@
                     pass
                 case Result(error=error):
                     return Error(error)
+            if after and changes != self._generations.changes:
+                return Error(StoreRestoredError(_RESTORED))
+            changes = self._generations.changes
             objects += page.objects
             # A watch from the revision of the first page also reports changes
             # that happened between two pages.
             revision = revision or page.revision
             if not page.continue_after:
-                return Ok(StoreListing(tuple(objects), revision))
+                return Ok(
+                    StoreListing(
+                        tuple(objects),
+                        revision,
+                        generation=self._generations.current,
+                    )
+                )
             after = page.continue_after
 
     async def watch(
@@ -156,12 +200,17 @@
             prefix, after_revision, int(wait_ms)
         )
         response = await self._read(request, wait_ms)
-        return self._record_result(
+        changes = self._record_result(
             "watch",
             response.bind(
                 functools.partial(self._dialect.decode_changes, prefix)
             ),
         )
+        return changes.map(
+            lambda listing: dataclasses.replace(
+                listing, generation=self._generations.current
+            )
+        )
 
     async def put(
         self, key: str, value: bytes, expected_version: int
@@ -219,7 +268,9 @@
         its recorded earlier writes contain the id, and failed if the record
         reaches back to the expected version without it. If the object still
         has the expected version, the write may be in transit; it is sent
-        again, and at most one of the two can take effect.
+        again, and at most one of the two can take effect. If the store was
+        restored since the first attempt, the expected version may belong to
+        another write, so nothing is sent again.
 
         Args:
             key: Key of the object.
@@ -234,6 +285,7 @@
         """
         write_id = decode_write_records(value)[0].write_id
         backoff = self.new_backoff()
+        changes = self._generations.changes
         result = await self.put(key, value, expected_version)
         for _ in range(MAX_CONFIRM_ATTEMPTS):
             if result.is_ok() or not isinstance(
@@ -247,6 +299,8 @@
             version = _find_written_version(
                 read_result.ok, write_id, expected_version, decode_write_records
             )
+            if changes != self._generations.changes and not version:
+                version = None
             if version is None:
                 return Error(_unknown_outcome(key, write_id))
             if version > 0:
@@ -283,8 +337,9 @@
         timeout_ms = self._settings.timeout_ms
         if not await self._budget.acquire(timeout_ms):
             return Error(StoreBudgetError(_BUDGET_EXHAUSTED))
+        changes = self._generations.changes
         try:
-            return Ok(await self._request(request, timeout_ms))
+            response = await self._request(request, timeout_ms)
         except aiohttp.ClientConnectorError as error:
             return Error(
                 StoreUnavailableError(f"cannot connect to the store: {error}")
@@ -295,6 +350,9 @@
                     f"no response from the store: {error!r}"
                 )
             )
+        if not self._generations.observe(response.generation, changes):
+            return Error(StoreOutcomeUnknownError(_RESTORED))
+        return Ok(response)
 
     async def _read(
         self, request: StoreRequest, wait_ms: float
@@ -303,12 +361,16 @@
         timeout_ms = self._settings.timeout_ms
         if not await self._budget.acquire(timeout_ms):
             return Error(StoreBudgetError(_BUDGET_EXHAUSTED))
+        changes = self._generations.changes
         try:
-            return Ok(await self._request(request, wait_ms + timeout_ms))
+            response = await self._request(request, wait_ms + timeout_ms)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Error(
                 StoreUnavailableError(f"no response from the store: {error!r}")
             )
+        if not self._generations.observe(response.generation, changes):
+            return Error(StoreRestoredError(_RESTORED))
+        return Ok(response)
 
     async def _request(
         self, request: StoreRequest, timeout_ms: float
@@ -345,7 +407,9 @@
                 middlewares=(_send_once,),
             ) as response,
         ):
-            return await read_response(response)
+            return await read_response(
+                response, self._dialect.generation_header
+            )
 
 
 class _ConnectionClosedError(aiohttp.ClientError):
@@ -374,6 +438,7 @@
 
 
 _AMBIGUOUS_ERRORS = (StoreConflictError, StoreOutcomeUnknownError)
+_RESTORED = "the store was restored from an older copy during the call"
 _BUDGET_EXHAUSTED = (
     "the store call budget of this node is used up; try again later"
 )
--- a/src/celeryfield/internal/store/dialect.py
+++ b/src/celeryfield/internal/store/dialect.py
@@ -64,6 +64,8 @@
         decode_changes: Returns the changes that a watch reported.
         decode_write: Returns the object that a write produced.
         decode_delete: Returns an error unless the object no longer exists.
+        generation_header: Name of the response header with the generation of
+            the store.
     """
 
     build_read: Callable[[str], StoreRequest]
@@ -84,6 +86,7 @@
         [str, bytes, int, StoreResponse], Result[StoreObject, StoreError]
     ]
     decode_delete: Callable[[str, int, StoreResponse], Result[None, StoreError]]
+    generation_header: str
 
 
 def write_error(
@@ -176,4 +179,5 @@
     decode_changes=_decode_listing,
     decode_write=_decode_write,
     decode_delete=_decode_delete,
+    generation_header="x-store-generation",
 )
--- a/src/celeryfield/internal/store/errors.py
+++ b/src/celeryfield/internal/store/errors.py
@@ -50,6 +50,16 @@
     result_label = "budget"
 
 
+class StoreRestoredError(StoreUnavailableError):
+    """The store was restored during a read, whose answer no longer holds.
+
+    The same call may succeed at once.
+    """
+
+    result_label = "restored"
+    proves_store_available = True
+
+
 class StoreOutcomeUnknownError(StoreError):
     """A write that may have taken effect or may still do so later."""
 
--- a/src/celeryfield/internal/store/responses.py
+++ b/src/celeryfield/internal/store/responses.py
@@ -47,12 +47,15 @@
         deleted_keys: Keys of deleted objects; only watches report them.
         continue_after: Last name of this page, which the request for the next
             page must pass; empty on the last page.
+        generation: Generation of the store to which the revisions belong;
+            None if the store names none.
     """
 
     objects: tuple[StoreObject, ...]
     revision: int
     deleted_keys: tuple[str, ...] = ()
     continue_after: str = ""
+    generation: int | None = None
 
 
 class _ListedObject(pydantic.BaseModel):
@@ -78,22 +81,31 @@
         status: HTTP status.
         version: Version from the ``x-version`` header; 0 without one.
         body: Content.
+        generation: Generation of the store; None if the response names none.
     """
 
     status: int
     version: int
     body: bytes
+    generation: int | None = None
 
 
-async def read_response(response: aiohttp.ClientResponse) -> StoreResponse:
-    """Reads status, version and body of a response.
+async def read_response(
+    response: aiohttp.ClientResponse, generation_header: str
+) -> StoreResponse:
+    """Reads status, version, generation and body of a response.
+
+    Args:
+        response: The response.
+        generation_header: Name of the header with the generation.
 
     Raises:
         aiohttp.ClientPayloadError: The body exceeds ``MAX_RESPONSE_BYTES``.
     """
     content = await _read_body(response)
     version = read_version(response.headers.get("x-version", ""))
-    return StoreResponse(response.status, version, content)
+    generation = read_generation(response.headers.get(generation_header, ""))
+    return StoreResponse(response.status, version, content, generation)
 
 
 def decode_listing(
@@ -136,8 +148,17 @@
 
 def read_version(text: str) -> int:
     """Returns the version in a header value, or 0 if it is not a version."""
-    is_version = text.isdecimal() and len(text) <= MAX_VERSION_DIGITS
-    return int(text) if is_version else 0
+    return _read_number(text) or 0
+
+
+def read_generation(text: str) -> int | None:
+    """Returns the generation in a header value, or None without a valid one."""
+    return _read_number(text)
+
+
+def _read_number(text: str) -> int | None:
+    is_number = text.isdecimal() and len(text) <= MAX_VERSION_DIGITS
+    return int(text) if is_number else None
 
 
 def _decode_object(listed: _ListedObject) -> StoreObject:
--- a/src/celeryfield/platform/objects.py
+++ b/src/celeryfield/platform/objects.py
@@ -284,4 +284,5 @@
     decode_changes=_decode_changes,
     decode_write=_decode_write,
     decode_delete=_decode_delete,
+    generation_header="Store-Era",
 )
