List a watched prefix again when the store was restored

A restored store gives revisions out again. A watch that waits with a revision of the lost history gets no answer until the new history passes that revision, and then lacks what changed below it: a route that was added in between is not served, and a record that was rewritten is not seen.

A watch now belongs to the generation of the listing that it continues. An answer of another generation is discarded and the prefix is listed. When any call of the node shows a new generation, a waiting watch, or the delay before it, is given up as well. The configuration is listed at once; the listing of the records is spread over the delay that grows with the fleet, since all nodes notice the change together. available_since_ms begins anew.

--- a/src/celeryfield/internal/store/prefix_watcher.py
+++ b/src/celeryfield/internal/store/prefix_watcher.py
@@ -1,5 +1,6 @@
 """Watches all objects under one prefix."""
 
+import asyncio
 import logging
 import random
 from collections.abc import Callable
@@ -29,12 +30,20 @@
     return COALESCE_MS
 
 
+def no_delay_ms() -> float:
+    """Returns the delay of a listing that must not wait."""
+    return 0.0
+
+
 class PrefixWatcher(mode.Service):
     """Lists a prefix and then watches it for changes.
 
     After an error or a wait without changes, the prefix is listed again
     instead of watched from the last revision: a store that has dropped its
-    history may keep a watch waiting although it has missed changes.
+    history may keep a watch waiting although it has missed changes. So may a
+    store that was restored, since it gives revisions out again; once any call
+    of this node shows a new generation, a waiting watch is given up and the
+    prefix is listed.
 
     Args:
         client: Client of the store.
@@ -43,12 +52,14 @@
         on_listing: Called with each full listing.
         on_changes: Called with the changes that each watch reports.
         next_delay_ms: Returns the delay before the next watch, in ms.
+        restored_delay_ms: Returns the longest delay, in ms, of the listing that
+            replaces a watch after the store was restored.
 
     Attributes:
         last_confirmed_ms: Start of the last successful call; the state that
             was reported is at least as new. None before the first call.
-        available_since_ms: Time of the first success after the last failure;
-            none while the store is unavailable.
+        available_since_ms: Time of the first success after the last failure
+            or restoration of the store; none while the store is unavailable.
     """
 
     def __init__(
@@ -59,6 +70,7 @@
         on_listing: Callable[[StoreListing], None],
         on_changes: Callable[[StoreListing], None],
         next_delay_ms: Callable[[], float] = default_delay_ms,
+        restored_delay_ms: Callable[[], float] = no_delay_ms,
     ) -> None:
         super().__init__()
         self._client = client
@@ -67,12 +79,16 @@
         self._on_listing = on_listing
         self._on_changes = on_changes
         self._next_delay_ms = next_delay_ms
+        self._restored_delay_ms = restored_delay_ms
         self._backoff = client.new_backoff()
         self._revision: int | None = None
+        self._generation: int | None = None
+        self._watch_task: asyncio.Task[None] | None = None
         self._is_connected = True
         self._disconnected_ms = 0.0
         self.last_confirmed_ms: float | None = None
         self.available_since_ms: float | None = None
+        client.subscribe_generation(self._on_generation)
 
     @mode.Service.task
     async def _run(self) -> None:
@@ -81,30 +97,63 @@
     async def _call_store(self) -> None:
         # After an error of any kind, the next call lists the prefix.
         revision, self._revision = self._revision, None
-        request_start_ms = self._clock.now_ms()
         if revision is None:
-            result = await self._client.list_all(self._prefix)
-        else:
-            result = await self._client.watch_changes(self._prefix, revision)
+            await self._list()
+            return
+        self._watch_task = asyncio.ensure_future(self._watch(revision))
+        try:
+            await asyncio.wait((self._watch_task,))
+            is_given_up = self._watch_task.cancelled()
+            if not is_given_up:
+                self._watch_task.result()
+        finally:
+            self._watch_task.cancel()
+            self._watch_task = None
+        if is_given_up:
+            await self._delay_listing()
+
+    def _on_generation(self, _generation: int) -> None:
+        """Gives up a watch from a revision of an earlier generation."""
+        self.available_since_ms = None
+        self._revision = None
+        task = self._watch_task
+        # The watch that found the new generation returns by itself.
+        if task is not None and task is not asyncio.current_task():
+            task.cancel()
+
+    async def _delay_listing(self) -> None:
+        delay_ms = random.uniform(0.0, self._restored_delay_ms())
+        if delay_ms > 0.0:
+            await self._clock.sleep_ms(delay_ms)
+
+    async def _list(self) -> None:
+        request_start_ms = self._clock.now_ms()
+        result = await self._client.list_all(self._prefix)
         if result.is_error():
-            await self._handle_error(result.error, revision)
+            await self._handle_error(result.error, None)
             return
+        listing = result.ok
         self._record_success(request_start_ms)
-        self._revision = self._handle_listing(result.ok, revision)
+        self._on_listing(listing)
+        self._generation = listing.generation
+        self._revision = listing.revision
+
+    async def _watch(self, revision: int) -> None:
         jitter = random.uniform(1.0 - JITTER, 1.0)
         await self._clock.sleep_ms(self._next_delay_ms() * jitter)
-
-    def _handle_listing(
-        self, listing: StoreListing, watched_revision: int | None
-    ) -> int | None:
-        """Reports a listing; returns the revision to watch from, or None."""
-        if watched_revision is None:
-            self._on_listing(listing)
-            return listing.revision
-        if listing.objects or listing.deleted_keys:
-            self._on_changes(listing)
-            return listing.revision
-        return None
+        request_start_ms = self._clock.now_ms()
+        result = await self._client.watch_changes(self._prefix, revision)
+        if result.is_error():
+            await self._handle_error(result.error, revision)
+            return
+        changes = result.ok
+        self._record_success(request_start_ms)
+        if changes.generation != self._generation:
+            await self._delay_listing()
+            return
+        if changes.objects or changes.deleted_keys:
+            self._on_changes(changes)
+            self._revision = changes.revision
 
     def _record_success(self, request_start_ms: float) -> None:
         self.last_confirmed_ms = request_start_ms
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -200,6 +200,7 @@
             self._on_records,
             self._on_record_changes,
             lambda: self.catalog.watch_delay_ms,
+            lambda: self.catalog.watch_delay_ms,
         )
         self.neighbour_bootstrap = NeighbourBootstrap(
             self.peer_pool,
--- a/tests/cover/test_store_prefix_watcher.py
+++ b/tests/cover/test_store_prefix_watcher.py
@@ -26,6 +26,8 @@
 
     def __init__(self, watches):
         self.version = 1
+        self.generation = None
+        self.callbacks = []
         self.lists = 0
         self.watches = list(watches)
         self.exhausted = asyncio.Event()
@@ -33,10 +35,24 @@
     def new_backoff(self):
         return NoDelay()
 
+    def subscribe_generation(self, callback):
+        self.callbacks.append(callback)
+
+    def restore(self, version):
+        """Shows a restored store in the response to another call."""
+        self.version = version
+        self.generation += 1
+        for callback in self.callbacks:
+            callback(self.generation)
+
     async def list_all(self, _prefix):
         self.lists += 1
         stored_object = StoreObject("config/main", self.version, b"")
-        return Ok(StoreListing((stored_object,), self.version))
+        return Ok(
+            StoreListing(
+                (stored_object,), self.version, generation=self.generation
+            )
+        )
 
     async def watch_changes(self, _prefix, _after):
         if not self.watches:
@@ -176,3 +192,106 @@
     assert not watcher.crashed
     assert len(seen) == client.lists == 2
     await watcher.stop()
+
+
+def ignore(_listing):
+    pass
+
+
+async def run_until_idle():
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+def restored_client(watches=()):
+    client = ScriptedClient(watches)
+    client.generation = 1
+    return client
+
+
+async def test_waiting_watch_is_given_up_once_the_store_was_restored():
+    """Guards against changes missed because revisions are given out again.
+
+    The store cannot tell that a watch from a higher revision misses changes
+    that it made again. The configuration is listed without any delay.
+    """
+    client = restored_client()
+    clock = ManualClock()
+    watcher = PrefixWatcher(client, clock, "config/", ignore, ignore)
+    await watcher.start()
+    await run_until_idle()
+    for generation in (2, 3):
+        clock.advance(100.0)
+        await run_until_idle()
+        assert client.exhausted.is_set()
+        clock.advance(1_000.0)
+        client.restore(version=1)
+        assert watcher.available_since_ms is None
+        await run_until_idle()
+        assert client.lists == generation
+        assert watcher.available_since_ms == clock.now_ms()
+    await watcher.stop()
+
+
+async def test_delay_before_a_watch_ends_once_the_store_was_restored():
+    """Guards against a watch that starts from a revision of a lost history."""
+    client = restored_client()
+    watcher = PrefixWatcher(client, ManualClock(), "config/", ignore, ignore)
+    await watcher.start()
+    await run_until_idle()
+    client.restore(version=1)
+    await run_until_idle()
+    assert client.lists == 2
+    assert not client.exhausted.is_set()
+    await watcher.stop()
+
+
+async def test_changes_of_another_generation_are_replaced_by_a_listing():
+    """Guards against changes of a new history applied to the state of an old.
+
+    They lack what was lost and what changed below the watched revision.
+    """
+    changed = StoreObject("config/main", 2, b"")
+    changes = Ok(StoreListing((changed,), 2, generation=2))
+    client = restored_client([changes])
+    seen = []
+    clock = ManualClock()
+    watcher = PrefixWatcher(client, clock, "config/", ignore, seen.append)
+    await watcher.start()
+    await run_until_idle()
+    client.generation = 2
+    clock.advance(100.0)
+    await run_until_idle()
+    assert (client.lists, seen) == (2, [])
+    await watcher.stop()
+
+
+async def test_listings_of_a_restored_store_can_be_spread():
+    """Guards against a large fleet that lists all records at one moment."""
+    client = restored_client()
+    clock = ManualClock()
+    watchers = [
+        PrefixWatcher(
+            client,
+            clock,
+            "nodes/",
+            ignore,
+            ignore,
+            restored_delay_ms=lambda: 1_000.0,
+        )
+        for _ in range(20)
+    ]
+    for watcher in watchers:
+        await watcher.start()
+    await run_until_idle()
+    client.restore(version=1)
+    await run_until_idle()
+    assert client.lists == 20
+    clock.advance(500.0)
+    await run_until_idle()
+    assert 20 < client.lists < 40
+    clock.advance(500.0)
+    await run_until_idle()
+    assert client.lists == 40
+    for watcher in watchers:
+        await watcher.stop()
