Let the store of the platform tests come back from an older copy

StoreStandin.restore goes back to the state after an earlier revision, gives the later revisions out again, answers 410 to watches above them and raises the number that it sends with each response. Waiting watches are cut, or wait on with the revision that they named.

--- a/tests/cover/platform_standins.py
+++ b/tests/cover/platform_standins.py
@@ -45,6 +45,9 @@
         lose_answers: Number of writes to apply and then reset the connection.
         counts_by_method: Number of requests, by HTTP method.
         oldest_revision: Watches after an earlier revision get 410.
+        waiting_watches: Number of watches that wait for a change.
+        generation: Sent with all responses unless it is None; rises by one with
+            each ``restore``.
     """
 
     def __init__(self):
@@ -57,6 +60,10 @@
         self.counts_by_method = {}
         self.objects = {}
         self.events = []
+        self.waiting_watches = 0
+        self.generation = 1
+        self._watch_cuts = 0
+        self._objects_by_revision = {self.revision: {}}
         self._changed = asyncio.Condition()
 
     def put(self, kind, name, spec):
@@ -79,6 +86,32 @@
         self.oldest_revision = self.revision
         self.events.clear()
 
+    async def restore(self, revision, cuts_watches=True):
+        """Goes back to the state after a revision, and gives later ones again.
+
+        Args:
+            revision: Revision to go back to.
+            cuts_watches: Whether the connections of waiting watches are reset.
+                Otherwise they wait on with the revision that they named, as
+                if sent again once the store has passed that revision.
+        """
+        revision = max(
+            known for known in self._objects_by_revision if known <= revision
+        )
+        self.objects = dict(self._objects_by_revision[revision])
+        self._objects_by_revision = {
+            known: objects
+            for known, objects in self._objects_by_revision.items()
+            if known <= revision
+        }
+        self.events = [event for event in self.events if event[0] <= revision]
+        self.revision = revision
+        self.oldest_revision = min(self.oldest_revision, revision)
+        self.generation += 1
+        if cuts_watches:
+            self._watch_cuts += 1
+            await self.notify_watches()
+
     async def notify_watches(self):
         async with self._changed:
             self._changed.notify_all()
@@ -87,8 +120,15 @@
         event = {"object": found, "deleted": deleted}
         self.events.append((self.revision, kind, event))
         del self.events[:-HISTORY_LENGTH]
+        self._objects_by_revision[self.revision] = dict(self.objects)
 
     async def handle(self, request):
+        response = await self._respond(request)
+        if self.generation is not None:
+            response.headers["Store-Era"] = str(self.generation)
+        return response
+
+    async def _respond(self, request):
         method = request.method
         count = self.counts_by_method.get(method, 0)
         self.counts_by_method[method] = count + 1
@@ -100,7 +140,7 @@
         name = names[0] if names else ""
         if method == "GET":
             if "watch" in request.query:
-                return await self._watch(kind, request.query)
+                return await self._watch(kind, request)
             return self._get(kind, name)
         body = await request.read()
         response = self._write(request, kind, name, body)
@@ -143,12 +183,18 @@
             return json_response({})
         return json_response(self.put(kind, name, content["spec"]))
 
-    async def _watch(self, kind, query):
+    async def _watch(self, kind, request):
+        query = request.query
         after = int(query["watch"])
+        cuts = self._watch_cuts
+        if after > self.revision:
+            return json_response({}, 410)
         deadline = (
             asyncio.get_running_loop().time() + int(query["waitMs"]) / 1e3
         )
         while True:
+            if cuts != self._watch_cuts:
+                request.transport.abort()
             if after < self.oldest_revision:
                 return json_response({}, 410)
             events = [
@@ -161,9 +207,14 @@
                 return json_response(
                     {"events": events, "currentRev": self.revision}
                 )
-            with contextlib.suppress(TimeoutError):
+            self.waiting_watches += 1
+            try:
                 async with asyncio.timeout(left), self._changed:
                     await self._changed.wait()
+            except TimeoutError:
+                pass
+            finally:
+                self.waiting_watches -= 1
 
 
 @dataclasses.dataclass
