Write the own record again in each generation of the store

A record that the store had acknowledged counted as stored for ever. After a restoration the record was missing or old until a listing showed that, and a leave was acknowledged to its upstream though the store had lost it and the node had already seen so.

Records now name the generation in which they were written (0 in those of earlier releases). The publisher writes the own record again once any response shows a new generation; what the earlier one acknowledged no longer counts for reports and leaves that wait. The write happens even if a listing shows an equal record: its generation tells other nodes and a restarted process that the owner has confirmed it. Writes are spread over 5 ms for each known record, about 200 a second in a fleet of any size; the state of a leaving upstream and later changes are written at once.

The first write of a process waits for the first listing, half a second at most, since the generation is unknown before. That also keeps the record of the earlier process from being replaced before it is read.

Before: - test_platform_restored_store.py::test_leave_is_not_acknowledged_before_ the_new_generation_has_it: "KeyError: 'state'" (the leave was acknowledged while the store held a record without the upstream) - test_registry.py::test_first_write_waits_...: "assert not [b'{...}']"; the other new tests there failed for want of the new parameter. test_records_of_live_nodes_are_in_the_restored_store passed before as well, since the listing shows a record that differs; it stays as a guard.

--- a/src/celeryfield/internal/registry/catalog.py
+++ b/src/celeryfield/internal/registry/catalog.py
@@ -22,6 +22,9 @@
 # gets work. A second of delay costs a new upstream that much of its first work.
 MAX_WATCH_DELAY_MS = 1_000.0
 MIN_WATCH_DELAY_MS = 50.0
+# Time for each record over which all nodes write their own again after the
+# store was restored: about 200 writes a second in a fleet of any size.
+REWRITE_SPREAD_PER_RECORD_MS = 5.0
 
 
 class Catalog:
@@ -66,6 +69,11 @@
         delay_ms = len(self.records_by_id) * WATCH_DELAY_PER_RECORD_MS
         return min(max(delay_ms, MIN_WATCH_DELAY_MS), MAX_WATCH_DELAY_MS)
 
+    @property
+    def rewrite_spread_ms(self) -> float:
+        """Time over which all nodes write their records again, in ms."""
+        return len(self.records_by_id) * REWRITE_SPREAD_PER_RECORD_MS
+
     def replace_all(self, objects: tuple[StoreObject, ...]) -> None:
         """Replaces all records by those of a full listing of the store."""
         before = dict(self.records_by_id)
--- a/src/celeryfield/internal/registry/publisher.py
+++ b/src/celeryfield/internal/registry/publisher.py
@@ -1,45 +1,79 @@
 """Keeps this node's own record in the store up to date."""
 
 import asyncio
+import dataclasses
 import logging
+import random
+from collections.abc import Callable
 
 import mode
 
 from celeryfield.internal import supervision
 from celeryfield.internal.clock import Clock
+from celeryfield.internal.registry import records
 from celeryfield.internal.registry.records import NodeRecord
 from celeryfield.internal.store.client import StoreClient
 
 logger = logging.getLogger(__name__)
 
 
+# Longest wait for the first listing. It shows the generation of the store,
+# without which the record would have to be written twice.
+FIRST_LISTING_MS = 500.0
+
+
+def no_spread_ms() -> float:
+    """Returns the spread for a fleet whose size does not matter."""
+    return 0.0
+
+
 class RecordPublisher(mode.Service):
     """Writes the newest own record, and retries until the store holds it.
 
+    The stored record names the generation of the store in which it was
+    written. When the store is restored, the record is written again even if the
+    store still holds an equal one: its generation tells others that its owner
+    has confirmed it since.
+
     Args:
         client: Client of the store.
         clock: Time source.
+        spread_ms: Returns the time over which all nodes write their records
+            again after the store was restored, in ms.
     """
 
-    def __init__(self, client: StoreClient, clock: Clock) -> None:
+    def __init__(
+        self,
+        client: StoreClient,
+        clock: Clock,
+        spread_ms: Callable[[], float] = no_spread_ms,
+    ) -> None:
         super().__init__()
         self._client = client
         self._clock = clock
+        self._spread_ms = spread_ms
         self._desired: NodeRecord | None = None
         self._stored: NodeRecord | None = None
         self._write_needed = asyncio.Event()
+        self._has_listing = asyncio.Event()
+        self._restored = asyncio.Event()
         self._stored_changed = asyncio.Condition()
         self._backoff = client.new_backoff()
+        client.subscribe_generation(self._on_generation)
 
     @property
     def is_current(self) -> bool:
         """Whether the store holds the newest record."""
-        return self._desired is not None and self._desired == self._stored
+        return self._desired is not None and self._is_stored(self._desired)
 
     def publish(self, record: NodeRecord) -> None:
-        """Sets the record that the store should hold."""
+        """Sets the record that the store should hold.
+
+        Args:
+            record: The record; its generation is set when it is written.
+        """
         self._desired = record
-        if record != self._stored:
+        if not self._is_stored(record):
             self._write_needed.set()
 
     def reconcile(self, stored: NodeRecord | None) -> None:
@@ -48,28 +82,74 @@
         Args:
             stored: The own record in the store, or None if it is missing.
         """
-        if stored != self._stored:
+        self._has_listing.set()
+        if stored != self._stored and not self._restored.is_set():
             self._stored = None
             self._write_needed.set()
 
     async def wait_until_stored(self, record: NodeRecord) -> None:
-        """Waits until the store holds the given record or a newer one."""
+        """Waits until the store holds the given record or a newer one.
+
+        What an earlier generation of the store held does not count.
+        """
         async with self._stored_changed:
             await self._stored_changed.wait_for(
-                lambda: self._stored == record or self.is_current
+                lambda: self._is_stored(record) or self.is_current
             )
 
+    def _with_generation(self, record: NodeRecord) -> NodeRecord:
+        generation = self._client.generation or records.UNKNOWN_GENERATION
+        return dataclasses.replace(record, generation=generation)
+
+    def _is_stored(self, record: NodeRecord) -> bool:
+        return self._stored == self._with_generation(record)
+
+    def _on_generation(self, _generation: int) -> None:
+        """Writes the record again, since the store may have lost it."""
+        self._stored = None
+        self._restored.set()
+        upstream = self._desired.upstream if self._desired else None
+        if upstream is not None and upstream.state == records.DRAINING:
+            self._write_needed.set()
+
     @mode.Service.task
     async def _run(self) -> None:
         await supervision.repeat_step(self, self._clock, self._write_if_needed)
 
+    @mode.Service.task
+    async def _run_rewrites(self) -> None:
+        await supervision.repeat_step(
+            self, self._clock, self._rewrite_when_restored
+        )
+
+    async def _rewrite_when_restored(self) -> None:
+        await self._restored.wait()
+        await self._clock.sleep_ms(random.uniform(0.0, self._spread_ms()))
+        self._restored.clear()
+        self._write_needed.set()
+
     async def _write_if_needed(self) -> None:
         await self._write_needed.wait()
-        if self._desired is not None and self._desired != self._stored:
-            await self._write(self._desired)
-        if self._desired == self._stored:
+        await self._wait_for_first_listing()
+        if self._desired is not None and not self.is_current:
+            await self._write(self._with_generation(self._desired))
+        if self._desired is None or self.is_current:
             self._write_needed.clear()
 
+    async def _wait_for_first_listing(self) -> None:
+        if self._has_listing.is_set():
+            return
+        waits = [
+            asyncio.ensure_future(self._has_listing.wait()),
+            asyncio.ensure_future(self._clock.sleep_ms(FIRST_LISTING_MS)),
+        ]
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
+        self._has_listing.set()
+
     async def _write(self, record: NodeRecord) -> None:
         result = await self._client.replace(record.key, record.encode())
         if result.is_error():
@@ -82,6 +162,8 @@
             await self._clock.sleep_ms(self._backoff.next_delay_ms())
             return
         self._backoff.reset()
+        # Set before anything is awaited, so that a generation that is found
+        # meanwhile invalidates it.
+        self._stored = record
         async with self._stored_changed:
-            self._stored = record
             self._stored_changed.notify_all()
--- a/src/celeryfield/internal/registry/records.py
+++ b/src/celeryfield/internal/registry/records.py
@@ -9,6 +9,9 @@
 
 PREFIX = "nodes/"
 
+# Generation of records that were written without knowing it.
+UNKNOWN_GENERATION = 0
+
 READY = "ready"
 DRAINING = "draining"
 
@@ -46,6 +49,7 @@
     zone: str
     upstream: _UpstreamContent | None = None
     suspects: tuple[_SuspectContent, ...] | None = None
+    generation: int | None = pydantic.Field(default=None, ge=0)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -94,6 +98,8 @@
         zone: Availability zone.
         upstream: The upstream, if it has reported.
         suspects: Requests that nodes should run alone or refuse.
+        generation: Generation of the store in which the record was written; 0
+            if unknown.
     """
 
     node_id: str
@@ -103,6 +109,7 @@
     zone: str
     upstream: UpstreamRecord | None = None
     suspects: tuple[SuspectRecord, ...] = ()
+    generation: int = UNKNOWN_GENERATION
 
     @property
     def key(self) -> str:
@@ -126,6 +133,7 @@
                 for suspect in self.suspects
             )
             or None,
+            generation=self.generation or None,
         )
         return content.model_dump_json(exclude_none=True).encode()
 
@@ -177,6 +185,7 @@
                 )
                 for suspect in content.suspects or ()
             ),
+            generation=content.generation or UNKNOWN_GENERATION,
         )
     )
 
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -177,7 +177,9 @@
                 self.catalog.records_by_id.values()
             )
         )
-        self.record_publisher = RecordPublisher(self.store, self.clock)
+        self.record_publisher = RecordPublisher(
+            self.store, self.clock, lambda: self.catalog.rewrite_spread_ms
+        )
         self.local_upstream = LocalUpstream(
             self._own_identity(),
             self.upstream_tracker,
--- a/tests/cover/test_platform_restored_store.py
+++ b/tests/cover/test_platform_restored_store.py
@@ -7,6 +7,15 @@
 LIMIT_S = 12.0
 
 
+def stored_upstream(store, node):
+    found = store.objects.get(("nodes", node.settings.node.node.id))
+    return (found or {}).get("spec", {}).get("upstream", {})
+
+
+def stored_slots(store, node):
+    return stored_upstream(store, node).get("slots")
+
+
 async def test_route_added_after_a_restoration_is_served():
     """Guards against a change whose revision a waiting watch has passed."""
     async with running_platform_fleet(1) as fleet:
@@ -24,3 +33,47 @@
         await until(lambda: node.routes.current.version == 3, LIMIT_S)
         assert (await fleet.request(node, "/goods/7"))[0] == 200
         assert store.counts_by_method["GET"] - reads <= 5
+
+
+async def test_records_of_live_nodes_are_in_the_restored_store():
+    """Guards against upstreams that new nodes do not find.
+
+    No watch tells a node that its record went back to an older state.
+    """
+    async with running_platform_fleet(2) as fleet:
+        store = fleet.store
+        for node in fleet.nodes:
+            await until(lambda node=node: stored_slots(store, node) == 4)
+        before = store.revision
+        for node, upstream in zip(fleet.nodes, fleet.upstreams, strict=True):
+            await fleet.report(node, upstream, slots=9)
+        await until(lambda: store.revision == before + 2)
+        await until(lambda: store.waiting_watches == 4)
+        await store.restore(before - 3, cuts_watches=False)
+        # Responses to these calls of the nodes show the new generation.
+        for node in fleet.nodes:
+            await node.store.get("other/o")
+
+        await until(
+            lambda: (
+                [stored_slots(store, node) for node in fleet.nodes] == [9, 9]
+            ),
+            LIMIT_S,
+        )
+
+
+async def test_leave_is_not_acknowledged_before_the_new_generation_has_it():
+    """Guards against a leave that only the lost history held."""
+    async with running_platform_fleet(1) as fleet:
+        (node,), (upstream,), store = fleet.nodes, fleet.upstreams, fleet.store
+        await until(lambda: stored_slots(store, node) == 4)
+        before = store.revision
+        await store.restore(before - 1, cuts_watches=False)
+        assert await fleet.leave(node, upstream) == 200
+        assert stored_upstream(store, node)["state"] == "draining"
+        before = store.revision
+        await store.restore(before - 1, cuts_watches=False)
+        await node.store.get("other/o")
+        # The upstream repeats its leave, since the response was late.
+        assert await fleet.leave(node, upstream) == 200
+        assert stored_upstream(store, node)["state"] == "draining"
--- a/tests/cover/test_registry.py
+++ b/tests/cover/test_registry.py
@@ -1,6 +1,7 @@
 """Tests of node records: stored form, catalog, publisher and suspects."""
 
 import asyncio
+import contextlib
 import dataclasses
 
 from expression import Error, Ok
@@ -72,13 +73,31 @@
 class Store:
     """Fails the first writes."""
 
-    def __init__(self, failures=0):
+    def __init__(self, failures=0, generation=None):
         self.failures = failures
+        self.generation = generation
         self.values = []
+        self.callbacks = []
 
     def new_backoff(self):
         return NoDelay()
 
+    def subscribe_generation(self, callback):
+        self.callbacks.append(callback)
+
+    def restore(self):
+        """Shows a restored store in the response to another call."""
+        self.generation += 1
+        for callback in self.callbacks:
+            callback(self.generation)
+
+    @property
+    def generations_written(self):
+        return [
+            records.decode("nodes/a", value).ok.generation
+            for value in self.values
+        ]
+
     async def replace(self, key, value):
         self.values.append(value)
         if len(self.values) <= self.failures:
@@ -97,10 +116,13 @@
     )
     | st.none(),
     SUSPECTS,
+    st.integers(0, 2**53),
 )
-def test_stored_form_keeps_every_field(upstream, suspects):
+def test_stored_form_keeps_every_field(upstream, suspects, generation):
     """Guards against a restarted node that loses a part of its record."""
-    found = dataclasses.replace(record("n1", upstream), suspects=suspects)
+    found = dataclasses.replace(
+        record("n1", upstream), suspects=suspects, generation=generation
+    )
     assert records.decode(found.key, found.encode()) == Ok(found)
 
 
@@ -252,3 +274,134 @@
     assert candidates[1].incarnation == 2 != second.incarnation
     catalog.apply_changes((), (changed.key,))
     assert catalog.candidates_by_service["stock"] == [first]
+
+
+def test_record_of_an_earlier_release_has_an_unknown_generation():
+    """Guards against records that cannot be read during an update."""
+    value = b'{"incarnation":1,"address":"10.0.0.1","port":7301,"zone":"z1"}'
+    assert records.decode("nodes/a", value).ok.generation == 0
+    assert b"generation" not in record("a").encode()
+
+
+@contextlib.asynccontextmanager
+async def running_publisher(store, spread_ms=0.0):
+    clock = ManualClock()
+    publisher = RecordPublisher(store, clock, lambda: spread_ms)
+    await publisher.start()
+    publisher.reconcile(None)
+    try:
+        yield publisher, clock
+    finally:
+        await publisher.stop()
+
+
+async def run_until_idle(clock, advance_ms=1.0):
+    for step_ms in (0.0, advance_ms):
+        for _ in range(20):
+            await asyncio.sleep(0)
+        clock.advance(step_ms)
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+async def test_own_record_is_written_again_in_a_new_generation():
+    """Guards against a live node whose record the restored store lacks.
+
+    The store may also hold an equal record of the earlier generation, which
+    its owner has to confirm.
+    """
+    store = Store(generation=4)
+    async with running_publisher(store) as (publisher, clock):
+        publisher.publish(record("a"))
+        await run_until_idle(clock)
+        assert publisher.is_current
+        store.restore()
+        assert not publisher.is_current
+        await run_until_idle(clock)
+        assert publisher.is_current
+        await run_until_idle(clock)
+    assert store.generations_written == [4, 5]
+
+
+async def test_rewrites_of_a_large_fleet_are_spread():
+    """Guards against all nodes writing at one moment, which the store refuses.
+
+    Neither the listing of the restored store nor another restoration brings
+    the write forward.
+    """
+    stores = [Store(generation=1) for _ in range(20)]
+    async with contextlib.AsyncExitStack() as stack:
+        clocks = []
+        for store in stores:
+            publisher, clock = await stack.enter_async_context(
+                running_publisher(store, spread_ms=1_000.0)
+            )
+            clocks.append(clock)
+            publisher.publish(record("a"))
+            await run_until_idle(clock)
+            store.restore()
+            publisher.reconcile(record("a"))
+            await run_until_idle(clock, 0.0)
+        assert sum(len(store.values) for store in stores) == 20
+        for clock in clocks:
+            await run_until_idle(clock, 500.0)
+        assert 20 < sum(len(store.values) for store in stores) < 40
+        for clock in clocks:
+            await run_until_idle(clock, 500.0)
+        assert sum(len(store.values) for store in stores) == 40
+
+
+async def test_state_of_a_leaving_upstream_is_written_again_at_once():
+    """Guards against a leave that is missing while the rewrite is delayed."""
+    leaving = dataclasses.replace(UPSTREAM, state=records.DRAINING)
+    store = Store(generation=1)
+    async with running_publisher(store, 60_000.0) as (publisher, clock):
+        publisher.publish(record("a", leaving))
+        await run_until_idle(clock)
+        store.restore()
+        await run_until_idle(clock, 0.0)
+        assert store.generations_written == [1, 2]
+        # So is a change that follows the restoration.
+        store.restore()
+        publisher.publish(record("a"))
+        await run_until_idle(clock, 0.0)
+        assert store.generations_written == [1, 2, 3]
+
+
+async def test_write_that_the_earlier_generation_acknowledged_is_not_stored():
+    """Guards against a leave acknowledged although the store has lost it."""
+
+    class SlowStore(Store):
+        async def replace(self, key, value):
+            result = await super().replace(key, value)
+            if len(self.values) == 1:
+                # Another call shows the restoration before the waiting report
+                # continues.
+                asyncio.get_running_loop().call_soon(self.restore)
+            return result
+
+    store = SlowStore(generation=1)
+    async with running_publisher(store) as (publisher, clock):
+        leaving = record("a", dataclasses.replace(UPSTREAM, state="draining"))
+        publisher.publish(leaving)
+        waiting = asyncio.ensure_future(publisher.wait_until_stored(leaving))
+        await run_until_idle(clock)
+        await asyncio.wait_for(waiting, 5)
+        assert publisher.is_current
+    assert store.generations_written == [1, 2]
+
+
+async def test_first_write_waits_for_the_listing_that_shows_the_generation():
+    """Guards against an earlier record that is replaced before it is read."""
+    store = Store()
+    clock = ManualClock()
+    publisher = RecordPublisher(store, clock)
+    await publisher.start()
+    publisher.publish(record("a"))
+    await run_until_idle(clock)
+    assert not store.values
+    store.generation = 3
+    publisher.reconcile(None)
+    await run_until_idle(clock, 0.0)
+    assert store.generations_written == [3]
+    await publisher.stop()
