Restore an upstream only from a record of the current generation

A restarted process takes its upstream from its own record in the store. If the store came back from a copy older than a leave that it had acknowledged, that record said "ready", and requests went to an upstream that had left.

A record is now believed only if it was written in the store's current generation, which its owner does soon after each restoration. Otherwise the process waits for a status report, as on a first start. A leave in an older record is believed: leaving is final for a boot.

Before, test_upstream_that_left_stays_away_from_a_restarted_node failed: "assert 200 == 503", the restarted node sent the request to the upstream.

--- a/src/celeryfield/internal/registry/local_upstream.py
+++ b/src/celeryfield/internal/registry/local_upstream.py
@@ -118,7 +118,7 @@
         Restores the upstream from the record if no report has arrived yet.
         """
         own = self._find_own_record(listing)
-        if own is not None:
+        if own is not None and _may_restore(own, listing.generation):
             self._restore_upstream(own)
         self._publisher.reconcile(own)
 
@@ -224,6 +224,19 @@
         )
 
 
+def _may_restore(own: NodeRecord, generation: int | None) -> bool:
+    """Returns whether a restarted process may believe its own record.
+
+    The store may have been restored after a leave that it had acknowledged. A
+    record of an earlier generation can therefore be older than that leave, and
+    only a status report can tell. A leave in it is final, however old it is.
+    """
+    if generation is None or own.generation == generation:
+        return True
+    upstream = own.upstream
+    return upstream is not None and upstream.state == records.DRAINING
+
+
 def _has_changed(
     before: tuple[UpstreamReport | None, str], tracker: UpstreamTracker
 ) -> bool:
--- a/tests/cover/platform_fleet.py
+++ b/tests/cover/platform_fleet.py
@@ -38,6 +38,18 @@
         self.upstreams.append(upstream)
         return node, upstream
 
+    async def restart(self, node, seeds=()):
+        """Ends a node's process, without a drain, and starts another one."""
+        index = self.nodes.index(node)
+        await node.stop()
+        new_node = await self.stack.enter_async_context(
+            running_node(
+                index + 1, self.store, self.upstreams[index], seeds=seeds
+            )
+        )
+        self.nodes[index] = new_node
+        return new_node
+
     async def configure(self, **fields):
         self.store.put("config", "main", config_spec(**fields))
         await self.store.notify_watches()
--- a/tests/cover/platform_standins.py
+++ b/tests/cover/platform_standins.py
@@ -380,9 +380,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running_node(number, store, upstream, zone="z1"):
+async def running_node(number, store, upstream, zone="z1", seeds=()):
     """Runs a node beside an upstream during a block."""
-    text = settings_text(number, store.port, upstream.port, zone)
+    text = settings_text(number, store.port, upstream.port, zone, seeds)
     node = PlatformNode(platform_settings.parse(text).ok, Clock())
     await node.start()
     try:
--- a/tests/cover/test_platform_restored_store.py
+++ b/tests/cover/test_platform_restored_store.py
@@ -1,5 +1,6 @@
 """Platform nodes whose store comes back from an older copy of itself."""
 
+import pytest
 from platform_fleet import running_platform_fleet
 from platform_standins import until
 
@@ -77,3 +78,40 @@
         # The upstream repeats its leave, since the response was late.
         assert await fleet.leave(node, upstream) == 200
         assert stored_upstream(store, node)["state"] == "draining"
+
+
+async def test_upstream_that_left_stays_away_from_a_restarted_node():
+    """Guards against an older record that brings a left upstream back."""
+    async with running_platform_fleet(1) as fleet:
+        (node,), (upstream,), store = fleet.nodes, fleet.upstreams, fleet.store
+        await until(lambda: stored_slots(store, node) == 4)
+        before_leave = store.revision
+        assert await fleet.leave(node, upstream) == 200
+        await node.stop()
+        await store.restore(before_leave)
+        node = await fleet.restart(node)
+        await until(
+            lambda: (
+                node.routes.current is not None
+                and node.record_publisher.is_current
+            )
+        )
+        assert (await fleet.request(node))[0] == 503
+        assert not upstream.received
+
+
+@pytest.mark.parametrize("state", ["ready", "draining"])
+async def test_record_of_the_current_generation_is_believed(state):
+    """Guards against nodes that need a report at each ordinary restart.
+
+    A leave is final, so it is believed from an older record as well.
+    """
+    async with running_platform_fleet(1) as fleet:
+        (node,), (upstream,), store = fleet.nodes, fleet.upstreams, fleet.store
+        await fleet.report(node, upstream, slots=9, state=state)
+        await until(lambda: stored_slots(store, node) == 9)
+        if state == "draining":
+            await node.stop()
+            await store.restore(store.revision)
+        node = await fleet.restart(node)
+        await until(lambda: node.upstream_tracker.state == state)
