Keep known records of nodes that a restored store lost

The first listing after a restoration replaced all known records, so upstreams that had joined since the copy vanished from all senders until their nodes wrote again, and those that had left came back as ready.

For 10 s after the first listing of a generation, a listing neither removes a known record nor replaces it by one that was not written in that generation, unless a newer process wrote it. A change that names another generation was in transit during the restoration and replaces no known record. Records of unknown nodes, and those of earlier releases, whose generation is unknown, are taken as before. Versions are only kept for the generation that the last listing showed, and never from a neighbour's copy, since a removal names a version.

Before, test_lost_and_older_records_of_others_are_kept failed: "assert None == 'ready'", the record of the newcomer was gone. The new tests of the catalog failed for want of the parameter.

--- a/src/celeryfield/internal/registry/catalog.py
+++ b/src/celeryfield/internal/registry/catalog.py
@@ -5,6 +5,7 @@
 
 from celeryfield.internal import events
 from celeryfield.internal.calls import Candidate
+from celeryfield.internal.clock import Clock
 from celeryfield.internal.registry import records
 from celeryfield.internal.registry.records import NodeRecord
 from celeryfield.internal.routing.balancer import Balancer
@@ -25,6 +26,9 @@
 # Time for each record over which all nodes write their own again after the
 # store was restored: about 200 writes a second in a fleet of any size.
 REWRITE_SPREAD_PER_RECORD_MS = 5.0
+# Time that owners have to write their records again after the first listing of
+# a restored store. Known records that the store lost are kept meanwhile.
+MIN_KEPT_MS = 10_000.0
 
 
 class Catalog:
@@ -32,18 +36,30 @@
 
     The store never overwrites this node's own record; ``set_own`` sets it.
 
+    A store that was restored holds older records, or none, until their owners
+    have written them again. Until then the known ones are kept.
+
     Args:
         own_id: Id of this node.
         balancer: Receives the candidates of each service.
+        clock: Time source.
 
     Attributes:
         records_by_id: Records of all nodes, this one included.
-        versions_by_id: Versions of the records in the store.
+        versions_by_id: Versions of the records in the store; none of records
+            that the store is not known to hold.
+        generation: Generation of the store that the versions belong to; None if
+            it is unknown.
     """
 
-    def __init__(self, own_id: str, balancer: Balancer) -> None:
+    def __init__(
+        self, own_id: str, balancer: Balancer, clock: Clock | None = None
+    ) -> None:
         self.records_by_id: dict[str, NodeRecord] = {}
         self.versions_by_id: dict[str, int] = {}
+        self.generation: int | None = None
+        self._clock = clock or Clock()
+        self._keep_until_ms = float("-inf")
         self._own_id = own_id
         self._balancer = balancer
         self._candidates_by_service: dict[str, list[Candidate]] = {}
@@ -74,14 +90,26 @@
         """Time over which all nodes write their records again, in ms."""
         return len(self.records_by_id) * REWRITE_SPREAD_PER_RECORD_MS
 
-    def replace_all(self, objects: tuple[StoreObject, ...]) -> None:
-        """Replaces all records by those of a full listing of the store."""
+    def replace_all(
+        self, objects: tuple[StoreObject, ...], generation: int | None = None
+    ) -> None:
+        """Replaces all records by those of a full listing of the store.
+
+        Args:
+            objects: Objects of the listing.
+            generation: Generation of the store; None if it names none.
+        """
         before = dict(self.records_by_id)
         own = before.get(self._own_id)
+        if generation is not None and generation != self.generation:
+            self.generation = generation
+            self._keep_until_ms = self._clock.now_ms() + MIN_KEPT_MS
         self.records_by_id.clear()
         self.versions_by_id.clear()
         for item in objects:
             self._apply_object(item)
+        if self._clock.now_ms() < self._keep_until_ms:
+            self._keep_unconfirmed(before)
         if own is not None:
             self.records_by_id[self._own_id] = own
         self._emit_changes(before)
@@ -94,6 +122,7 @@
         before = dict(self.records_by_id)
         for item in objects:
             self._apply_object(item)
+            self._undo_if_outdated(item, before)
         for key in deleted_keys:
             node_id = key.removeprefix(records.PREFIX)
             if node_id != self._own_id:
@@ -111,8 +140,11 @@
         """
         known_ids = self.records_by_id.keys() | {self._own_id}
         for item in objects:
-            if item.key.removeprefix(records.PREFIX) not in known_ids:
+            node_id = item.key.removeprefix(records.PREFIX)
+            if node_id not in known_ids:
                 self._apply_object(item)
+                # The version may belong to an earlier generation of the store.
+                self.versions_by_id.pop(node_id, None)
         self._refresh()
 
     def to_store_objects(self) -> tuple[StoreObject, ...]:
@@ -144,6 +176,36 @@
         if record.node_id != self._own_id:
             self.records_by_id[record.node_id] = record
 
+    def _keep_unconfirmed(self, before: dict[str, NodeRecord]) -> None:
+        """Keeps known records whose owners have not written them again."""
+        for node_id, known in before.items():
+            listed = self.records_by_id.get(node_id)
+            is_newer = listed is not None and (
+                listed.generation == self.generation
+                or listed.incarnation > known.incarnation
+            )
+            if not is_newer:
+                self.records_by_id[node_id] = known
+
+    def _undo_if_outdated(
+        self, item: StoreObject, before: dict[str, NodeRecord]
+    ) -> None:
+        """Drops a change that its owner sent in an earlier generation.
+
+        Such a write was in transit during the restoration. Records with an
+        unknown generation come from an earlier release.
+        """
+        node_id = item.key.removeprefix(records.PREFIX)
+        changed = self.records_by_id.get(node_id)
+        is_outdated = (
+            self.generation is not None
+            and changed is not None
+            and changed.generation
+            not in (records.UNKNOWN_GENERATION, self.generation)
+        )
+        if is_outdated and node_id in before:
+            self.records_by_id[node_id] = before[node_id]
+
     def _emit_changes(self, before: dict[str, NodeRecord]) -> None:
         """Emits an event for each changed record of another node."""
         after = self.records_by_id
@@ -151,7 +213,7 @@
             record, previous = after.get(node_id), before.get(node_id)
             if record is previous or node_id == self._own_id:
                 continue
-            if record == previous:
+            if record and previous and record.has_same_state(previous):
                 continue
             upstream = record.upstream if record else None
             events.emit(
--- a/src/celeryfield/internal/registry/records.py
+++ b/src/celeryfield/internal/registry/records.py
@@ -116,6 +116,10 @@
         """Key of the record in the store."""
         return f"{PREFIX}{self.node_id}"
 
+    def has_same_state(self, other: "NodeRecord") -> bool:
+        """Returns whether the records differ in their generations at most."""
+        return self == dataclasses.replace(other, generation=self.generation)
+
     def encode(self) -> bytes:
         """Returns the stored form, a JSON text."""
         content = _NodeContent(
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -104,7 +104,7 @@
         self.levels = LevelTable(settings, clock)
         self.chains = ChainTable(clock, self.levels)
         self.balancer = Balancer(settings, clock)
-        self.catalog = Catalog(settings.node.id, self.balancer)
+        self.catalog = Catalog(settings.node.id, self.balancer, clock)
         self.admission = AdmissionController(settings, clock)
         self.suspect_recorder = SuspectRecorder(clock, self.admission.suspects)
         self.upstream = PlatformUpstream(clock)
@@ -391,7 +391,7 @@
 
     def _on_records(self, listing: StoreListing) -> None:
         self.local_upstream.on_listing(listing)
-        self.catalog.replace_all(listing.objects)
+        self.catalog.replace_all(listing.objects, listing.generation)
 
     def _on_record_changes(self, listing: StoreListing) -> None:
         self.local_upstream.on_changes(listing)
--- a/tests/cover/test_platform_restored_store.py
+++ b/tests/cover/test_platform_restored_store.py
@@ -13,6 +13,12 @@
     return (found or {}).get("spec", {}).get("upstream", {})
 
 
+def state_at(observer, node):
+    """Returns the state of a node's upstream that another node knows."""
+    record = observer.catalog.records_by_id.get(node.settings.node.node.id)
+    return record and record.upstream and record.upstream.state
+
+
 def stored_slots(store, node):
     return stored_upstream(store, node).get("slots")
 
@@ -115,3 +121,29 @@
             await store.restore(store.revision)
         node = await fleet.restart(node)
         await until(lambda: node.upstream_tracker.state == state)
+
+
+async def test_lost_and_older_records_of_others_are_kept():
+    """Guards against upstreams that come back or vanish with the store.
+
+    The owners of the records do not reach the restored store.
+    """
+    async with running_platform_fleet(2) as fleet:
+        (observer, leaving), store = fleet.nodes, fleet.store
+        await until(lambda: stored_slots(store, leaving) == 4)
+        before = store.revision
+        newcomer, upstream = await fleet.add_node()
+        await fleet.report(newcomer, upstream)
+        assert await fleet.leave(leaving, fleet.upstreams[1]) == 200
+        await until(lambda: state_at(observer, newcomer) == "ready")
+        await until(lambda: state_at(observer, leaving) == "draining")
+        for node in (newcomer, leaving):
+            await node.stop()
+        await store.restore(before)
+        restored_ms = observer.clock.now_ms()
+        await until(
+            lambda: observer.record_watcher.last_confirmed_ms > restored_ms,
+            LIMIT_S,
+        )
+        assert state_at(observer, newcomer) == "ready"
+        assert state_at(observer, leaving) == "draining"
--- a/tests/cover/test_registry.py
+++ b/tests/cover/test_registry.py
@@ -13,7 +13,7 @@
 from celeryfield.internal.dispatch.permits import Permit
 from celeryfield.internal.dispatch.suspects import SuspectTable, Verdict
 from celeryfield.internal.registry import records
-from celeryfield.internal.registry.catalog import Catalog
+from celeryfield.internal.registry.catalog import MIN_KEPT_MS, Catalog
 from celeryfield.internal.registry.publisher import RecordPublisher
 from celeryfield.internal.registry.records import (
     NodeRecord,
@@ -405,3 +405,89 @@
     await run_until_idle(clock, 0.0)
     assert store.generations_written == [3]
     await publisher.stop()
+
+
+LEAVING = dataclasses.replace(UPSTREAM, state=records.DRAINING)
+
+
+def written_in(generation, name, upstream=UPSTREAM, incarnation=1):
+    found = record(name, upstream, incarnation)
+    return stored(dataclasses.replace(found, generation=generation))
+
+
+def states_of(catalog):
+    return {
+        candidate.node_id: candidate.state
+        for candidate in catalog.candidates_by_service.get("stock", ())
+    }
+
+
+def restored_catalog(*listed):
+    """Returns a catalog that knew nodes before a restoration.
+
+    Of them, ``a`` is ready and ``b`` is leaving.
+    """
+    clock = ManualClock()
+    catalog = Catalog("own", Balancer(), clock)
+    catalog.replace_all((written_in(1, "a"), written_in(1, "b", LEAVING)), 1)
+    clock.advance(60_000.0)
+    catalog.replace_all(listed, 2)
+    return catalog, clock
+
+
+def test_records_that_a_restored_store_lost_are_kept_for_their_owners():
+    """Guards against upstreams that are lost, or come back, with the store."""
+    older = written_in(1, "b")
+    catalog, clock = restored_catalog(older)
+    assert states_of(catalog) == {"a": "ready", "b": "draining"}
+    # A version of the earlier generation is of no use for a removal.
+    assert catalog.versions_by_id.keys() == {"b"}
+    clock.advance(MIN_KEPT_MS / 2)
+    catalog.replace_all((older,), 2)
+    assert states_of(catalog) == {"a": "ready", "b": "draining"}
+    clock.advance(MIN_KEPT_MS / 2)
+    catalog.replace_all((older,), 2)
+    assert states_of(catalog) == {"b": "ready"}
+
+
+def test_records_that_owners_wrote_again_replace_the_kept_ones():
+    """Guards against kept records that hide what their owners say now."""
+    catalog, _ = restored_catalog(
+        written_in(2, "a", LEAVING), written_in(1, "b", incarnation=2)
+    )
+    assert states_of(catalog) == {"a": "draining", "b": "ready"}
+    catalog, _ = restored_catalog()
+    catalog.apply_changes((written_in(2, "a", LEAVING),), ("nodes/b",))
+    assert states_of(catalog) == {"a": "draining"}
+
+
+def test_write_in_transit_during_a_restoration_replaces_no_record():
+    """Guards against an older state whose write takes effect late."""
+    catalog, _ = restored_catalog()
+    late = written_in(1, "b")
+    catalog.apply_changes((late, written_in(1, "new")), ())
+    assert states_of(catalog) == {
+        "a": "ready",
+        "b": "draining",
+        "new": "ready",
+    }
+
+
+def test_changes_of_nodes_of_an_earlier_release_are_taken():
+    """Guards against an update during which nodes ignore each other."""
+    catalog, clock = restored_catalog()
+    catalog.apply_changes((stored(record("a", LEAVING)),), ())
+    assert states_of(catalog)["a"] == "draining"
+    clock.advance(MIN_KEPT_MS)
+    catalog.replace_all((stored(record("a")), stored(record("c"))), 2)
+    assert states_of(catalog) == {"a": "ready", "c": "ready"}
+
+
+def test_unknown_nodes_of_a_restored_store_are_taken():
+    """Guards against a new node that finds no upstream after a restoration."""
+    catalog = Catalog("own", Balancer(), ManualClock())
+    catalog.add_missing((stored(record("a", LEAVING), 7),))
+    assert not catalog.versions_by_id
+    catalog.replace_all((written_in(1, "a"), written_in(1, "b")), 2)
+    # The copy of a neighbour may be newer than the restored store.
+    assert states_of(catalog) == {"a": "draining", "b": "ready"}
