Believe a neighbour's copy that the own upstream has left

A restarted node took nothing about its own upstream from a neighbour's copy. If the store lost the leave that the earlier process acknowledged, and a report from before the leave arrived late, the upstream got requests again although its neighbours knew better.

A copy that says that a boot of the own upstream is draining is now believed, since leaving is final for a boot. The boot has to be named by its start: an id may stay the same over a restart. Nothing else in a copy about the own upstream is used.

test_objects_of_a_neighbour_replace_no_known_objects had a made-up leave of the very boot that runs, which is now believed; it uses the leave of another boot instead and keeps its assertion. The new test_leave_of_the_own_boot_in_a_copy_of_a_neighbour_is_final states what follows for the own boot; before, it failed with "assert 'ready' == 'draining'".

--- a/src/celeryfield/internal/registry/local_upstream.py
+++ b/src/celeryfield/internal/registry/local_upstream.py
@@ -9,7 +9,7 @@
 from celeryfield.internal.registry.publisher import RecordPublisher
 from celeryfield.internal.registry.records import NodeRecord, UpstreamRecord
 from celeryfield.internal.registry.suspects import SuspectRecorder
-from celeryfield.internal.store.responses import StoreListing
+from celeryfield.internal.store.responses import StoreListing, StoreObject
 from celeryfield.internal.upstream import tracker as tracking
 from celeryfield.internal.upstream.tracker import (
     UpstreamReport,
@@ -117,17 +117,30 @@
 
         Restores the upstream from the record if no report has arrived yet.
         """
-        own = self._find_own_record(listing)
+        own = self._find_own_record(listing.objects)
         if own is not None and _may_restore(own, listing.generation):
             self._restore_upstream(own)
         self._publisher.reconcile(own)
 
     def on_changes(self, listing: StoreListing) -> None:
         """Reconciles this node's record with changes in the store."""
-        own = self._find_own_record(listing)
+        own = self._find_own_record(listing.objects)
         if own is not None or self._identity.key in listing.deleted_keys:
             self._publisher.reconcile(own)
 
+    def on_neighbour_copy(self, objects: tuple[StoreObject, ...]) -> None:
+        """Believes a neighbour that the upstream left, and nothing else.
+
+        The copy may be older than what the store or the upstream say, but the
+        leave of a boot is final. The store may have lost it.
+        """
+        own = self._find_own_record(objects)
+        upstream = own.upstream if own else None
+        if upstream is None or upstream.state != records.DRAINING:
+            return
+        if self._tracker.record_drained_boot(upstream.id, upstream.born_ms):
+            self._publish_state("neighbour")
+
     def expire(self) -> None:
         """Marks the upstream as gone if its reports have stopped."""
         if self._tracker.expire():
@@ -152,8 +165,10 @@
         self._catalog.set_own(record)
         self._publisher.publish(record)
 
-    def _find_own_record(self, listing: StoreListing) -> NodeRecord | None:
-        for item in listing.objects:
+    def _find_own_record(
+        self, objects: tuple[StoreObject, ...]
+    ) -> NodeRecord | None:
+        for item in objects:
             if item.key == self._identity.key:
                 decoded = records.decode(item.key, item.value)
                 return decoded.default_value(None)
--- a/src/celeryfield/internal/upstream/tracker.py
+++ b/src/celeryfield/internal/upstream/tracker.py
@@ -112,9 +112,7 @@
         Returns:
             Whether the leaving upstream is the one that is tracked now.
         """
-        self._left_ms_by_id[upstream_id] = self._clock.wall_ms()
-        if len(self._left_ms_by_id) > MAX_REMEMBERED_LEAVES:
-            self._left_ms_by_id.popitem(last=False)
+        self._remember_leave(upstream_id, self._clock.wall_ms())
         if self.report is None:
             # This node started after the last report of the upstream. A delayed
             # report of the leaving boot must not make the upstream ready again.
@@ -127,6 +125,37 @@
         self.state = DRAINING
         return True
 
+    def record_drained_boot(self, upstream_id: str, born_ms: int) -> bool:
+        """Records that one boot of an upstream is known to have left.
+
+        Args:
+            upstream_id: Id of the upstream.
+            born_ms: Start of the boot, in ms since the epoch. If it is 0, the
+                boot is unknown, and nothing is recorded.
+
+        Returns:
+            Whether that changed the state of the tracked upstream.
+        """
+        if born_ms <= 0:
+            return False
+        known_ms = self._left_ms_by_id.get(upstream_id, 0)
+        self._remember_leave(upstream_id, max(known_ms, born_ms))
+        report = self.report
+        is_tracked = report is not None and report.boot == (
+            upstream_id,
+            born_ms,
+        )
+        if not is_tracked or self.state == DRAINING:
+            return False
+        self.report = dataclasses.replace(report, state=DRAINING)
+        self.state = DRAINING
+        return True
+
+    def _remember_leave(self, upstream_id: str, left_ms: int) -> None:
+        self._left_ms_by_id[upstream_id] = left_ms
+        if len(self._left_ms_by_id) > MAX_REMEMBERED_LEAVES:
+            self._left_ms_by_id.popitem(last=False)
+
     def restore(self, report: UpstreamReport) -> None:
         """Uses the report that an earlier process of this node recorded.
 
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -383,6 +383,7 @@
             item for item in objects if item.key == config.KEY
         )
         self._on_config(StoreListing(config_objects, 0))
+        self.local_upstream.on_neighbour_copy(objects)
         self.catalog.add_missing(
             tuple(
                 item for item in objects if item.key.startswith(records.PREFIX)
--- a/tests/cover/test_platform_node.py
+++ b/tests/cover/test_platform_node.py
@@ -344,6 +344,9 @@
         stale = [StoreObject("config/main", 1, json.dumps(old).encode())]
         for item in objects:
             changed = item.value.replace(b"ready", b"draining")
+            if item.key == "nodes/node-1":
+                changed = changed.replace(b'"born_ms":1000', b'"born_ms":999')
+                assert b'"born_ms":999' in changed
             stale.append(StoreObject(item.key, 1, changed))
         first._on_neighbour_objects(tuple(stale))
         assert first.routes.current.version == 5
@@ -354,6 +357,30 @@
         assert states == {"ready"}
 
 
+async def test_leave_of_the_own_boot_in_a_copy_of_a_neighbour_is_final():
+    """Guards against a leave that is forgotten with the store and a process.
+
+    What else a copy says about the own upstream is not used.
+    """
+    async with running_platform_fleet(2) as fleet:
+        first, second = fleet.nodes
+        for old, new, state in (
+            (b'"slots":4', b'"slots":9', tracking.READY),
+            (b"ready", b"draining", tracking.DRAINING),
+        ):
+            copied = tuple(
+                StoreObject(item.key, 1, item.value.replace(old, new))
+                for item in second._objects_for_neighbours()
+            )
+            first._on_neighbour_objects(copied)
+            assert first.upstream_tracker.report.slots == 4
+            assert first.upstream_tracker.state == state
+        await fleet.report(first, fleet.upstreams[0])
+        assert first.upstream_tracker.state == tracking.DRAINING
+        record = first.catalog.records_by_id["node-1"]
+        assert record.upstream.state == "draining"
+
+
 async def test_connections_to_the_store_use_keepalive():
     """Guards against a watch that waits on a dead connection."""
     async with running_platform_fleet(1) as fleet:
--- a/tests/cover/test_upstream_tracker.py
+++ b/tests/cover/test_upstream_tracker.py
@@ -132,3 +132,36 @@
         elif kind == "gone":
             tracker.mark_gone()
         assert not has_left or tracker.state != READY
+
+
+def test_boot_that_others_know_as_left_is_not_served():
+    """Guards against a delayed report that this process cannot judge."""
+    for is_tracked in (False, True):
+        tracker, clock = make_tracker()
+        if is_tracked:
+            tracker.accept(FIRST)
+        changed = tracker.record_drained_boot(FIRST.upstream_id, FIRST.born_ms)
+        assert changed is is_tracked
+        tracker.accept(next_report())
+        assert tracker.state == DRAINING
+        clock.advance(ALIVE_MS)
+        tracker.accept(dataclasses.replace(FIRST, born_ms=FIRST.born_ms + 1))
+        assert tracker.state == READY
+
+
+def test_leave_of_an_unknown_boot_says_nothing_about_the_next_one():
+    """Guards against an upstream without a start time that stays away."""
+    tracker, _ = make_tracker()
+    report = dataclasses.replace(FIRST, born_ms=0)
+    tracker.accept(report)
+    assert not tracker.record_drained_boot(report.upstream_id, 0)
+    assert tracker.state == READY
+
+
+def test_older_leave_of_others_does_not_replace_a_later_one():
+    """Guards against a boot that left and is served again."""
+    tracker, _ = make_tracker(wall_ms=1_000)
+    tracker.record_leave(FIRST.upstream_id, "stock", "10.0.0.1:80")
+    tracker.record_drained_boot(FIRST.upstream_id, 50)
+    tracker.accept(FIRST)
+    assert tracker.state == DRAINING
