Ask neighbours at a start soon after the store was restored

A process that starts while the restored store still holds an older configuration took it, though the change had been confirmed and the other nodes had it in force.

The first listing of the records shows a recent restoration: owners write their records again within seconds, so a record of an earlier generation means that the store was restored lately, or that an owner is away. The process then asks the neighbours of its settings for their copy, three rounds at most, and holds the configuration of the store back until one has answered or all have failed. A copy with a higher version of the operator therefore comes first; an older one is ignored as before. At other starts nobody is asked, and the configuration waits for the first listing of the records, which is requested at the same time, 400 ms at most. Copies are now applied as they arrive, so a neighbour that is away does not delay those of others.

--- a/src/celeryfield/internal/registry/neighbours.py
+++ b/src/celeryfield/internal/registry/neighbours.py
@@ -1,4 +1,4 @@
-"""Fetches copies of stored objects from neighbours while the store is down."""
+"""Fetches copies of stored objects from neighbours at the start of a node."""
 
 import asyncio
 import logging
@@ -9,7 +9,8 @@
 
 from celeryfield.internal.calls import Candidate
 from celeryfield.internal.clock import Clock
-from celeryfield.internal.store.responses import StoreObject
+from celeryfield.internal.registry import records
+from celeryfield.internal.store.responses import StoreListing, StoreObject
 from celeryfield.internal.transport.errors import TransportError
 from celeryfield.internal.transport.frames import Frame, Kind
 from celeryfield.internal.transport.pool import PeerPool
@@ -19,6 +20,9 @@
 # The store usually answers within this time after the start.
 FIRST_REQUEST_DELAY_MS = 400.0
 REQUEST_INTERVAL_MS = 500.0
+# Rounds of requests after the store was restored; the neighbours may have been
+# replaced as well.
+MAX_CHECKS = 3
 
 ReadObjects = Callable[[], tuple[StoreObject, ...]]
 ApplyObjects = Callable[[tuple[StoreObject, ...]], None]
@@ -78,7 +82,11 @@
 
 
 class NeighbourBootstrap(mode.Service):
-    """Requests copies from neighbours until one of them or the store answers.
+    """Requests copies from neighbours if the store cannot be relied upon.
+
+    That is so until the store answers, and if it was restored shortly before
+    the process started: it may then hold a configuration older than the one
+    that the other nodes have in force.
 
     Args:
         pool: Connections to other nodes.
@@ -86,6 +94,11 @@
         neighbours: Nodes to ask; their ids need not be known.
         is_needed: Returns whether the store has not answered yet.
         apply_objects: Called with the objects of each copy.
+
+    Attributes:
+        is_settled: Whether objects of the store may be applied: the first
+            listing shows no restoration, or the neighbours were asked, or the
+            listing takes too long.
     """
 
     def __init__(
@@ -102,41 +115,101 @@
         self._neighbours = neighbours
         self._is_needed = is_needed
         self._apply_objects = apply_objects
+        self._listed = asyncio.Event()
+        self._was_restored = False
+        self._on_settled: list[Callable[[], None]] = []
+        self.is_settled = False
+
+    def call_when_settled(self, callback: Callable[[], None]) -> None:
+        """Calls a function when ``is_settled`` is set; registered before."""
+        self._on_settled.append(callback)
+
+    def on_listing(self, listing: StoreListing) -> None:
+        """Learns from the first listing whether the store was restored.
+
+        Args:
+            listing: Records of all nodes.
+        """
+        if self._listed.is_set():
+            return
+        self._was_restored = bool(self._neighbours) and records.names_earlier(
+            listing
+        )
+        self._listed.set()
+        if not self._was_restored:
+            self._settle()
+
+    def _settle(self) -> None:
+        if self.is_settled:
+            return
+        self.is_settled = True
+        for callback in self._on_settled:
+            try:
+                callback()
+            except Exception:
+                # Later listings apply the objects.
+                logger.exception("objects of the store cannot be applied")
 
     @mode.Service.task
     async def _run(self) -> None:
-        await self._clock.sleep_ms(FIRST_REQUEST_DELAY_MS)
-        while self._neighbours and self._is_needed() and not self.should_stop:
+        started_ms = self._clock.now_ms()
+        await self._wait_for_listing()
+        if not self._was_restored:
+            self._settle()
+            waited_ms = self._clock.now_ms() - started_ms
+            await self._clock.sleep_ms(FIRST_REQUEST_DELAY_MS - waited_ms)
+        attempts = 0
+        while self._neighbours and not self.should_stop:
+            is_checked = self._was_restored and attempts < MAX_CHECKS
+            if not is_checked and not self._is_needed():
+                return
+            attempts += 1
             try:
                 if await self._fetch_all():
                     return
             except Exception:
                 # The store remains as the other source of the objects.
                 logger.exception("copies of neighbours cannot be applied")
+            finally:
+                self._settle()
             await self._clock.sleep_ms(REQUEST_INTERVAL_MS)
 
+    async def _wait_for_listing(self) -> None:
+        waits = [
+            asyncio.ensure_future(self._listed.wait()),
+            asyncio.ensure_future(self._clock.sleep_ms(FIRST_REQUEST_DELAY_MS)),
+        ]
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
+
     async def _fetch_all(self) -> bool:
         """Returns whether no further requests are needed."""
-        requests = [
-            self._fetch_from(neighbour) for neighbour in self._neighbours
-        ]
-        snapshots = await asyncio.gather(*requests)
-        non_empty_snapshots = [snapshot for snapshot in snapshots if snapshot]
-        if not self._is_needed():
-            return True
-        for snapshot in non_empty_snapshots:
-            self._apply_objects(snapshot)
-        return bool(non_empty_snapshots)
+        has_copies = await asyncio.gather(
+            *(self._fetch_from(neighbour) for neighbour in self._neighbours)
+        )
+        return any(has_copies) or not self._is_wanted
+
+    @property
+    def _is_wanted(self) -> bool:
+        """Whether a copy would still be applied."""
+        return self._was_restored or self._is_needed()
 
-    async def _fetch_from(
-        self, neighbour: Candidate
-    ) -> tuple[StoreObject, ...]:
+    async def _fetch_from(self, neighbour: Candidate) -> bool:
+        """Applies the copy of a neighbour; returns whether there is one."""
         try:
             frame = await self._pool.request(neighbour, Kind.FETCH_CONFIG, b"")
-            return decode(frame.payload)
+            snapshot = decode(frame.payload)
         except (TransportError, pydantic.ValidationError) as error:
             logger.info(
                 "neighbour sent no copy of the stored objects",
                 extra={"address": neighbour.address, "problem": str(error)},
             )
-            return ()
+            return False
+        if snapshot and self._is_wanted:
+            self._apply_objects(snapshot)
+            # Another neighbour may take long to answer, or never do.
+            self._settle()
+        return bool(snapshot)
--- a/src/celeryfield/internal/registry/records.py
+++ b/src/celeryfield/internal/registry/records.py
@@ -6,6 +6,7 @@
 from expression import Error, Ok, Result
 
 from celeryfield.internal.calls import Candidate
+from celeryfield.internal.store.responses import StoreListing
 
 PREFIX = "nodes/"
 
@@ -194,6 +195,22 @@
     )
 
 
+def names_earlier(listing: StoreListing) -> bool:
+    """Returns whether a record of a listing names another generation.
+
+    Owners write their records again soon after the store was restored, so it
+    was restored recently, or an owner is away.
+    """
+    if listing.generation is None:
+        return False
+    expected = (UNKNOWN_GENERATION, listing.generation)
+    for item in listing.objects:
+        decoded = decode(item.key, item.value)
+        if decoded.is_ok() and decoded.ok.generation not in expected:
+            return True
+    return False
+
+
 def _upstream_content(
     upstream: UpstreamRecord | None,
 ) -> _UpstreamContent | None:
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -73,6 +73,7 @@
         self.is_leaving = False
         self._identity = settings.node.node
         self._config_object: StoreObject | None = None
+        self._held_configs: list[StoreListing] = []
         self._incarnation = clock.wall_ms()
         self._build_call_services()
         self._build_store_services()
@@ -211,6 +212,7 @@
             lambda: self._awaits_store,
             self._on_neighbour_objects,
         )
+        self.neighbour_bootstrap.call_when_settled(self._apply_held_configs)
         self.record_remover = RecordRemover(
             self._identity.id,
             self._identity.zone,
@@ -351,6 +353,18 @@
         return bool(self._in_flight or self.caller_listener.has_unsent_bytes)
 
     def _on_config(self, listing: StoreListing) -> None:
+        # A newer configuration of a neighbour comes first.
+        if not self.neighbour_bootstrap.is_settled:
+            self._held_configs.append(listing)
+            return
+        self._apply_config(listing)
+
+    def _apply_held_configs(self) -> None:
+        held, self._held_configs = self._held_configs, []
+        for listing in held:
+            self._apply_config(listing)
+
+    def _apply_config(self, listing: StoreListing) -> None:
         for stored in listing.objects:
             if stored.key != config.KEY:
                 continue
@@ -382,7 +396,7 @@
         config_objects = tuple(
             item for item in objects if item.key == config.KEY
         )
-        self._on_config(StoreListing(config_objects, 0))
+        self._apply_config(StoreListing(config_objects, 0))
         self.local_upstream.on_neighbour_copy(objects)
         self.catalog.add_missing(
             tuple(
@@ -391,6 +405,7 @@
         )
 
     def _on_records(self, listing: StoreListing) -> None:
+        self.neighbour_bootstrap.on_listing(listing)
         self.local_upstream.on_listing(listing)
         self.catalog.replace_all(listing.objects, listing.generation)
 
--- a/tests/cover/platform_fleet.py
+++ b/tests/cover/platform_fleet.py
@@ -9,6 +9,7 @@
     StoreStandin,
     UpstreamStandin,
     config_spec,
+    create_node,
     running_node,
     serve_standin,
     until,
@@ -38,18 +39,26 @@
         self.upstreams.append(upstream)
         return node, upstream
 
-    async def restart(self, node, seeds=()):
-        """Ends a node's process, without a drain, and starts another one."""
+    def create_node(self, node, seeds=()):
+        """Creates the next process of a node; it is not started."""
         index = self.nodes.index(node)
-        await node.stop()
-        new_node = await self.stack.enter_async_context(
-            running_node(
-                index + 1, self.store, self.upstreams[index], seeds=seeds
-            )
+        new_node = create_node(
+            index + 1, self.store, self.upstreams[index], seeds=seeds
         )
         self.nodes[index] = new_node
         return new_node
 
+    async def start_node(self, node):
+        await node.start()
+        self.stack.push_async_callback(node.stop)
+
+    async def restart(self, node, seeds=()):
+        """Ends a node's process, without a drain, and starts another one."""
+        await node.stop()
+        new_node = self.create_node(node, seeds)
+        await self.start_node(new_node)
+        return new_node
+
     async def configure(self, **fields):
         self.store.put("config", "main", config_spec(**fields))
         await self.store.notify_watches()
--- a/tests/cover/platform_standins.py
+++ b/tests/cover/platform_standins.py
@@ -379,11 +379,32 @@
         await runner.cleanup()
 
 
+def create_node(number, store, upstream, zone="z1", seeds=()):
+    """Creates a node beside an upstream; it is not started.
+
+    Args:
+        number: Number of the node.
+        store: Stand-in for the store.
+        upstream: Stand-in for the upstream.
+        zone: Availability zone.
+        seeds: Nodes to ask for copies. In a settings file all nodes have the
+            same port, unlike here.
+    """
+    text = settings_text(number, store.port, upstream.port, zone)
+    settings = dataclasses.replace(
+        platform_settings.parse(text).ok,
+        seeds=tuple(
+            platform_settings.Seed(HOST, seed.settings.node.listen.peer_port)
+            for seed in seeds
+        ),
+    )
+    return PlatformNode(settings, Clock())
+
+
 @contextlib.asynccontextmanager
 async def running_node(number, store, upstream, zone="z1", seeds=()):
     """Runs a node beside an upstream during a block."""
-    text = settings_text(number, store.port, upstream.port, zone, seeds)
-    node = PlatformNode(platform_settings.parse(text).ok, Clock())
+    node = create_node(number, store, upstream, zone, seeds)
     await node.start()
     try:
         yield node
--- a/tests/cover/test_platform_restored_store.py
+++ b/tests/cover/test_platform_restored_store.py
@@ -4,6 +4,8 @@
 from platform_fleet import running_platform_fleet
 from platform_standins import until
 
+from celeryfield.internal.registry import neighbours
+
 # Less than a watch waits for changes, and ample on a busy machine.
 LIMIT_S = 12.0
 
@@ -147,3 +149,113 @@
         )
         assert state_at(observer, newcomer) == "ready"
         assert state_at(observer, leaving) == "draining"
+
+
+def record_versions(node):
+    """Returns a list that gets each version in force at a node."""
+    versions = []
+    node.routes.subscribe(lambda table: versions.append(table.version))
+    return versions
+
+
+async def test_older_configuration_of_a_restored_store_stays_out():
+    """Guards against a confirmed change that is undone with the store."""
+    async with running_platform_fleet(1, version=3) as fleet:
+        (node,), store = fleet.nodes, fleet.store
+        before = store.revision
+        await fleet.configure(version=8, pathPrefix="/goods/")
+        await until(lambda: node.routes.current.version == 8)
+        versions = record_versions(node)
+        await store.restore(before)
+        restored_ms = node.clock.now_ms()
+        await until(lambda: node.config_watcher.last_confirmed_ms > restored_ms)
+        assert (await fleet.request(node, "/goods/7"))[0] == 200
+        assert versions == []
+
+
+async def test_configuration_that_is_written_again_is_taken():
+    """Guards against a change left out because its revision is an old one."""
+    async with running_platform_fleet(1, version=3) as fleet:
+        (node,), store = fleet.nodes, fleet.store
+        before = store.revision
+        for number in range(10):
+            store.put("other", f"o-{number}", {})
+        await fleet.configure(version=4)
+        await until(lambda: node.routes.current.version == 4)
+        versions = record_versions(node)
+        await store.restore(before)
+        await fleet.configure(version=5, pathPrefix="/goods/")
+        assert store.objects["config", "main"]["metadata"]["revision"] < 20
+        await until(lambda: node.routes.current.version == 5, LIMIT_S)
+        assert versions == [5]
+        assert (await fleet.request(node, "/goods/7"))[0] == 200
+
+
+async def test_node_that_restarts_has_the_configuration_of_its_neighbours():
+    """Guards against a restart that goes back to the restored store's copy."""
+    async with running_platform_fleet(2, version=3) as fleet:
+        (node, neighbour), store = fleet.nodes, fleet.store
+        await until(lambda: stored_slots(store, node) == 4)
+        before = store.revision
+        await fleet.configure(version=8, pathPrefix="/goods/")
+        await until(lambda: neighbour.routes.current.version == 8)
+        await node.stop()
+        await store.restore(before)
+        restarted = fleet.create_node(node, [neighbour])
+        versions = record_versions(restarted)
+        await fleet.start_node(restarted)
+        await until(lambda: restarted.is_ready, LIMIT_S)
+        assert versions == [8]
+
+
+async def test_start_does_not_wait_for_neighbours_that_are_away():
+    """Guards against a node that stays without the only configuration."""
+    async with running_platform_fleet(2, version=3) as fleet:
+        (node, neighbour), store = fleet.nodes, fleet.store
+        await until(lambda: stored_slots(store, node) == 4)
+        for stopped in (node, neighbour):
+            await stopped.stop()
+        await store.restore(store.revision)
+        restarted = fleet.create_node(node, [neighbour])
+        await fleet.start_node(restarted)
+        await until(lambda: restarted.is_ready, LIMIT_S)
+
+
+async def test_ordinary_start_asks_no_neighbour():
+    """Guards against requests to neighbours at each start of a node."""
+    async with running_platform_fleet(2, version=3) as fleet:
+        (node, neighbour), store = fleet.nodes, fleet.store
+        await until(lambda: stored_slots(store, node) == 4)
+        await node.stop()
+        restarted = fleet.create_node(node, [neighbour])
+        asked = []
+        monitored = restarted.peer_pool.request
+
+        async def request(candidate, kind, header):
+            asked.append(kind)
+            return await monitored(candidate, kind, header)
+
+        restarted.peer_pool.request = request
+        await fleet.start_node(restarted)
+        await until(lambda: restarted.is_ready)
+        await restarted.clock.sleep_ms(2 * neighbours.FIRST_REQUEST_DELAY_MS)
+        assert asked == []
+
+
+async def test_delayed_report_does_not_undo_a_leave_that_neighbours_know():
+    """Guards against requests to an upstream whose leave the store lost."""
+    async with running_platform_fleet(2) as fleet:
+        (node, neighbour), store = fleet.nodes, fleet.store
+        upstream = fleet.upstreams[0]
+        await until(lambda: stored_slots(store, node) == 4)
+        before = store.revision
+        assert await fleet.leave(node, upstream) == 200
+        await until(lambda: state_at(neighbour, node) == "draining")
+        await node.stop()
+        await store.restore(before)
+        node = await fleet.restart(node, [neighbour])
+        await until(lambda: node.is_ready, LIMIT_S)
+        await fleet.report(node, upstream)
+        assert node.upstream_tracker.state == "draining"
+        assert (await fleet.request(node))[0] == 200
+        assert not upstream.received
