Begin the absences of nodes anew when the store was restored

A removal names the version of the record, so that the store refuses it if the record has changed. A restored store gives versions out again: what the owner wrote since may have the version that the catalog knows from the lost history.

An absence now belongs to a generation and begins anew with the next one. Nothing is removed while the client knows a newer generation than the records were listed in. Records that the restored store lost have no version and are not removed by name; they go with a later listing.

Before, test_restoration_of_the_store_restarts_the_absence failed: "assert not [('nodes/lost', 5)]".

--- a/src/celeryfield/internal/registry/removal.py
+++ b/src/celeryfield/internal/registry/removal.py
@@ -55,10 +55,12 @@
 
     Attributes:
         version: Version of its record, which did not change meanwhile.
+        generation: Generation of the store that the version belongs to.
         since_ms: Time of the first of these checks.
     """
 
     version: int
+    generation: int | None
     since_ms: float
 
 
@@ -144,17 +146,19 @@
                 self._absences_by_id.clear()
                 return
             version = self._catalog.versions_by_id.get(record.node_id, 0)
+            generation = self._catalog.generation
             now_ms = self._clock.now_ms()
             absence = previous.get(record.node_id)
             if (
                 absence is None
-                or absence.version != version
+                or (absence.version, absence.generation)
+                != (version, generation)
                 or absence.since_ms < answering_ms
             ):
-                absence = _Absence(version, now_ms)
+                absence = _Absence(version, generation, now_ms)
             self._absences_by_id[record.node_id] = absence
             if now_ms - absence.since_ms >= MIN_ABSENCE_MS:
-                await self._remove_if_confirmed(record, version)
+                await self._remove_if_confirmed(record, absence)
 
     def _predecessors(self) -> list[NodeRecord]:
         """Returns all other records, in order of decreasing id.
@@ -169,13 +173,15 @@
         return [records_by_id[node_id] for node_id in ordered]
 
     async def _remove_if_confirmed(
-        self, record: NodeRecord, version: int
+        self, record: NodeRecord, absence: _Absence
     ) -> None:
         if not await self._is_confirmed_unreachable(record):
             return
+        version = absence.version
         # A record copied from a neighbour may have no version. With a version,
-        # the store refuses the removal if the record has changed meanwhile.
-        if version <= 0:
+        # the store refuses the removal if the record has changed meanwhile. A
+        # restored store may have given the version out again.
+        if version <= 0 or self._client.generation != absence.generation:
             return
         result = await self._client.delete(record.key, version)
         if result.is_error():
@@ -184,7 +190,7 @@
                 extra={"key": record.key, "problem": str(result.error)},
             )
             return
-        absence = self._absences_by_id.pop(record.node_id)
+        self._absences_by_id.pop(record.node_id)
         events.emit(
             events.RecordRemoved,
             peer=record.node_id,
--- a/tests/cover/test_registry_removal.py
+++ b/tests/cover/test_registry_removal.py
@@ -27,6 +27,7 @@
     """Records the removals."""
 
     def __init__(self):
+        self.generation = None
         self.removed = []
 
     async def delete(self, key, expected_version):
@@ -227,3 +228,45 @@
         assert removed.is_ok()
         await until(lambda: ("nodes", "node-2") in fleet.store.objects)
         await until(lambda: "node-2" in first.catalog.records_by_id)
+
+
+async def test_restoration_of_the_store_restarts_the_absence():
+    """Guards against removing what the owner wrote since under a version.
+
+    A restored store gives the versions of its lost history out again.
+    """
+    fleet = Fleet("lost:z2", "kept:z2", "a:z1")
+    listed = tuple(
+        stored(name, zone, 5)
+        for name, zone in (("lost", "z2"), ("kept", "z2"), ("a", "z1"))
+    )
+    fleet.store.generation = 1
+    fleet.catalog.replace_all(listed, 1)
+    fleet.network.down.add("lost")
+    await fleet.advance_and_check(MIN_ABSENCE_MS)
+    # Any call shows the new generation before the records are listed.
+    fleet.store.generation = 2
+    await fleet.advance_and_check(60_000.0)
+    assert not fleet.store.removed
+    fleet.catalog.replace_all(listed, 2)
+    await fleet.advance_and_check(MIN_ABSENCE_MS)
+    assert not fleet.store.removed
+    await fleet.advance_and_check(60_000.0)
+    assert fleet.store.removed == EXPECTED_REMOVALS
+
+
+async def test_record_that_the_restored_store_lost_is_not_removed():
+    """Guards against a delete whose version names another write."""
+    fleet = Fleet("kept:z2", "a:z1")
+    fleet.store.generation = 1
+    records = tuple(
+        stored(name, zone, 5)
+        for name, zone in (("lost", "z2"), ("kept", "z2"), ("a", "z1"))
+    )
+    fleet.catalog.replace_all(records, 1)
+    fleet.network.down.add("lost")
+    fleet.store.generation = 2
+    fleet.catalog.replace_all(records[1:], 2)
+    assert "lost" in fleet.catalog.records_by_id
+    await fleet.advance_and_check(3 * MIN_ABSENCE_MS)
+    assert not fleet.store.removed
