Let the stand-in of the store come back from an older copy

A drill of the platform restores the store from a copy that is some seconds old. The stand-in could not show it, so no test without the platform's kit covered it.

PlatformStore.restore() takes the latest writes back, gives their revisions out again, raises the generation and cuts waiting watches. Each response names the generation in x-store-generation; a stand-in whose generation is None stays a store of the earlier kind.

--- a/src/celeryfield/standins/platform.py
+++ b/src/celeryfield/standins/platform.py
@@ -5,6 +5,7 @@
 ``GET /objects?prefix=P`` lists objects and
 ``GET /watch?prefix=P&after=R&wait_ms=W`` waits until an object under the
 prefix has a version above R. Lists and watches return JSON with base64 values.
+The generation of the store travels in ``x-store-generation``.
 """
 
 import asyncio
@@ -22,6 +23,8 @@
 _CLIENT_MAX_BYTES = MAX_VALUE_BYTES + 1
 MAX_WAIT_MS = 60_000
 CALL_KINDS = ("get", "put", "list", "watch")
+# Writes that a restore can take back.
+MAX_UNDONE_WRITES = 1_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -63,7 +66,10 @@
 
     Attributes:
         objects_by_key: Content of the store.
-        revision: Revision of the last write; versions are never reused.
+        revision: Revision of the last write; only a restore makes the store
+            give revisions out again.
+        generation: Rises with each restore; with None, responses have no
+            generation, and nothing can be restored.
         calls_by_kind: Number of calls received, by ``CALL_KINDS``.
         faults: Active faults.
     """
@@ -71,12 +77,17 @@
     def __init__(self, seed: int = 0) -> None:
         self.objects_by_key: dict[str, StoredObject] = {}
         self.revision = 0
+        self.generation: int | None = 1
         self.calls_by_kind: collections.Counter[str] = collections.Counter()
         self.faults = PlatformFaults()
         self._random = random.Random(seed)
         self._changed = asyncio.Event()
         self._unstalled = asyncio.Event()
         self._unstalled.set()
+        # Key and previous object of each write, the latest last.
+        self._undo_log: collections.deque[tuple[str, StoredObject | None]] = (
+            collections.deque(maxlen=MAX_UNDONE_WRITES)
+        )
         self._watch_transports: set[asyncio.BaseTransport] = set()
         self._lost_answers_due = 0
         self._runner: web.AppRunner | None = None
@@ -99,6 +110,7 @@
         app.router.add_get("/objects/{key:.+}", self._get)
         app.router.add_put("/objects/{key:.+}", self._put)
         app.router.add_get("/watch", self._watch)
+        app.on_response_prepare.append(self._add_generation)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", port)
@@ -154,6 +166,36 @@
         self._watch_transports.clear()
         self._notify()
 
+    def restore(self, writes: int) -> None:
+        """Returns to the state before the latest writes.
+
+        Their revisions are given out again. Waiting watches are aborted.
+
+        Args:
+            writes: Number of writes to lose; at most ``MAX_UNDONE_WRITES``.
+
+        Raises:
+            ValueError: The store has no generation.
+        """
+        if self.generation is None:
+            raise ValueError("a store without a generation cannot be restored")
+        for _ in range(min(writes, len(self._undo_log))):
+            key, previous = self._undo_log.pop()
+            self.revision -= 1
+            if previous is None:
+                del self.objects_by_key[key]
+            else:
+                self.objects_by_key[key] = previous
+        self.generation += 1
+        self.drop_watches()
+
+    async def _add_generation(
+        self, _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Adds the generation to a response of any status."""
+        if self.generation is not None:
+            response.headers["x-store-generation"] = str(self.generation)
+
     async def _get(self, request: web.Request) -> web.Response:
         """Returns one object."""
         await self._admit("get", request)
@@ -178,6 +220,7 @@
             headers = {"x-version": str(current_version)}
             return web.Response(status=409, headers=headers)
         self.revision += 1
+        self._undo_log.append((key, current))
         self.objects_by_key[key] = StoredObject(self.revision, value)
         self._notify()
         if self._loses_answer():
