Order file sets by generation and revision

What callers saw: after the store came back from an older copy, a set that an operator applied was confirmed and never came into force. The lost set kept being used at all nodes. An operator who had reviewed the lost version could overwrite another operator's set unseen.

Cause: the version of a set was the revision of its object, and a restored store gives revisions out again. A new set got the revision of the lost one or a lower one, and nodes apply only higher versions.

The applier now records the generation that it knows in the set. The version is one integer, (generation - 1) * 2^40 + revision, which nodes, gossip, the exchange with neighbours, claims, history and commands compare as before. Conditional writes and write records hold revisions. A restored set keeps its generation and stays out; one applied since is newer than the lost one. Sets and stores without a generation, and the first generation, have the revision as version, so nodes of an earlier build agree with the new ones until the first restore. Versions stay exact in JSON readers that use doubles up to generation 8,191. The decoding of stored sets moves to stored_sets.py.

--- a/src/celeryfield/internal/config/fileset.py
+++ b/src/celeryfield/internal/config/fileset.py
@@ -55,7 +55,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class AppliedFileSet:
-    """One file set with its version in the store.
+    """One file set with its version.
 
     Attributes:
         message: The set as it is stored and sent to peers.
@@ -72,7 +72,7 @@
 
     @property
     def version(self) -> int:
-        """Version of the set in the store; 0 before it is stored."""
+        """Version of the set; 0 before it is stored."""
         return self.message.version
 
     def since_version(self, kind: str, name: str) -> int:
--- a/src/celeryfield/internal/schema/wire.capnp
+++ b/src/celeryfield/internal/schema/wire.capnp
@@ -110,18 +110,19 @@
 
 struct WriteRecord $doc("An earlier write of the same object.") {
   writeId @0 :Text;
-  version @1 :UInt64;
+  version @1 :UInt64 $doc("Revision that the store assigned to the write.");
 }
 
-struct FileSet $doc("A file set with its version in the store.") {
+struct FileSet $doc("A file set with its version.") {
   team @0 :Text;
-  version @1 :UInt64 $doc("0 if the peer has no file set of the team.");
+  version @1 :UInt64 $doc("Orders the sets of a team; 0 if the peer has no set of the team.");
   writeId @2 :Text $doc("Unique id of the write that produced the version.");
   author @3 :Text;
   appliedAtMs @4 :UInt64 $unit("ms since the epoch");
   files @5 :List(FileEntry);
   claims @6 :List(NameClaim) $doc("Names that this set defines; between teams, the oldest claim wins.");
   earlierWrites @7 :List(WriteRecord) $doc("Latest earlier writes, newest first; shows a writer whether its write was superseded after it took effect.");
+  generation @8 :UInt64 $doc("Generation of the store in which the set was written; 0 if unknown.");
 }
 
 struct FileSetHistory $doc("Earlier file sets of one team, newest first.") {
--- a/src/celeryfield/internal/schema/wire.py
+++ b/src/celeryfield/internal/schema/wire.py
@@ -764,7 +764,11 @@
 
 @dataclasses.dataclass(slots=True)
 class WriteRecord:
-    """An earlier write of the same object."""
+    """An earlier write of the same object.
+
+    Attributes:
+        version: Revision that the store assigned to the write.
+    """
 
     write_id: str = ""
     version: int = 0
@@ -807,14 +811,15 @@
 
 @dataclasses.dataclass(slots=True)
 class FileSet:
-    """A file set with its version in the store.
+    """A file set with its version.
 
     Attributes:
-        version: 0 if the peer has no file set of the team.
+        version: Orders the sets of a team; 0 if the peer has no set of the team.
         write_id: Unique id of the write that produced the version.
         applied_at_ms: Unit: ms since the epoch.
         claims: Names that this set defines; between teams, the oldest claim wins.
         earlier_writes: Latest earlier writes, newest first; shows a writer whether its write was superseded after it took effect.
+        generation: Generation of the store in which the set was written; 0 if unknown.
     """
 
     team: str = ""
@@ -825,6 +830,7 @@
     files: tuple[FileEntry, ...] = ()
     claims: tuple[NameClaim, ...] = ()
     earlier_writes: tuple[WriteRecord, ...] = ()
+    generation: int = 0
 
     def fill(self, builder: Any) -> None:
         """Copies the fields into a message builder."""
@@ -845,6 +851,7 @@
             items = builder.init("earlierWrites", len(self.earlier_writes))
             for index, item in enumerate(self.earlier_writes):
                 item.fill(items[index])
+        builder.generation = self.generation
 
     def encode(self) -> bytes:
         """Returns the message as bytes."""
@@ -864,6 +871,7 @@
             tuple([FileEntry.read(item) for item in reader.files]),
             tuple([NameClaim.read(item) for item in reader.claims]),
             tuple([WriteRecord.read(item) for item in reader.earlierWrites]),
+            reader.generation,
         )
 
     @classmethod
--- a/src/celeryfield/internal/store/applier.py
+++ b/src/celeryfield/internal/store/applier.py
@@ -13,6 +13,7 @@
 from celeryfield.internal.config import fileset
 from celeryfield.internal.config.diff import Change, diff_sets
 from celeryfield.internal.config.fileset import AppliedFileSet
+from celeryfield.internal.config.versions import make_version
 from celeryfield.internal.inifile import Problem
 from celeryfield.internal.schema import wire
 from celeryfield.internal.schema.base import MessageError
@@ -22,10 +23,15 @@
     StoreError,
     StoreOutcomeUnknownError,
 )
+from celeryfield.internal.store.stored_sets import (
+    CONFIG_PREFIX,
+    StoredSet,
+    decode_stored_set,
+    decode_stored_sets,
+)
 
 logger = logging.getLogger(__name__)
 
-CONFIG_PREFIX = "config/"
 HISTORY_PREFIX = "history/"
 # A writer recognises its own write if at most this many writes of the same team
 # follow before it reads the object back. Operators are far slower than that.
@@ -87,39 +93,6 @@
         self.problems = problems
 
 
-@dataclasses.dataclass(slots=True)
-class _StoredSet:
-    """A file set in the store.
-
-    Attributes:
-        version: Version in the store; 0 if the team has no set.
-        message: The decoded message, or none if it is malformed.
-        applied: The compiled set, or none if it is invalid.
-    """
-
-    version: int = 0
-    message: wire.FileSet | None = None
-    applied: AppliedFileSet | None = None
-
-
-def decode_stored_file_set(
-    stored_object: StoreObject,
-) -> Result[wire.FileSet, MessageError]:
-    """Decodes a stored set and sets its version to that of the object."""
-    try:
-        message = wire.FileSet.decode(stored_object.value)
-    except MessageError as error:
-        return Error(error)
-    if stored_object.key != f"{CONFIG_PREFIX}{message.team}":
-        return Error(
-            MessageError(
-                f"{stored_object.key} contains a set of team {message.team!r}"
-            )
-        )
-    message.version = stored_object.version
-    return Ok(message)
-
-
 class FileSetApplier:
     """Writes file sets and their history to the store."""
 
@@ -151,8 +124,8 @@
         listed = await self._client.list(CONFIG_PREFIX)
         if listed.is_error():
             return Error(ApplyUnavailableError(str(listed.error)))
-        stored_by_team = _decode_stored_sets(listed.ok)
-        current = stored_by_team.pop(candidate.team, _StoredSet())
+        stored_by_team = decode_stored_sets(listed.ok)
+        current = stored_by_team.pop(candidate.team, StoredSet())
         if current.version != expected_version:
             return _conflict_result(candidate, expected_version, current)
         problems = _check_name_owners(candidate, stored_by_team)
@@ -162,17 +135,26 @@
         written = await self._client.put_and_confirm(
             f"{CONFIG_PREFIX}{candidate.team}",
             message.encode(),
-            expected_version,
+            current.revision,
             _decode_write_records,
         )
         if written.is_error():
             return await self._convert_error(
                 candidate, expected_version, written.error
             )
-        message.version = written.ok.version
+        message.version = make_version(message.generation, written.ok.version)
         await self._append_history(message)
         return Ok(AppliedFileSet(message, candidate.sections))
 
+    async def current_version(self, team: str) -> Result[int, ApplyError]:
+        """Returns the version of a team's set in the store; 0 for none."""
+        read_result = await self._client.get(f"{CONFIG_PREFIX}{team}")
+        if read_result.is_error():
+            return Error(ApplyUnavailableError(str(read_result.error)))
+        if read_result.ok is None:
+            return Ok(0)
+        return Ok(decode_stored_set(read_result.ok).version)
+
     async def history(
         self, team: str
     ) -> Result[tuple[wire.FileSet, ...], ApplyError]:
@@ -183,23 +165,24 @@
         return Ok(_decode_history(read_result.ok))
 
     def _build_message(
-        self, message: wire.FileSet, current: _StoredSet, author: str
+        self, message: wire.FileSet, current: StoredSet, author: str
     ) -> wire.FileSet:
         """Builds the message to store from the file set and the current one."""
-        # A record with version 0 means that no earlier writes exist.
+        # The records hold revisions, which the client compares with those of
+        # the store. A record with version 0 means that no earlier writes exist.
         write_records = (wire.WriteRecord(),)
         since_version_by_name: dict[tuple[str, str], int] = {}
         if current.message is not None:
             previous = wire.WriteRecord(
-                current.message.write_id, current.version
+                current.message.write_id, current.revision
             )
             write_records = (previous, *current.message.earlier_writes)
             since_version_by_name = {
                 (claim.kind, claim.name): claim.since_version or current.version
                 for claim in current.message.claims
             }
-        elif current.version:
-            write_records = (wire.WriteRecord(version=current.version),)
+        elif current.revision:
+            write_records = (wire.WriteRecord(version=current.revision),)
         claims = [
             dataclasses.replace(
                 claim,
@@ -212,6 +195,8 @@
         return dataclasses.replace(
             message,
             write_id=uuid.uuid4().hex,
+            # A generation that fell must not make the set an older one.
+            generation=max(self._client.generation or 0, current.generation),
             author=author,
             applied_at_ms=self._clock.wall_ms(),
             claims=tuple(claims),
@@ -230,9 +215,9 @@
         if not isinstance(error, StoreConflictError):
             return Error(ApplyUnavailableError(str(error)))
         read_result = await self._client.get(error.key)
-        current = _StoredSet(version=error.current_version)
+        current = StoredSet(error.current_version)
         if read_result.is_ok() and read_result.ok is not None:
-            current = _decode_stored_set(read_result.ok)
+            current = decode_stored_set(read_result.ok)
         return _conflict_result(candidate, expected_version, current)
 
     async def _append_history(self, message: wire.FileSet) -> None:
@@ -268,31 +253,8 @@
     return [wire.WriteRecord(message.write_id), *message.earlier_writes]
 
 
-def _decode_stored_sets(
-    objects: Sequence[StoreObject],
-) -> dict[str, _StoredSet]:
-    """Returns the stored sets by team."""
-    return {
-        stored_object.key.removeprefix(CONFIG_PREFIX): _decode_stored_set(
-            stored_object
-        )
-        for stored_object in objects
-    }
-
-
-def _decode_stored_set(stored_object: StoreObject) -> _StoredSet:
-    """Decodes one stored set; one that is malformed can still be replaced."""
-    decoded = decode_stored_file_set(stored_object)
-    if decoded.is_error():
-        logger.warning("cannot decode %s: %s", stored_object.key, decoded.error)
-        return _StoredSet(stored_object.version)
-    compiled = fileset.from_wire(decoded.ok)
-    applied = compiled.ok if compiled.is_ok() else None
-    return _StoredSet(stored_object.version, decoded.ok, applied)
-
-
 def _conflict_result(
-    candidate: AppliedFileSet, expected_version: int, current: _StoredSet
+    candidate: AppliedFileSet, expected_version: int, current: StoredSet
 ) -> Result[AppliedFileSet, ApplyError]:
     """Returns the error for a set that another write has superseded."""
     changes = diff_sets(current.applied, candidate)
@@ -308,7 +270,7 @@
 
 
 def _check_name_owners(
-    candidate: AppliedFileSet, stored_by_team: dict[str, _StoredSet]
+    candidate: AppliedFileSet, stored_by_team: dict[str, StoredSet]
 ) -> list[Problem]:
     """Reports names that belong to other teams.
 
--- a/src/celeryfield/internal/store/watcher.py
+++ b/src/celeryfield/internal/store/watcher.py
@@ -10,12 +10,12 @@
 from celeryfield.internal.config import fileset
 from celeryfield.internal.config.fileset import AppliedFileSet
 from celeryfield.internal.config.manager import ConfigManager
-from celeryfield.internal.store.applier import (
+from celeryfield.internal.store.client import StoreClient, StoreObject
+from celeryfield.internal.store.errors import StoreError
+from celeryfield.internal.store.stored_sets import (
     CONFIG_PREFIX,
     decode_stored_file_set,
 )
-from celeryfield.internal.store.client import StoreClient, StoreObject
-from celeryfield.internal.store.errors import StoreError
 
 logger = logging.getLogger(__name__)
 
--- a/src/celeryfield/standins/cluster.py
+++ b/src/celeryfield/standins/cluster.py
@@ -20,7 +20,7 @@
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.config.fileset import load_directory
 from celeryfield.internal.schema.settings import StoreSettings
-from celeryfield.internal.store.applier import CONFIG_PREFIX, FileSetApplier
+from celeryfield.internal.store.applier import FileSetApplier
 from celeryfield.internal.store.client import StoreClient
 from celeryfield.standins.platform import PlatformStore
 from celeryfield.standins.upstream import (
@@ -264,11 +264,10 @@
             raise RuntimeError("\n".join(map(str, loaded.error)))
         clock = Clock()
         client = StoreClient(StoreSettings(url=self.platform.url), clock)
-        team = loaded.ok.team
-        found = await client.get(f"{CONFIG_PREFIX}{team}")
-        version = found.ok.version if found.ok else 0
-        applied = await FileSetApplier(client, clock).apply(
-            loaded.ok.message.files, version, "stand-in"
+        applier = FileSetApplier(client, clock)
+        current = await applier.current_version(loaded.ok.team)
+        applied = await applier.apply(
+            loaded.ok.message.files, current.default_value(0), "stand-in"
         )
         await client.close()
         if applied.is_error():
--- a/src/celeryfield/standins/operators.py
+++ b/src/celeryfield/standins/operators.py
@@ -10,7 +10,6 @@
 from celeryfield.internal.schema import wire
 from celeryfield.internal.schema.settings import StoreSettings
 from celeryfield.internal.store.applier import (
-    CONFIG_PREFIX,
     ApplyConflictError,
     ApplyUnknownError,
     FileSetApplier,
@@ -71,13 +70,14 @@
         self, client: StoreClient, clock: Clock, name: str
     ) -> WriteAttempt:
         team = self._base.team
-        found = await client.get(f"{CONFIG_PREFIX}{team}")
-        if found.is_error():
+        applier = FileSetApplier(client, clock)
+        current = await applier.current_version(team)
+        if current.is_error():
             return WriteAttempt(time.monotonic(), team, 0, 0, "unavailable")
-        expected_version = found.ok.version if found.ok else 0
+        expected_version = current.ok
         text = f"[workspace {name}]\nweight = {next(self._numbers)}\n"
         changed = wire.FileEntry(CHANGED_FILE, text)
-        applied = await FileSetApplier(client, clock).apply(
+        applied = await applier.apply(
             (*self._base.files, changed), expected_version, name
         )
         version = applied.ok.version if applied.is_ok() else 0
--- a/tests/cover/test_restored_store.py
+++ b/tests/cover/test_restored_store.py
@@ -3,12 +3,43 @@
 import asyncio
 
 import pytest
-from store_helpers import store_and_client, wait_until
+from hypothesis import given
+from hypothesis import strategies as st
+from store_helpers import (
+    InstantClock,
+    make_files,
+    store_and_client,
+    wait_until,
+)
 
+from celeryfield.internal.config import fileset
+from celeryfield.internal.config.manager import ConfigManager
+from celeryfield.internal.config.versions import REVISION_BITS, make_version
+from celeryfield.internal.schema import wire
+from celeryfield.internal.store.applier import (
+    ApplyConflictError,
+    FileSetApplier,
+)
 from celeryfield.internal.store.errors import StoreUnavailableError
+from celeryfield.internal.store.stored_sets import CONFIG_PREFIX
+from celeryfield.internal.store.watcher import ConfigWatcher
 from celeryfield.standins.platform import PlatformStore
 
 KEY = "kind/one"
+# An apply writes the set and its history.
+WRITES_PER_APPLY = 2
+PLACES = st.tuples(st.integers(1, 5_000), st.integers(1, 2**REVISION_BITS - 1))
+
+
+def make_watcher(client):
+    """Returns a watcher of a node that holds a lease, and its manager."""
+    manager = ConfigManager()
+    watcher = ConfigWatcher(client, manager, lambda: True, InstantClock())
+    return watcher, manager
+
+
+def description_in_force(manager, team="pipes"):
+    return manager.current_by_team[team].sections.fileset.description
 
 
 async def test_stand_in_gives_lost_revisions_out_again():
@@ -60,3 +91,124 @@
     store.generation = None
     with pytest.raises(ValueError, match="generation"):
         store.restore(1)
+
+
+async def test_set_applied_after_a_restore_comes_into_force():
+    """Guards against a confirmed change that every node ignores for good.
+
+    The lost set was in force, and the new one gets the same revision. The older
+    copy in the store must not come into force meanwhile.
+    """
+    async with store_and_client() as (store, client):
+        applier = FileSetApplier(client, InstantClock())
+        watcher, manager = make_watcher(client)
+        first = (await applier.apply(make_files("pipes"), 0, "ann")).ok
+        await applier.apply(make_files("pipes", "lost"), first.version, "ann")
+        await watcher.read_all()
+        store.restore(WRITES_PER_APPLY)
+        await watcher.read_all()
+        assert description_in_force(manager) == "lost"
+        base = (await applier.current_version("pipes")).ok
+        assert base == first.version
+        again = await applier.apply(make_files("pipes", "again"), base, "ann")
+        await watcher.read_all()
+        assert description_in_force(manager) == "again"
+        assert manager.versions_by_team == {"pipes": again.ok.version}
+
+
+async def test_lost_version_is_no_base_for_a_set_with_its_revision():
+    """Guards against overwriting a set that the operator has not reviewed."""
+    async with store_and_client() as (store, client):
+        applier = FileSetApplier(client, InstantClock())
+        first = (await applier.apply(make_files("pipes"), 0, "ann")).ok
+        reviewed = await applier.apply(
+            make_files("pipes", "lost"), first.version, "ann"
+        )
+        store.restore(WRITES_PER_APPLY)
+        await client.get(KEY)
+        base = first.version
+        other = await applier.apply(make_files("pipes", "other"), base, "bob")
+        refused = await applier.apply(
+            make_files("pipes", "mine"), reviewed.ok.version, "ann"
+        )
+        assert isinstance(refused.error, ApplyConflictError)
+        assert refused.error.current_version == other.ok.version
+
+
+async def test_later_generations_keep_write_records_and_claims():
+    """Guards against write records of versions, which the store never had.
+
+    Also guards against a team that loses a name to itself: its claim must keep
+    the version at which it began.
+    """
+    async with store_and_client() as (store, client):
+        applier = FileSetApplier(client, InstantClock())
+        first = (await applier.apply(make_files("pipes"), 0, "ann")).ok
+        store.restore(0)
+        await client.get(KEY)
+        versions = [first.version]
+        for _ in range(2):
+            applied = await applier.apply(
+                make_files("pipes"), versions[-1], "ann"
+            )
+            versions.append(applied.ok.version)
+        stored = store.objects_by_key[f"{CONFIG_PREFIX}pipes"]
+        message = wire.FileSet.decode(stored.value)
+        # The revisions between them are those of the history.
+        assert [record.version for record in message.earlier_writes] == [
+            stored.version - 2,
+            stored.version - 4,
+            0,
+        ]
+        assert {claim.since_version for claim in message.claims} == {
+            first.version
+        }
+        history = (await applier.history("pipes")).ok
+        assert [entry.version for entry in history] == versions[::-1]
+
+
+async def test_sets_of_earlier_builds_can_be_read_and_replaced():
+    """Guards against stored sets that no node can use after an upgrade."""
+    async with store_and_client() as (store, client):
+        applier = FileSetApplier(client, InstantClock())
+        watcher, manager = make_watcher(client)
+        old = fileset.compile_files(make_files("pipes")).ok.message
+        assert old.generation == 0
+        put = await client.put(f"{CONFIG_PREFIX}pipes", old.encode(), 0)
+        await watcher.read_all()
+        assert manager.versions_by_team == {"pipes": put.ok.version}
+        store.restore(0)
+        await client.get(KEY)
+        changed = await applier.apply(
+            make_files("pipes", "two"), put.ok.version, "ann"
+        )
+        await watcher.read_all()
+        assert manager.versions_by_team == {"pipes": changed.ok.version}
+
+
+async def test_versions_before_the_first_restore_are_revisions():
+    """Guards against a fleet of two builds that orders sets in two ways."""
+    async with store_and_client() as (store, client):
+        applier = FileSetApplier(client, InstantClock())
+        for store.generation in (None, 1):
+            base = (await applier.current_version("pipes")).ok
+            applied = await applier.apply(make_files("pipes"), base, "ann")
+            stored = store.objects_by_key[f"{CONFIG_PREFIX}pipes"]
+            assert applied.ok.version == stored.version
+
+
+async def test_peer_of_an_earlier_build_passes_a_set_on_with_its_version():
+    """Guards against a version that is computed from a relayed message."""
+    relayed = fileset.compile_files(make_files("pipes")).ok.message
+    relayed.version = make_version(2, 7)
+    received = wire.FileSet.decode(relayed.encode())
+    assert fileset.from_wire(received).ok.version == make_version(2, 7)
+
+
+@given(PLACES, PLACES)
+def test_versions_are_ordered_by_generation_and_then_by_revision(first, second):
+    """Guards against an order that a high revision can break."""
+    versions = (make_version(*first), make_version(*second))
+    assert (versions[0] < versions[1]) == (first < second)
+    assert (versions[0] == versions[1]) == (first == second)
+    assert max(versions) < 2**53
