List the file sets again when the store was restored

What callers saw: after the store came back from an older copy, changes of file sets did not reach the nodes until the store's revisions had passed the ones it had lost.

Cause: ConfigWatcher asks for revisions above the highest one it has seen, and that number never fell. A restored store gives lower ones out again.

On a new generation the watcher now lists all sets and continues from the highest revision in the listing. If another call of the node finds the new generation, a waiting watch is abandoned, since it would wait for its full time for revisions that the store has lost. A listing that fails is made again.

Evidence: with watcher.py of the commit before, pytest tests/cover/test_restored_store.py failed in 4 of 15 tests: "KeyError: 'pipes'" (the set was never read) three times and "the condition was not fulfilled in time" (the watch went on); now 15 passed.

--- a/src/celeryfield/internal/store/watcher.py
+++ b/src/celeryfield/internal/store/watcher.py
@@ -1,5 +1,6 @@
 """Applies file sets from the store at this node."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 
@@ -52,7 +53,10 @@
         self._holds_lease = holds_lease
         self._clock = clock
         self._backoff = client.new_backoff()
-        self._last_seen_version = 0
+        self._last_seen_revision = 0
+        self._needs_listing = False
+        self._restored = asyncio.Event()
+        client.subscribe_generation(self._handle_restore)
 
     @mode.Service.task
     async def _run(self) -> None:
@@ -73,17 +77,52 @@
 
     async def read_all(self) -> bool:
         """Reads every file set; returns whether the read succeeded."""
-        return await self._apply_result(await self._client.list(CONFIG_PREFIX))
+        result = await self._client.list(CONFIG_PREFIX)
+        if result.is_ok():
+            # A restore that this call found has been taken into account; one
+            # that follows while the sets are applied has not.
+            self._needs_listing = False
+            self._last_seen_revision = 0
+        return await self._apply_result(result)
 
     async def watch_once(self) -> bool:
         """Waits for changes; returns whether the watch succeeded.
 
         A watch that fails misses no change, since the next one asks for all
-        versions above the last one seen.
+        revisions above the last one seen. A restored store gives revisions out
+        again, so every set is read instead.
         """
-        return await self._apply_result(
-            await self._client.watch(CONFIG_PREFIX, self._last_seen_version)
+        if not self._needs_listing:
+            result = await self._watch_until_restored()
+            if result is not None and not self._needs_listing:
+                return await self._apply_result(result)
+        return await self.read_all()
+
+    async def _watch_until_restored(
+        self,
+    ) -> Result[list[StoreObject], StoreError] | None:
+        """Watches for changes; returns None if another call found a restore.
+
+        Otherwise, a watch for revisions that the store has lost would wait for
+        its full time.
+        """
+        self._restored.clear()
+        watch = asyncio.ensure_future(
+            self._client.watch(CONFIG_PREFIX, self._last_seen_revision)
         )
+        restored = asyncio.ensure_future(self._restored.wait())
+        try:
+            await asyncio.wait(
+                (watch, restored), return_when=asyncio.FIRST_COMPLETED
+            )
+            return watch.result() if watch.done() else None
+        finally:
+            watch.cancel()
+            restored.cancel()
+
+    def _handle_restore(self, _generation: int) -> None:
+        self._needs_listing = True
+        self._restored.set()
 
     async def _apply_result(
         self, result: Result[list[StoreObject], StoreError]
@@ -111,8 +150,8 @@
                     "cannot use a stored file set",
                     extra={"key": stored_object.key, "reason": reason},
                 )
-        self._last_seen_version = max(
-            self._last_seen_version, stored_object.version
+        self._last_seen_revision = max(
+            self._last_seen_revision, stored_object.version
         )
 
 
--- a/tests/cover/test_restored_store.py
+++ b/tests/cover/test_restored_store.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from store_helpers import (
     InstantClock,
+    make_client,
     make_files,
     store_and_client,
     wait_until,
@@ -212,3 +213,70 @@
     assert (versions[0] < versions[1]) == (first < second)
     assert (versions[0] == versions[1]) == (first == second)
     assert max(versions) < 2**53
+
+
+@pytest.mark.parametrize("noticed_by", ["the watch", "another call"])
+async def test_changes_below_lost_revisions_are_not_missed(noticed_by):
+    """Guards against a watch that waits for revisions above lost ones."""
+    async with store_and_client() as (store, client):
+        store.faults.longest_wait_ms = 0
+        applier = FileSetApplier(client, InstantClock())
+        operator = make_client(store)
+        watcher, manager = make_watcher(client)
+        for index in range(4):
+            await applier.apply(make_files(f"team{index}"), 0, "ann")
+        assert await watcher.watch_once()
+        store.restore(3 * WRITES_PER_APPLY)
+        # The operator's call does not tell the node of the restore.
+        await FileSetApplier(operator, InstantClock()).apply(
+            make_files("pipes"), 0, "ann"
+        )
+        await operator.close()
+        if noticed_by == "another call":
+            await client.get(KEY)
+        assert await watcher.watch_once()
+        assert description_in_force(manager) == "first"
+        # Later changes are watched from the revisions of the new generation.
+        lists = store.calls_by_kind["list"]
+        await applier.apply(make_files("bells"), 0, "ann")
+        assert await watcher.watch_once()
+        assert description_in_force(manager, "bells") == "first"
+        assert store.calls_by_kind["list"] == lists + 1  # The applier's.
+
+
+async def test_waiting_watch_ends_when_another_call_finds_a_restore():
+    """Guards against a change that nodes learn only when a watch runs out."""
+    async with store_and_client(watch_seconds=60.0) as (store, client):
+        applier = FileSetApplier(client, InstantClock())
+        watcher, manager = make_watcher(client)
+        await applier.apply(make_files("bells"), 0, "ann")
+        await watcher.read_all()
+        waiting = asyncio.create_task(watcher.watch_once())
+        await wait_until(lambda: store.calls_by_kind["watch"] == 1)
+        store.drop_watches = lambda: None  # The connection is not cut.
+        store.restore(WRITES_PER_APPLY)
+        # One write less than before, so that its revision was seen already.
+        message = fileset.compile_files(make_files("pipes")).ok.message
+        key = f"{CONFIG_PREFIX}pipes"
+        assert (await client.put(key, message.encode(), 0)).is_ok()
+        await wait_until(waiting.done)
+        assert waiting.result()
+        assert description_in_force(manager) == "first"
+        del store.drop_watches
+
+
+async def test_set_that_a_stopped_watch_missed_is_read_after_a_failed_list():
+    """Guards against a restore that is forgotten when the listing fails."""
+    async with store_and_client() as (store, client):
+        store.faults.longest_wait_ms = 0
+        watcher, manager = make_watcher(client)
+        applier = FileSetApplier(client, InstantClock())
+        await applier.apply(make_files("bells"), 0, "ann")
+        await watcher.read_all()
+        store.restore(WRITES_PER_APPLY)
+        await applier.apply(make_files("pipes"), 0, "ann")
+        store.set_down(True)
+        assert not await watcher.watch_once()
+        store.set_down(False)
+        assert await watcher.watch_once()
+        assert description_in_force(manager) == "first"
