End leases when the store was restored

What callers saw: after the store came back from an older copy, two nodes held one slot: the holder relied on a lease that the store had lost, and another node found the slot free in the restored content.

Cause: a lease rests on an acknowledged write, and nothing asked whether the store still has it. Versions of two generations were compared: an observer took a new lease with a version seen before for an unchanged one, and a renewal whose version was given out again replaced another node's record, of which its sender then took possession as its own.

- A lease ends as soon as the client of the node knows of a new generation; renew() and release() then send nothing.
A write during which the store was restored never extends the lease.
- Observers compare generation and version.
- Lease records name the generation that the writer knew.
A record of another generation, also a released one or the node's own, is free only after it stayed unchanged for a lease time.
- No slot is taken within a lease time after the node learned of the generation.
By then the leases of the earlier one have ended, also at holders that do not know of it yet.
A node that starts with a store that was ever restored waits as well.
- Until slots are taken again, earlier holders watch the configuration.

A slot is thus without a holder for one to about two lease times after a restore. What remains possible is said in the module's docstring. Records of nodes of an earlier build name no generation; their slots are taken a lease time later than before.

--- a/src/celeryfield/internal/node.py
+++ b/src/celeryfield/internal/node.py
@@ -227,7 +227,7 @@
             self._zone_size,
         )
         watcher = ConfigWatcher(
-            self.store, self.config, self.seeds.holds_lease, self.clock
+            self.store, self.config, self.seeds.should_watch, self.clock
         )
         await self.add_runtime_dependency(self.seeds)
         await self.add_runtime_dependency(watcher)
--- a/src/celeryfield/internal/schema/wire.capnp
+++ b/src/celeryfield/internal/schema/wire.capnp
@@ -133,8 +133,9 @@
 struct LeaseRecord $doc("Value of one lease in the store.") {
   holderId @0 :Text $doc("Node that holds the lease; empty after a release.");
   incarnation @1 :UInt64;
-  epoch @2 :UInt64 $doc("Increases each time the lease is acquired.");
+  epoch @2 :UInt64 $doc("Increases each time the lease is acquired in one generation of the store.");
   writeId @3 :Text $doc("Unique id of the write.");
   address @4 :Text;
   port @5 :UInt16;
+  generation @6 :UInt64 $doc("Generation of the store that the writer knew; 0 if unknown.");
 }
--- a/src/celeryfield/internal/schema/wire.py
+++ b/src/celeryfield/internal/schema/wire.py
@@ -943,8 +943,9 @@
 
     Attributes:
         holder_id: Node that holds the lease; empty after a release.
-        epoch: Increases each time the lease is acquired.
+        epoch: Increases each time the lease is acquired in one generation of the store.
         write_id: Unique id of the write.
+        generation: Generation of the store that the writer knew; 0 if unknown.
     """
 
     holder_id: str = ""
@@ -953,6 +954,7 @@
     write_id: str = ""
     address: str = ""
     port: int = 0
+    generation: int = 0
 
     def fill(self, builder: Any) -> None:
         """Copies the fields into a message builder."""
@@ -962,6 +964,7 @@
         builder.writeId = self.write_id
         builder.address = self.address
         builder.port = self.port
+        builder.generation = self.generation
 
     def encode(self) -> bytes:
         """Returns the message as bytes."""
@@ -979,6 +982,7 @@
             reader.writeId,
             reader.address,
             reader.port,
+            reader.generation,
         )
 
     @classmethod
--- a/src/celeryfield/internal/store/leases.py
+++ b/src/celeryfield/internal/store/leases.py
@@ -1,4 +1,17 @@
-"""Leases that are acquired and renewed by conditional writes."""
+"""Leases that are acquired and renewed by conditional writes.
+
+A restored store may have lost the latest holder of a lease, so a lease ends
+when its node learns of a new generation of the store. The holder of the earlier
+generation may learn of it later, but its lease ends within a lease time of the
+restore, since no write after it extends the lease. Whoever waits a lease time
+after it first knew the generation is therefore the only holder.
+
+Two holders at once remain possible if the monotonic clock of one of them stands
+still or is more than 10% slow. A late renewal of the earlier generation may
+replace a record of the new one whose revision was given out again: its sender
+does not hold the lease then, the other holder loses it with its next renewal,
+and the slot is free a lease time later.
+"""
 
 import dataclasses
 import logging
@@ -17,6 +30,8 @@
 # A holder relies on its lease for this fraction of the time that other nodes
 # wait, so clocks whose rates differ by up to 10% cannot lead to two holders.
 HOLDER_LEASE_FRACTION = 0.9
+# A slot has a holder again within about two lease times of a restore.
+INTERRUPTED_LEASE_TIMES = 3.0
 
 
 class LeaseObserver:
@@ -30,28 +45,45 @@
     def __init__(self, lease_ms: float, clock: Clock) -> None:
         self._lease_ms = lease_ms
         self._clock = clock
-        self._seen_by_key: dict[str, tuple[int, float]] = {}
+        self._seen_by_key: dict[str, _SeenVersion] = {}
 
     def check_expired(
-        self, lease_object: StoreObject, read_start_ms: float
+        self,
+        lease_object: StoreObject,
+        read_start_ms: float,
+        generation: int | None = None,
     ) -> bool:
         """Records the version that was read and checks for expiry.
 
         Args:
             lease_object: Lease object that was read.
             read_start_ms: Monotonic time at which the read began.
+            generation: Generation of the store that was read; equal versions
+                of two generations are different writes.
 
         Returns:
             Whether the lease has expired.
         """
-        version, since_ms = self._seen_by_key.get(lease_object.key, (0, 0.0))
-        if version != lease_object.version:
-            self._seen_by_key[lease_object.key] = (
-                lease_object.version,
-                self._clock.now_ms(),
+        seen = self._seen_by_key.get(lease_object.key)
+        version = lease_object.version
+        if seen is None or (seen.generation, seen.version) != (
+            generation,
+            version,
+        ):
+            self._seen_by_key[lease_object.key] = _SeenVersion(
+                generation, version, self._clock.now_ms()
             )
             return False
-        return read_start_ms - since_ms >= self._lease_ms
+        return read_start_ms - seen.since_ms >= self._lease_ms
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _SeenVersion:
+    """Version of a lease object and when it was first read."""
+
+    generation: int | None
+    version: int
+    since_ms: float
 
 
 class Lease:
@@ -59,8 +91,8 @@
 
     Attributes:
         key: Key of the lease object.
-        epoch: Increases with each acquisition; 0 before this node first
-            acquired the lease.
+        epoch: Increases with each acquisition in one generation of the store;
+            0 before this node first acquired the lease.
     """
 
     def __init__(
@@ -79,15 +111,23 @@
         self._clock = clock
         self._version = 0
         self._held_until_ms = float("-inf")
+        self._restores = 0
+        self._interrupted_until_ms = float("-inf")
+        client.subscribe_generation(self._handle_restore)
 
     def is_held(self) -> bool:
         """Returns whether this node currently holds the lease.
 
         Call this directly before each action that needs the lease: a process
-        that was paused past the end of its lease gets False here.
+        that was paused past the end of its lease gets False here, and so does
+        a node that knows of a new generation of the store.
         """
         return self._clock.now_ms() < self._held_until_ms
 
+    def was_interrupted(self) -> bool:
+        """Returns whether a restore of the store recently ended the lease."""
+        return self._clock.now_ms() < self._interrupted_until_ms
+
     async def acquire(self, lease_object: StoreObject | None) -> bool:
         """Acquires a lease that was found free, expired or this node's own.
 
@@ -120,20 +160,32 @@
         if not self.is_held():
             return
         self._held_until_ms = float("-inf")
-        record = wire.LeaseRecord(epoch=self.epoch, write_id=uuid.uuid4().hex)
+        record = wire.LeaseRecord(
+            epoch=self.epoch,
+            write_id=uuid.uuid4().hex,
+            generation=self._client.generation or 0,
+        )
         await self._client.put(self.key, record.encode(), self._version)
 
     async def _write(self, expected_version: int, epoch: int) -> bool:
         """Writes the lease record; only a confirmed write extends the lease."""
         record = dataclasses.replace(
-            self._holder, epoch=epoch, write_id=uuid.uuid4().hex
+            self._holder,
+            epoch=epoch,
+            write_id=uuid.uuid4().hex,
+            generation=self._client.generation or 0,
         )
         # Holders measure the lease time from before the write, and observers
         # from after their read, so the holder's lease always ends first.
         start_ms = self._clock.now_ms()
+        restores = self._restores
         result = await self._client.put(
             self.key, record.encode(), expected_version
         )
+        if restores != self._restores:
+            # The expected version belongs to the earlier generation, so the
+            # write may have replaced the record of a holder of the new one.
+            return False
         match result:
             case Result(tag="ok", ok=written):
                 self._version = written.version
@@ -148,6 +200,14 @@
                     self._held_until_ms = float("-inf")
                 return False
 
+    def _handle_restore(self, _generation: int) -> None:
+        self._restores += 1
+        if self.is_held():
+            self._interrupted_until_ms = (
+                self._clock.now_ms() + self._lease_ms * INTERRUPTED_LEASE_TIMES
+            )
+        self._held_until_ms = float("-inf")
+
 
 def decode_lease_record(value: bytes) -> wire.LeaseRecord:
     """Decodes a lease record; a malformed one counts as free."""
--- a/src/celeryfield/internal/store/seeds.py
+++ b/src/celeryfield/internal/store/seeds.py
@@ -33,6 +33,9 @@
 # A holder reads the seeds again after this many renewals. Otherwise two nodes
 # that acquire the first leases at the same time would never find each other.
 RENEWALS_PER_SEED_READ = 10
+# Generation of a store that was never restored; a store without one counts as
+# such.
+FIRST_GENERATION = 1
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -97,6 +100,9 @@
         self._renewal_count = 0
         self._needs_second_read = False
         self._retries_quickly = True
+        # Before this time, a holder of an earlier generation of the store may
+        # still rely on a lease that the store has lost.
+        self._acquire_after_ms: float | None = None
         self._step_lock = asyncio.Lock()
         self._holder = wire.LeaseRecord(
             holder_id=identity.id,
@@ -108,11 +114,23 @@
             key: Lease(client, key, self._holder, settings.lease_ms, clock)
             for key in self._slot_keys()
         }
+        client.subscribe_generation(self._handle_restore)
 
     def holds_lease(self) -> bool:
         """Returns whether this node currently holds a seed lease."""
         return any(lease.is_held() for lease in self._leases_by_key.values())
 
+    def should_watch(self) -> bool:
+        """Returns whether this node watches the configuration.
+
+        Holders do. After a restore of the store, which ends all leases, the
+        earlier holders go on until there are new ones: reading needs no lease,
+        and changes must not wait for the leases.
+        """
+        return self.holds_lease() or any(
+            lease.was_interrupted() for lease in self._leases_by_key.values()
+        )
+
     def seed_addresses(self) -> tuple[SeedAddress, ...]:
         """Returns the holders last read in all zones, except this node.
 
@@ -201,13 +219,20 @@
         Returns:
             Whether this node now holds the slot.
         """
+        if self._acquire_after_ms is None:
+            # Nothing tells a node that starts how long ago the restore was.
+            self._acquire_after_ms = (
+                self._clock.now_ms() + self._settings.lease_ms
+                if self._generation() > FIRST_GENERATION
+                else float("-inf")
+            )
         # Every slot must be checked, since the check also records its version.
         free_keys = [
             key
             for key in self._slot_keys()
             if self._is_free(objects_by_key.get(key), read_start_ms)
         ]
-        if not free_keys:
+        if not free_keys or read_start_ms < self._acquire_after_ms:
             return False
         own_keys = [
             key for key in free_keys if self._is_own(objects_by_key.get(key))
@@ -221,9 +246,17 @@
         """Returns whether a slot may be acquired."""
         if lease_object is None:
             return True
-        expired = self._observer.check_expired(lease_object, read_start_ms)
-        is_released = not decode_lease_record(lease_object.value).holder_id
-        return expired or is_released or self._is_own(lease_object)
+        generation = self._generation()
+        if self._observer.check_expired(
+            lease_object, read_start_ms, generation
+        ):
+            return True
+        record = decode_lease_record(lease_object.value)
+        # The writer did not know of the restore, so it may have replaced the
+        # record of a holder.
+        if record.generation != generation:
+            return False
+        return not record.holder_id or self._is_own(lease_object)
 
     def _is_own(self, lease_object: StoreObject | None) -> bool:
         """Returns whether this incarnation wrote the slot.
@@ -240,6 +273,14 @@
             self._holder.incarnation,
         )
 
+    def _generation(self) -> int:
+        """Returns the generation of the latest response, or 0 without one."""
+        return self._client.generation or 0
+
+    def _handle_restore(self, _generation: int) -> None:
+        self._acquire_after_ms = self._clock.now_ms() + self._settings.lease_ms
+        self._needs_second_read = False
+
     def _slot_keys(self) -> list[str]:
         """Returns the keys of the slots of this node's zone."""
         return [
