Report an apply as unknown if the store was restored meanwhile

What callers saw: an apply was reported as a success although the store came back from an older copy between the write and the report, and the set was lost or did not come into force.

Cause: the applier took the confirmation of the write as final. If the store is restored between the listing and the write, the set names the earlier generation and may be older than a lost set that is in force; if it is restored after the write, the set may be gone.

The applier compares the generation of its listing with the one known at the end, and reports an unknown outcome if they differ. A conflict in a new generation is unknown already, in put_and_confirm.

Evidence: with applier.py of the commit before, pytest tests/cover/test_restored_store.py failed in 3 of 21 tests: "'Result' object has no attribute 'error'" (success was reported) when the write reached the restored store, when it survived in the copy, and when the store was restored while the history was read. The three cases that put_and_confirm covers passed before as well. Now 21 passed.

--- a/src/celeryfield/internal/store/applier.py
+++ b/src/celeryfield/internal/store/applier.py
@@ -40,6 +40,10 @@
 # The store accepts values of up to 1 MB; the rest is for the framing.
 MAX_HISTORY_BYTES = 900_000
 MAX_HISTORY_ATTEMPTS = 3
+_RESTORED = (
+    "the store came back from an older copy during the apply; "
+    "apply again to be sure that the set comes into force"
+)
 
 
 class ApplyError(CeleryfieldError):
@@ -131,6 +135,7 @@
         problems = _check_name_owners(candidate, stored_by_team)
         if problems:
             return Error(ApplyRejectedError(problems))
+        generation = self._client.generation
         message = self._build_message(candidate.message, current, author)
         written = await self._client.put_and_confirm(
             f"{CONFIG_PREFIX}{candidate.team}",
@@ -143,7 +148,12 @@
                 candidate, expected_version, written.error
             )
         message.version = make_version(message.generation, written.ok.version)
-        await self._append_history(message)
+        if self._client.generation == generation:
+            await self._append_history(message)
+        if self._client.generation != generation:
+            # The store may have lost the set. If not, the set names the earlier
+            # generation and may be older than a lost one that is in force.
+            return Error(ApplyUnknownError(_RESTORED))
         return Ok(AppliedFileSet(message, candidate.sections))
 
     async def current_version(self, team: str) -> Result[int, ApplyError]:
--- a/tests/cover/test_restored_store.py
+++ b/tests/cover/test_restored_store.py
@@ -19,6 +19,7 @@
 from celeryfield.internal.schema import wire
 from celeryfield.internal.store.applier import (
     ApplyConflictError,
+    ApplyUnknownError,
     FileSetApplier,
 )
 from celeryfield.internal.store.errors import StoreUnavailableError
@@ -280,3 +281,68 @@
         store.set_down(False)
         assert await watcher.watch_once()
         assert description_in_force(manager) == "first"
+
+
+async def restore_during_the_write(store, held, writes, other_set=None):
+    """Restores the store before or after the next write takes effect."""
+    puts = store.calls_by_kind["put"]
+    store.set_stalled(True, [held])
+    if held == "put":
+        await wait_until(lambda: store.calls_by_kind["put"] > puts)
+    else:
+        store.lose_answers(1)  # The writer reads the object back.
+        gets = store.calls_by_kind["get"]
+        await wait_until(lambda: store.calls_by_kind["get"] > gets)
+    store.restore(writes)
+    if other_set is not None:
+        stored = store.objects_by_key[f"{CONFIG_PREFIX}pipes"]
+        store.revision += 1
+        stored.version = store.revision
+        stored.value = other_set.encode()
+    store.set_stalled(False)
+
+
+RESTORES = {
+    "write reaches the restored store": ("put", 0, False),
+    "write is lost before it is read back": ("get", 1, False),
+    "write survives in the copy": ("get", 0, False),
+    "write meets another set": ("put", 0, True),
+    "write is lost and another set follows": ("get", 1, True),
+}
+
+
+@pytest.mark.parametrize("name", RESTORES)
+async def test_set_applied_during_a_restore_has_an_unknown_outcome(name):
+    """Guards against a report of success or conflict that may be wrong.
+
+    A set that reaches the restored store names the earlier generation, so the
+    lost set of the same revision may stay in force instead.
+    """
+    held, writes, has_other_set = RESTORES[name]
+    async with store_and_client() as (store, client):
+        applier = FileSetApplier(client, InstantClock())
+        first = (await applier.apply(make_files("pipes"), 0, "ann")).ok
+        other = fileset.compile_files(make_files("pipes", "other")).ok.message
+        task = asyncio.create_task(
+            applier.apply(make_files("pipes", "two"), first.version, "ann")
+        )
+        await restore_during_the_write(
+            store, held, writes, other if has_other_set else None
+        )
+        assert isinstance((await task).error, ApplyUnknownError)
+        base = (await applier.current_version("pipes")).ok
+        again = await applier.apply(make_files("pipes", "two"), base, "ann")
+        assert again.ok.version >= make_version(2, 1)
+
+
+async def test_set_written_before_a_restore_has_an_unknown_outcome():
+    """Guards against a success that the store lost before it was reported."""
+    async with store_and_client() as (store, client):
+        applier = FileSetApplier(client, InstantClock())
+        store.set_stalled(True, ["get"])  # The history is read after the write.
+        task = asyncio.create_task(applier.apply(make_files("pipes"), 0, "a"))
+        await wait_until(lambda: store.calls_by_kind["get"] == 1)
+        store.restore(1)
+        store.set_stalled(False)
+        assert isinstance((await task).error, ApplyUnknownError)
+        assert (await applier.current_version("pipes")).ok == 0
