Tell operators which sets in force the store has lost

What callers saw: after the store came back from an older copy, the sets in force were newer than those in the store, and nothing said so. Nodes write no configuration, so only an operator can store the sets again.

When a node lists the file sets, it compares them with those in force. A set in force that was written in an earlier generation and is newer than the one in the store is lost: one log line for each, "file set lost by the store", and in the status the version in the store, which is the base for applying the set again. The entry goes when a newer set comes into force. Only nodes that list the sets know it, which after a restore are the earlier holders of seed leases.

--- a/src/celeryfield/cli/status.py
+++ b/src/celeryfield/cli/status.py
@@ -58,6 +58,11 @@
     yield f"node {answer.node} in {answer.zone}: {state}, {answer.version}"
     for team, version in sorted(answer.configuration.items()):
         yield f"file set {team}: version {version}"
+    for team, version in sorted(answer.lost_by_store.items()):
+        yield (
+            f"lost by the store: file set {team}; apply it again with "
+            f"--base {version}"
+        )
     for conflict in answer.conflicts:
         yield f"conflict: {conflict}"
     local = answer.local
--- a/src/celeryfield/internal/admin/status.py
+++ b/src/celeryfield/internal/admin/status.py
@@ -122,6 +122,7 @@
         ready=node.is_ready(),
         leaving=node.is_leaving(),
         configuration=dict(node.config.versions_by_team),
+        lost_by_store=dict(node.config.stored_versions_of_lost),
         conflicts=[str(conflict) for conflict in node.config.conflicts],
         local=_local_status(node),
         callers_in_flight=node.frontend.in_flight,
--- a/src/celeryfield/internal/admin/status_models.py
+++ b/src/celeryfield/internal/admin/status_models.py
@@ -1,5 +1,7 @@
 """Models of the response to ``GET /v1/status``."""
 
+import pydantic
+
 from celeryfield.internal.admin.models import ApiModel
 
 
@@ -78,6 +80,9 @@
 
     Attributes:
         configuration: Versions in force at this node, by team.
+        lost_by_store: Versions in the store, by team, for sets in force that
+            the store lost when it was restored; 0 if it has none of the team.
+            Only a node that has read the store since then knows.
         configurations: Versions in force at the members, by the key in
             ``members``; members with equal versions share one entry.
         executor: Counters of calls, retries and hedges.
@@ -89,6 +94,7 @@
     ready: bool
     leaving: bool
     configuration: dict[str, int]
+    lost_by_store: dict[str, int] = pydantic.Field(default_factory=dict)
     conflicts: list[str]
     local: LocalStatus
     callers_in_flight: int
--- a/src/celeryfield/internal/config/manager.py
+++ b/src/celeryfield/internal/config/manager.py
@@ -5,7 +5,9 @@
 import logging
 from collections.abc import Callable, Mapping
 
+from celeryfield.internal import events
 from celeryfield.internal.config.fileset import AppliedFileSet, Rule
+from celeryfield.internal.config.versions import make_version
 from celeryfield.internal.schema.fileset import ClassSection, ServiceSection
 
 logger = logging.getLogger(__name__)
@@ -45,6 +47,8 @@
 
     Attributes:
         conflicts: Names that more than one team defines.
+        stored_versions_of_lost: Versions in the store of the teams whose set in
+            force the store has lost; 0 if it has none of the team.
     """
 
     def __init__(self) -> None:
@@ -52,6 +56,7 @@
         self._owners_by_name: dict[tuple[str, str], AppliedFileSet] = {}
         self._callbacks: list[OnChange] = []
         self.conflicts: tuple[NameConflict, ...] = ()
+        self.stored_versions_of_lost: dict[str, int] = {}
 
     @property
     def current_by_team(self) -> Mapping[str, AppliedFileSet]:
@@ -79,6 +84,7 @@
         if not self._is_newer(candidate):
             return False
         self._sets_by_team[candidate.team] = candidate
+        self.stored_versions_of_lost.pop(candidate.team, None)
         self._resolve_owners()
         logger.info(
             "file set in force",
@@ -88,6 +94,32 @@
             self._notify(callback, candidate)
         return True
 
+    def find_lost_sets(
+        self, stored_versions: Mapping[str, int], generation: int
+    ) -> None:
+        """Finds sets in force that a restored store has lost.
+
+        Args:
+            stored_versions: Versions of all sets in the store, by team.
+            generation: Generation of the store that was read. A set that was
+                written in it may be newer than the reading, and is not lost.
+        """
+        oldest_version = make_version(generation, 0)
+        lost = {}
+        for team, version in self.versions_by_team.items():
+            stored = stored_versions.get(team, 0)
+            if not stored < version < oldest_version:
+                continue
+            lost[team] = stored
+            if self.stored_versions_of_lost.get(team) != stored:
+                events.emit(
+                    events.FileSetLost,
+                    team=team,
+                    version=version,
+                    stored=stored,
+                )
+        self.stored_versions_of_lost = lost
+
     def rule_for(self, service: str, method: str, path: str) -> Rule | None:
         """Returns the rule for a request, or none if it must be rejected."""
         owner = self._owners_by_name.get(("service", service))
--- a/src/celeryfield/internal/event_types/fleet.py
+++ b/src/celeryfield/internal/event_types/fleet.py
@@ -183,3 +183,23 @@
     level: ClassVar[int] = logging.WARNING
     per_second: ClassVar[int | None] = 1
     generation: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class FileSetLost(Event):
+    """The restored store has lost a file set, which stays in force.
+
+    Attributes:
+        team: Team of the file set.
+        version: Version in force.
+        stored: Version in the store, as the base to apply the set again; 0 if
+            the store has no set of the team.
+    """
+
+    message: ClassVar[str] = "file set lost by the store"
+    level: ClassVar[int] = logging.WARNING
+    # One line for each team and restore.
+    per_second: ClassVar[int | None] = None
+    team: str
+    version: int
+    stored: int
--- a/src/celeryfield/internal/store/stored_sets.py
+++ b/src/celeryfield/internal/store/stored_sets.py
@@ -91,3 +91,18 @@
         )
         for stored_object in objects
     }
+
+
+def decode_versions(objects: Iterable[StoreObject]) -> dict[str, int]:
+    """Returns the versions of the stored sets by team.
+
+    The version of a malformed one is its revision.
+    """
+    versions_by_team = {}
+    for stored_object in objects:
+        decoded = decode_stored_file_set(stored_object)
+        team = stored_object.key.removeprefix(CONFIG_PREFIX)
+        versions_by_team[team] = (
+            decoded.ok.version if decoded.is_ok() else stored_object.version
+        )
+    return versions_by_team
--- a/src/celeryfield/internal/store/watcher.py
+++ b/src/celeryfield/internal/store/watcher.py
@@ -16,6 +16,7 @@
 from celeryfield.internal.store.stored_sets import (
     CONFIG_PREFIX,
     decode_stored_file_set,
+    decode_versions,
 )
 
 logger = logging.getLogger(__name__)
@@ -83,6 +84,9 @@
             # that follows while the sets are applied has not.
             self._needs_listing = False
             self._last_seen_revision = 0
+            self._manager.find_lost_sets(
+                decode_versions(result.ok), self._client.generation or 0
+            )
         return await self._apply_result(result)
 
     async def watch_once(self) -> bool:
--- a/tests/cover/test_cli_commands.py
+++ b/tests/cover/test_cli_commands.py
@@ -133,6 +133,37 @@
         assert "still missing: n2" in result.stderr
 
 
+async def test_operator_can_apply_again_what_a_restored_store_has_lost(
+    directory,
+):
+    """Guards against a lost set that the commands neither show nor replace."""
+    async with (
+        store_and_client() as (store, _),
+        running_nodes(store_url=store.url) as [node],
+    ):
+        admin = ("--admin", node.url)
+        await run_command("apply", str(directory), *admin)
+        kept = store.objects_by_key["config/sohar"]
+        edit_services_file(directory, "slots = 10", "slots = 11")
+        await run_command("apply", str(directory), *admin)
+        while store.objects_by_key["config/sohar"] is not kept:
+            store.restore(1)
+        line = f"file set sohar; apply it again with --base {kept.version}"
+        shown = ""
+        async with asyncio.timeout(60):
+            while line not in shown:
+                shown = (await run_command("status", *admin)).stdout
+        refused = await run_command("apply", str(directory), *admin)
+        assert refused.exit_code == ExitCode.CONFLICT
+        assert f"has version {kept.version}, not" in refused.stderr
+        applied = await run_command(
+            "apply", str(directory), "--base", str(kept.version), *admin
+        )
+        assert applied.exit_code == ExitCode.OK, applied.stderr
+        shown = (await run_command("status", *admin)).stdout
+        assert "lost by the store" not in shown
+
+
 async def test_status_and_explain_show_the_state_of_a_node(directory):
     """Guards against commands that cannot show a node's responses."""
     async with (
--- a/tests/cover/test_restored_store.py
+++ b/tests/cover/test_restored_store.py
@@ -346,3 +346,39 @@
         store.set_stalled(False)
         assert isinstance((await task).error, ApplyUnknownError)
         assert (await applier.current_version("pipes")).ok == 0
+
+
+async def test_lost_set_in_force_is_reported_until_it_is_replaced(caplog):
+    """Guards against a lost set that the operator does not learn of."""
+    async with store_and_client() as (store, client):
+        applier = FileSetApplier(client, InstantClock())
+        watcher, manager = make_watcher(client)
+        first = (await applier.apply(make_files("pipes"), 0, "ann")).ok
+        lost = await applier.apply(
+            make_files("pipes", "lost"), first.version, "ann"
+        )
+        await applier.apply(make_files("bells"), 0, "ann")
+        await watcher.read_all()
+        assert manager.stored_versions_of_lost == {}
+        store.restore(2 * WRITES_PER_APPLY)
+        for _ in range(2):
+            await watcher.read_all()
+            assert manager.stored_versions_of_lost == {
+                "pipes": first.version,
+                "bells": 0,
+            }
+        lines = [
+            record.__dict__
+            for record in caplog.records
+            if record.getMessage() == "file set lost by the store"
+        ]
+        assert sorted(line["team"] for line in lines) == ["bells", "pipes"]
+        assert lost.ok.version in [line["version"] for line in lines]
+        again = await applier.apply(
+            make_files("pipes", "again"), first.version, "ann"
+        )
+        manager.apply_if_newer(again.ok)
+        assert manager.stored_versions_of_lost == {"bells": 0}
+        # A listing that is older than a set from a peer reports nothing.
+        manager.find_lost_sets({"bells": 9, "pipes": first.version}, 2)
+        assert manager.stored_versions_of_lost == {}
