Keep watching file sets if the store is restored repeatedly

What callers saw: if the store was restored again before slots had been taken, it could happen that no node watched the file sets for some seconds.

Cause: an earlier holder watched for three lease times after the restore that ended its lease; a later restore did not extend that time, although it delays the next holder.

Each restore within the time now extends it.

Evidence: before, pytest tests/cover/test_restored_leases.py -k repeatedly failed: "assert False" at should_watch(); now the file's 7 tests pass.

--- a/src/celeryfield/internal/store/leases.py
+++ b/src/celeryfield/internal/store/leases.py
@@ -202,7 +202,7 @@
 
     def _handle_restore(self, _generation: int) -> None:
         self._restores += 1
-        if self.is_held():
+        if self.is_held() or self.was_interrupted():
             self._interrupted_until_ms = (
                 self._clock.now_ms() + self._lease_ms * INTERRUPTED_LEASE_TIMES
             )
--- a/tests/cover/test_restored_leases.py
+++ b/tests/cover/test_restored_leases.py
@@ -148,6 +148,20 @@
         assert holder.holds_lease()
 
 
+async def test_earlier_holders_watch_while_the_store_is_restored_repeatedly():
+    """Guards against a fleet in which no node watches after two restores."""
+    async with store_and_client() as (store, client):
+        clock = ManualClock()
+        holder = make_seed_leases(client, "a", clock)
+        await holder.run_step()
+        for _ in range(6):
+            store.restore(0)
+            await holder.run_step()
+            assert not holder.holds_lease()
+            assert holder.should_watch()
+            clock.advance(LEASE_MS * 0.75)
+
+
 LEASE_STEPS = st.one_of(
     st.sampled_from(["a", "b", "c", "down", "up", "lose", "restart", "read"]),
     st.tuples(st.just("restore"), st.integers(0, 6)),
