Keep a connection whose request fails inside the node

When the serving of a request raised an exception, aiohttp answered it with 500 and closed the connection. Requests that ran beside it were dropped, although they had been passed on.

The exception is now logged and answered with 500 like any other response, and the connection goes on.

No input is known that causes such an exception; the test makes the router fail.

--- a/src/celeryfield/platform/connections.py
+++ b/src/celeryfield/platform/connections.py
@@ -5,6 +5,8 @@
 configuration change is closed with its next response.
 """
 
+import logging
+
 from aiohttp import web
 
 from celeryfield.internal import events
@@ -20,6 +22,8 @@
     Serve,
 )
 
+logger = logging.getLogger(__name__)
+
 # Interval between checks for idle connections. A connection is closed at most
 # this much after its idle limit, and never before it.
 IDLE_CHECK_MS = 1_000.0
@@ -121,6 +125,12 @@
         connection = request.protocol
         try:
             response = await connection.respond(request)
+        except ConnectionError:
+            raise
+        except Exception:
+            # aiohttp would close the connection, and with it drop the requests
+            # that run behind this one.
+            response = _respond_to_fault(request)
         finally:
             # The idle time starts anew after a response.
             self._used_since_check.add(connection)
@@ -173,5 +183,15 @@
         self._lingering.end()
 
 
+def _respond_to_fault(request: web.BaseRequest) -> web.Response:
+    """Logs the current exception and returns the response to its request."""
+    request_id = request.headers.get(headers.REQUEST_ID, "")
+    logger.exception("request failed", extra={"id": request_id})
+    response = web.Response(status=500)
+    if request_id:
+        response.headers[headers.REQUEST_ID] = request_id
+    return response
+
+
 def _parser_limit_bytes(limits: CallerLimits) -> int:
     return max(limits.max_header_bytes, MIN_HEADER_BYTES)
--- a/tests/cover/test_platform_closing.py
+++ b/tests/cover/test_platform_closing.py
@@ -245,3 +245,26 @@
         assert (await read_response(reader))[0] == 200
         assert await reader.read() == b""
     assert len(fleet.upstreams[0].received) == 1
+
+
+async def test_request_that_fails_takes_no_answer_of_others_away(
+    monkeypatch, caplog
+):
+    """Guards against runs whose answers a fault of this node drops."""
+    async with running_platform_fleet(1) as fleet:
+        (node,), (upstream,) = fleet.nodes, fleet.upstreams
+        upstream.delay_s = 0.3
+        accept = node.router.accept
+
+        def accept_or_fail(route, request, body):
+            if request.request_id == "a1":
+                raise RuntimeError("fault")
+            return accept(route, request, body)
+
+        monkeypatch.setattr(node.router, "accept", accept_or_fail)
+        async with connection_to(node) as (reader, writer):
+            writer.write(b"".join(request_head(f"a{n}") for n in range(3)))
+            responses = [await read_response(reader) for _ in range(3)]
+    assert [status for status, _, _ in responses] == [200, 500, 200]
+    assert responses[1][1]["x-attempt-id"] == "a1"
+    assert "request failed" in caplog.messages
