Answer a malformed body with 400 at once

A request with an error in its chunked body waited for the rest of it until the time limit of its route and got a 503; the parser had given up, so the rest could not come. Until this was so only if head and body came in separate segments; in one segment the request got the 400, but those before it were lost.

When the parser reports an error, the body that it was reading now ends with an error, and its request gets the 400 that closes the connection.

--- a/src/celeryfield/platform/connections.py
+++ b/src/celeryfield/platform/connections.py
@@ -127,6 +127,9 @@
             response = await connection.respond(request)
         except ConnectionError:
             raise
+        except web.RequestPayloadError:
+            response = web.Response(status=400)
+            response.force_close()
         except Exception:
             # aiohttp would close the connection, and with it drop the requests
             # that run behind this one.
@@ -134,18 +137,20 @@
         finally:
             # The idle time starts anew after a response.
             self._used_since_check.add(connection)
-        if self._is_last_response(request):
+        if self._is_last_response(request, response):
             connection.finish(request)
             response.force_close()
         return response
 
-    def _is_last_response(self, request: CallerRequest) -> bool:
+    def _is_last_response(
+        self, request: CallerRequest, response: web.Response
+    ) -> bool:
         """Returns whether the connection closes with the response.
 
         A caller that asks for it sends no further requests. For other reasons,
         requests that were received behind this one are answered first.
         """
-        if not request.keep_alive:
+        if not request.keep_alive or response.keep_alive is False:
             return True
         connection = request.protocol
         # The parser of an outdated connection rejects headers that the
--- a/src/celeryfield/platform/pipelining.py
+++ b/src/celeryfield/platform/pipelining.py
@@ -185,6 +185,8 @@
         requests that were read and whose connection closed.
         """
         self._last_content = request.content
+        if request.content.exception() is not None:
+            self._lingering_time = 0.0
         # What stays in the kernel counts as not read.
         if request.content.is_eof() and not self.is_closing:
             self._caller_transport.end_reading()
@@ -215,6 +217,7 @@
         if not self._messages:
             return
         self._record_received()
+        self._fail_malformed_body()
         if self._current_request is not None:
             self._start_repeatable(self._current_request)
 
@@ -278,6 +281,20 @@
         for entry in reversed(entries):
             self._received_by_head[id(entry.head)] = entry
 
+    def _fail_malformed_body(self) -> None:
+        """Ends the body that the parser gives up because of an error."""
+        head, _ = self._messages[-1]
+        if isinstance(head, RawRequestMessage):
+            return
+        if len(self._messages) > 1:
+            _, content = self._messages[-2]
+        elif self._current_request is not None:
+            content = self._current_request.content
+        else:
+            return
+        if not content.is_eof():
+            content.set_exception(web.RequestPayloadError("malformed body"))
+
     def _start_repeatable(self, current: web.BaseRequest) -> None:
         """Starts the requests that may run beside the current one."""
         if not self._may_overlap(current):
--- a/tests/cover/test_platform_closing.py
+++ b/tests/cover/test_platform_closing.py
@@ -268,3 +268,23 @@
     assert [status for status, _, _ in responses] == [200, 500, 200]
     assert responses[1][1]["x-attempt-id"] == "a1"
     assert "request failed" in caplog.messages
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.1])
+async def test_malformed_body_is_answered_at_once(pause_s):
+    """Guards against a request that waits for a body which cannot come."""
+    head = request_head("a2", 20_000, method="PUT").replace(
+        b"Content-Length: 0", b"Transfer-Encoding: chunked"
+    )
+    async with (
+        running_platform_fleet(1, timeoutMs=20_000) as fleet,
+        connection_to(fleet.nodes[0]) as (reader, writer),
+    ):
+        writer.write(request_head("a1") + head)
+        await asyncio.sleep(pause_s)
+        writer.write(b"zz\r\n")
+        assert (await read_response(reader))[0] == 200
+        async with asyncio.timeout(10):
+            assert (await read_response(reader))[0] == 400
+            assert await reader.read() == b""
+    assert len(fleet.upstreams[0].received) == 1
