Count an attempt after a refusal at the limit of a stop as a repeat

Upstreams of other nodes got arrivals beyond the first of a request that the repeat budget did not count.

Cause: an upstream that refuses a request at its time limit, after it has waited there, gets the reason "deadline". On a stopping node this became "draining", after which a sender on another node redirects for free and takes the attempt for the first that reaches an upstream. A refused arrival counts, too.

Change: such a result keeps the reason "upstream-shed", so another attempt spends a retry and is marked as a repeat. That the request has not run stays true; a call that never reached the upstream is still "draining".

Evidence: without the change pytest tests/cover/test_platform_stop_deadlines.py failed in test_attempt_after_a_refusal_at_the_limit_of_a_stop_is_a_repeat with "assert [False, False] == [False, True]".

--- a/src/celeryfield/internal/dispatch/dispatcher.py
+++ b/src/celeryfield/internal/dispatch/dispatcher.py
@@ -89,20 +89,26 @@
         result = None
         try:
             result = await self._run_limited(call, body, state, stats)
-            self._mark_shortened(result, deadline_ms)
+            self._mark_shortened(result, stats, deadline_ms)
         finally:
             self._emit_end(call, result, stats, deadline_left_ms)
         return self._attach_load(call, result)
 
-    def _mark_shortened(self, result: CallResult, deadline_ms: float) -> None:
+    def _mark_shortened(
+        self, result: CallResult, stats: ChainStats, deadline_ms: float
+    ) -> None:
         """Changes the reason if only the end of this node ended a call.
 
         Its sender has time left, so it may try another node.
         """
         # The sender may have applied the same bound a moment earlier.
         is_shortened = deadline_ms - self._end_ms > REPLY_MARGIN_MS
-        if is_shortened and result.reason is Reason.DEADLINE:
-            result.reason = Reason.DRAINING
+        if not is_shortened or result.reason is not Reason.DEADLINE:
+            return
+        was_sent = stats.time_limit_ms > 0.0
+        is_shed = was_sent and result.outcome is Outcome.NOT_RUN
+        # The upstream has received the call, so another attempt is a repeat.
+        result.reason = Reason.UPSTREAM_SHED if is_shed else Reason.DRAINING
 
     async def _run_limited(
         self, call: wire.Call, body: bytes, state: RunState, stats: ChainStats
--- a/tests/cover/test_platform_stop_deadlines.py
+++ b/tests/cover/test_platform_stop_deadlines.py
@@ -233,16 +233,34 @@
 
 
 class ExpiringUpstream:
-    """Answers each request as an upstream does at its time limit."""
+    """Answers each request as an upstream does at its time limit.
+
+    Attributes:
+        result: The answer: a timeout, or a refusal of a request that waited.
+        timeouts_ms: Time limits of the requests so far.
+    """
 
     has_free_slots = True
 
-    def __init__(self):
+    def __init__(self, result):
+        self.result = result
         self.timeouts_ms = []
 
     async def request(self, call, body, traceparent, timeout_ms):
         self.timeouts_ms.append(timeout_ms)
-        return CallResult(Outcome.FAILED, Reason.DEADLINE, 504, started=True)
+        return self.result
+
+
+def make_stopping_dispatcher(upstream):
+    clock = Clock()
+    admission = AdmissionController(SETTINGS, clock)
+    admission.apply_announcement(4, 4, "ready", "stock")
+    chains = ChainTable(clock, LevelTable(SETTINGS, clock))
+    dispatcher = Dispatcher(
+        clock, admission, ChainLimits(clock), chains, upstream, lambda: None
+    )
+    dispatcher.limit_deadlines(clock.now_ms() + 1_000.0)
+    return dispatcher
 
 
 @pytest.mark.parametrize(
@@ -253,16 +271,32 @@
     deadline_left_ms, reason
 ):
     """Guards against senders that take the end of a node for their own."""
-    clock = Clock()
-    admission = AdmissionController(SETTINGS, clock)
-    admission.apply_announcement(4, 4, "ready", "stock")
-    upstream = ExpiringUpstream()
-    chains = ChainTable(clock, LevelTable(SETTINGS, clock))
-    dispatcher = Dispatcher(
-        clock, admission, ChainLimits(clock), chains, upstream, lambda: None
+    upstream = ExpiringUpstream(
+        CallResult(Outcome.FAILED, Reason.DEADLINE, 504, started=True)
     )
-    dispatcher.limit_deadlines(clock.now_ms() + 1_000.0)
+    dispatcher = make_stopping_dispatcher(upstream)
     call = wire.Call(service="stock", deadline_left_ms=deadline_left_ms)
     result = await dispatcher.run(call, b"", RunState())
     assert upstream.timeouts_ms[0] <= min(deadline_left_ms, 1_000.0)
     assert (result.outcome, result.reason) == (Outcome.FAILED, reason)
+
+
+async def test_attempt_after_a_refusal_at_the_limit_of_a_stop_is_a_repeat():
+    """Guards against arrivals at upstreams that the repeat budget misses."""
+    refusal = CallResult(Outcome.NOT_RUN, Reason.DEADLINE, 503)
+    dispatcher = make_stopping_dispatcher(ExpiringUpstream(refusal))
+    sent_calls = []
+
+    async def send(_candidate, call, body):
+        sent_calls.append(call)
+        if len(sent_calls) == 1:
+            return await dispatcher.run(call, body, RunState())
+        return CallResult(Outcome.OK, started=True)
+
+    executor, _, _ = make_executor(send, services=("stock",))
+    call = make_call(
+        service="stock", deadline_left_ms=20_000.0, retry_allowance=3
+    )
+    result = await executor.execute(call, b"")
+    assert result.outcome is Outcome.OK
+    assert [call.is_repeat for call in sent_calls] == [False, True]
