Close the listener of a stop within the margin before the kill

A node whose caller did not read its answer was still closing its listener when the platform killed it; what follows, such as the clients' close, was not done.

Cause: since drain() waits up to 0.2 s for the last answers after the abort, the 0.4 s kept for the exit were used up: aiohttp waits for a handler, cancels it and waits once more, 0.2 s each. Before, the same waits ended a few ms after the kill at best.

Change: these waits are part of the plan of a stop: an eighth of the margin, 25 ms twice, since drain() has waited for the answers already.

The added test compares the waits with the margin; with the times as before (CLOSE_SHARE of 0.5 here) pytest tests/cover/test_platform_stop_deadlines.py -k waits failed with "assert (2000.0 + 500.0) < 2400.0". Not covered: no test measures the time of a whole stop, since that depends on the load of the machine.

--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -29,6 +29,7 @@
 from celeryfield.platform import headers
 from celeryfield.platform.connections import IDLE_CHECK_MS, CallerConnections
 from celeryfield.platform.settings import PlatformSettings
+from celeryfield.platform.stop_times import plan_stop
 
 logger = logging.getLogger(__name__)
 
@@ -45,8 +46,6 @@
 # Limit on the request bodies that a node holds. A small node has 200 MB in
 # total, and a body takes as much memory again while it is joined and sent.
 MAX_HELD_BODY_BYTES = 48 * 1024 * 1024
-# Time to write the remaining responses after the listener has closed.
-SHUTDOWN_TIMEOUT_S = 0.2
 
 # The answer to a request whose body is not read.
 _BODY_REFUSALS = {
@@ -102,7 +101,8 @@
             clock, self._is_repeatable, self._serve
         )
         self._runner = web.ServerRunner(
-            self._connections, shutdown_timeout=SHUTDOWN_TIMEOUT_S
+            self._connections,
+            shutdown_timeout=plan_stop(settings.grace_ms).close_ms / 1000.0,
         )
 
     @property
--- a/src/celeryfield/platform/stop_times.py
+++ b/src/celeryfield/platform/stop_times.py
@@ -12,6 +12,11 @@
 # Share of that time in which the last answers are written and callers read
 # them.
 SETTLE_SHARE = 0.5
+# Share of that time in which the listener closes connections whose callers
+# have not read all.
+CLOSE_SHARE = 0.125
+# The listener waits for a handler to end, cancels it and waits again.
+CLOSE_WAITS = 2
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -24,11 +29,14 @@
         abort_ms: When the requests that still run are aborted.
         settle_ms: Longest wait after that for the last answers to be read; a
             duration.
+        close_ms: Longest single wait of the listener for a handler when it
+            closes after that; a duration.
     """
 
     limit_ms: float
     abort_ms: float
     settle_ms: float
+    close_ms: float
 
 
 def plan_stop(grace_ms: float) -> StopTimes:
@@ -43,4 +51,5 @@
         limit_ms=abort_ms - REPLY_SHARE * exit_ms,
         abort_ms=abort_ms,
         settle_ms=SETTLE_SHARE * exit_ms,
+        close_ms=CLOSE_SHARE / CLOSE_WAITS * exit_ms,
     )
--- a/tests/cover/test_platform_stop_deadlines.py
+++ b/tests/cover/test_platform_stop_deadlines.py
@@ -21,6 +21,7 @@
 from celeryfield.internal.schema import wire
 from celeryfield.internal.transport.server import RunState
 from celeryfield.internal.upstream import time_limits
+from celeryfield.platform import listeners, stop_times
 from celeryfield.platform import node as platform_node
 from celeryfield.platform.stop_times import plan_stop
 
@@ -175,6 +176,15 @@
     assert times.abort_ms >= 5 / 6 * grace_ms - 1e-6
 
 
+@hypothesis.given(strategies.floats(min_value=2_400.0, max_value=1e6))
+def test_waits_after_the_abort_end_before_the_kill(grace_ms):
+    """Guards against callers that do not read and get the process killed."""
+    times = plan_stop(grace_ms)
+    waits_ms = times.settle_ms + stop_times.CLOSE_WAITS * times.close_ms
+    waits_ms += stop_times.CLOSE_WAITS * 1000.0 * listeners.SHUTDOWN_TIMEOUT_S
+    assert times.abort_ms + waits_ms < grace_ms
+
+
 async def advance(clock, duration_ms):
     clock.advance(duration_ms)
     for _ in range(8):
