Bound the time for which a start waits for silent neighbours

After a restoration of the store, a process that starts holds the configuration back until a neighbour has answered or all have failed. A neighbour that is cut off fails only after the time limits of the connection and of the request, and the node refuses requests meanwhile. The hold now ends 1 s after the start at the latest; copies that come later are still applied.

Without the limit, test_silent_neighbours_delay_a_start_for_a_bounded_time fails at "assert bootstrap.is_settled".

--- a/src/celeryfield/internal/registry/neighbours.py
+++ b/src/celeryfield/internal/registry/neighbours.py
@@ -23,6 +23,9 @@
 # Rounds of requests after the store was restored; the neighbours may have been
 # replaced as well.
 MAX_CHECKS = 3
+# Longest time from the start in which objects of the store are held back. A
+# neighbour that is cut off takes longer to fail.
+MAX_HOLD_MS = 1_000.0
 
 ReadObjects = Callable[[], tuple[StoreObject, ...]]
 ApplyObjects = Callable[[tuple[StoreObject, ...]], None]
@@ -97,8 +100,8 @@
 
     Attributes:
         is_settled: Whether objects of the store may be applied: the first
-            listing shows no restoration, or the neighbours were asked, or the
-            listing takes too long.
+            listing shows no restoration, or the neighbours were asked, or one
+            of the two takes too long.
     """
 
     def __init__(
@@ -174,6 +177,11 @@
                 self._settle()
             await self._clock.sleep_ms(REQUEST_INTERVAL_MS)
 
+    @mode.Service.task
+    async def _limit_hold(self) -> None:
+        await self._clock.sleep_ms(MAX_HOLD_MS)
+        self._settle()
+
     async def _wait_for_listing(self) -> None:
         waits = [
             asyncio.ensure_future(self._listed.wait()),
--- a/tests/cover/test_registry.py
+++ b/tests/cover/test_registry.py
@@ -9,11 +9,16 @@
 from hypothesis import strategies as st
 
 from celeryfield.internal import supervision
+from celeryfield.internal.calls import Candidate
 from celeryfield.internal.clock import Clock, ManualClock
 from celeryfield.internal.dispatch.permits import Permit
 from celeryfield.internal.dispatch.suspects import SuspectTable, Verdict
 from celeryfield.internal.registry import records
 from celeryfield.internal.registry.catalog import MIN_KEPT_MS, Catalog
+from celeryfield.internal.registry.neighbours import (
+    MAX_HOLD_MS,
+    NeighbourBootstrap,
+)
 from celeryfield.internal.registry.publisher import RecordPublisher
 from celeryfield.internal.registry.records import (
     NodeRecord,
@@ -27,7 +32,7 @@
 from celeryfield.internal.schema import wire
 from celeryfield.internal.schema.settings import DispatchSettings
 from celeryfield.internal.store.errors import StoreUnavailableError
-from celeryfield.internal.store.responses import StoreObject
+from celeryfield.internal.store.responses import StoreListing, StoreObject
 
 UPSTREAM = UpstreamRecord("i-1", 5, "stock", 8, records.READY)
 
@@ -491,3 +496,38 @@
     catalog.replace_all((written_in(1, "a"), written_in(1, "b")), 2)
     # The copy of a neighbour may be newer than the restored store.
     assert states_of(catalog) == {"a": "draining", "b": "ready"}
+
+
+class SilentPool:
+    """Connections to nodes that never answer."""
+
+    def __init__(self):
+        self.requests = 0
+
+    async def request(self, *_arguments):
+        self.requests += 1
+        await asyncio.Event().wait()
+
+
+async def test_silent_neighbours_delay_a_start_for_a_bounded_time():
+    """Guards against a node that waits for cut-off nodes to use the store."""
+    clock, pool = ManualClock(), SilentPool()
+    bootstrap = NeighbourBootstrap(
+        pool,
+        clock,
+        (Candidate("", 0, "10.0.0.1", 7301, "", ""),),
+        lambda: False,
+        lambda _objects: None,
+    )
+    settled = []
+    bootstrap.call_when_settled(lambda: settled.append(clock.now_ms()))
+    await bootstrap.start()
+    bootstrap.on_listing(
+        StoreListing((written_in(1, "a"),), revision=9, generation=2)
+    )
+    await run_until_idle(clock, MAX_HOLD_MS - 1.0)
+    assert (pool.requests, settled) == (1, [])
+    await run_until_idle(clock, 1.0)
+    assert bootstrap.is_settled
+    assert len(settled) == 1
+    await bootstrap.stop()
