Complete no body without a length when the node closes its connections

What callers saw: a part of a body as a whole 200, for a response without a length that was still being received when the node stopped.

Cause: such a body ends when the connection closes without an error. asyncio reports the node's own abort in the same way, and closing the pool aborts all connections.

Change: a connection that the node itself has aborted completes no body.

Evidence: without the change pytest tests/cover/test_upstream_connection.py failed in test_closing_the_pool_does_not_complete_a_body_without_length: "Failed: DID NOT RAISE InvalidResponseError".

--- a/src/celeryfield/internal/upstream/connection.py
+++ b/src/celeryfield/internal/upstream/connection.py
@@ -81,6 +81,7 @@
         )
         self._skipped_count = 0
         self._is_closed = False
+        self._is_aborted = False
         self._buffered_bytes = 0
         self._start_parser()
 
@@ -126,10 +127,10 @@
             )
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Ends the exchange; only a close without error completes a body."""
+        """Ends the exchange; only a close by the upstream completes a body."""
         self._is_closed = True
         self.is_reusable = False
-        if self._is_close_delimited and exc is None:
+        if self._is_close_delimited and exc is None and not self._is_aborted:
             self._complete()
         elif self._has_response_begun:
             self._fail(
@@ -270,6 +271,7 @@
     def abort(self) -> None:
         """Closes the connection without flushing the send buffer."""
         self.is_reusable = False
+        self._is_aborted = True
         if self._transport is not None:
             self._transport.abort()
 
--- a/tests/cover/test_upstream_connection.py
+++ b/tests/cover/test_upstream_connection.py
@@ -382,3 +382,15 @@
         for name in (b"a", b"b", b"c"):
             await send(pool, name, request_id=name.decode())
     assert upstream.connections == 1
+
+
+async def test_closing_the_pool_does_not_complete_a_body_without_length():
+    """Guards against a part of a body that a stopping node returns as whole."""
+    upstream = EndlessUpstream(UNFRAMED, b"x")
+    async with serving_pool(upstream) as pool:
+        task = asyncio.ensure_future(send(pool))
+        while not any(each.buffered_bytes for each in pool._connections):
+            await asyncio.sleep(0.001)
+        pool.close()
+        with pytest.raises(InvalidResponseError):
+            await task
