Remember the ids of many exchanges of an upstream connection

What callers could see: "not run" for a request that is running. A request that was refused is sent again on another connection, because a late copy of the refusal has its id. The connection knew only its last 16 ids, so that after 16 other exchanges the request could return to it.

Change: a connection remembers 1024 ids, in a dictionary that is searched in constant time.

--- a/src/celeryfield/internal/upstream/connection.py
+++ b/src/celeryfield/internal/upstream/connection.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import collections
 from collections.abc import Callable
 
 import httptools
@@ -37,9 +36,9 @@
 MAX_FRAMING_PER_BODY_BYTE = 8
 # Responses to earlier requests that are skipped in one exchange.
 MAX_SKIPPED_RESPONSES = 4
-# Ids of earlier requests that a connection remembers. A late copy of a response
-# arrives within the next exchanges.
-MAX_REMEMBERED_IDS = 16
+# Ids of earlier requests that a connection remembers. A request may be sent
+# again until its deadline, after many other exchanges of its connection.
+MAX_REMEMBERED_IDS = 1024
 _BODILESS_STATUSES = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
 
@@ -76,9 +75,8 @@
         self._waiter: asyncio.Future[HttpResponse] | None = None
         self._matches: ResponseMatcher | None = None
         self._is_head = False
-        self._carried_ids: collections.deque[str] = collections.deque(
-            maxlen=MAX_REMEMBERED_IDS
-        )
+        # The values are unused; the keys are ordered by their last use.
+        self._carried_ids: dict[str, None] = {}
         self._skipped_count = 0
         self._is_closed = False
         self._is_aborted = False
@@ -224,8 +222,7 @@
         self.exchanges += 1
         if self._is_closed or self._transport is None:
             raise ResponseLostError("the connection is closed", was_reused=True)
-        if request.request_id:
-            self._carried_ids.append(request.request_id)
+        self._remember_id(request.request_id)
         self._matches = matches
         self._is_head = request.method == "HEAD"
         self._skipped_count = 0
@@ -264,6 +261,12 @@
         ):
             raise InvalidResponseError("a response within a body")
 
+    def _remember_id(self, request_id: str) -> None:
+        self._carried_ids.pop(request_id, None)
+        self._carried_ids[request_id] = None
+        if len(self._carried_ids) > MAX_REMEMBERED_IDS:
+            del self._carried_ids[next(iter(self._carried_ids))]
+
     def reject_response(self) -> None:
         """Fails the exchange because its response takes too much memory."""
         self._fail(ResponseTooLargeError("the response takes too much memory"))
--- a/tests/cover/test_upstream_connection.py
+++ b/tests/cover/test_upstream_connection.py
@@ -394,3 +394,19 @@
         pool.close()
         with pytest.raises(InvalidResponseError):
             await task
+
+
+async def test_an_id_stays_known_for_many_exchanges():
+    """Guards against a copy of a refusal that answers a late repeat.
+
+    The request was refused again elsewhere after the connection had carried
+    other requests.
+    """
+    script = [COMPLETE % b"a", *[COMPLETE % b"b"] * 40, None]
+    upstream = ScriptedUpstream([script, [COMPLETE % b"a"]])
+    async with serving_pool(upstream) as pool:
+        await send(pool, request_id="a")
+        for number in range(40):
+            await send(pool, b"b", request_id=f"b{number}")
+        await send(pool, request_id="a")
+    assert upstream.connections == 2
