Test early answers and extra bytes of an upstream

An upstream that answers before it has read a long body, keeps the connection and reads on must get the rest of the body or the end of the connection; extra bytes after an answer belong to no request.

--- a/tests/cover/raw_upstream.py
+++ b/tests/cover/raw_upstream.py
@@ -80,6 +80,7 @@
 
     Attributes:
         answer: Coroutine function of a request and its connection.
+        serve_raw: Serves the streams of a connection instead, if set.
         arrivals_by_id: Number of times that each request arrived.
         runs_by_id: Number of times that each request ran; the answer
             functions count it.
@@ -88,6 +89,7 @@
     def __init__(self, upstream_id, answer):
         super().__init__(upstream_id)
         self.answer = answer
+        self.serve_raw = None
         self.arrivals_by_id = collections.Counter()
         self.runs_by_id = collections.Counter()
         self._tasks = set()
@@ -101,7 +103,7 @@
     async def serve(self, reader, writer):
         self._tasks.add(asyncio.current_task())
         try:
-            await self._serve(reader, writer)
+            await (self.serve_raw or self._serve)(reader, writer)
         finally:
             writer.close()
 
