Split the wait queue into bands, displacement, expiries and weights

The queue held the structure of its bands, the choice of the waiter that a new call displaces, the heap of latest start times and the weights of workspaces. Each has its own module now; queue.py keeps the order of service and the counts. The bound on weights stood twice (queue.py, levels.py). No change of behaviour; the dispatch tests pass unchanged.

--- a/src/celeryfield/internal/dispatch/admission.py
+++ b/src/celeryfield/internal/dispatch/admission.py
@@ -7,6 +7,7 @@
 
 from celeryfield.internal.calls import Reason
 from celeryfield.internal.clock import Clock
+from celeryfield.internal.dispatch.bands import Waiter
 from celeryfield.internal.dispatch.control import LoadControl
 from celeryfield.internal.dispatch.isolation import IsolatedRuns
 from celeryfield.internal.dispatch.permits import (
@@ -15,11 +16,7 @@
     Rejection,
     RunEnd,
 )
-from celeryfield.internal.dispatch.queue import (
-    Waiter,
-    WaitQueue,
-    WeightFunction,
-)
+from celeryfield.internal.dispatch.queue import WaitQueue
 from celeryfield.internal.dispatch.slots import SlotUse
 from celeryfield.internal.dispatch.suspects import SuspectTable, Verdict
 from celeryfield.internal.dispatch.upstream import (
@@ -29,6 +26,7 @@
     UpstreamState,
     effective_state,
 )
+from celeryfield.internal.dispatch.weights import WeightFunction
 from celeryfield.internal.schema import wire
 from celeryfield.internal.schema.settings import NodeSettings
 
--- a/src/celeryfield/internal/dispatch/isolation.py
+++ b/src/celeryfield/internal/dispatch/isolation.py
@@ -1,10 +1,7 @@
 """Isolated runs of requests that are suspected of crashing upstreams."""
 
-from celeryfield.internal.dispatch.queue import (
-    Waiter,
-    WaitQueue,
-    allow_any_priority,
-)
+from celeryfield.internal.dispatch.bands import Waiter
+from celeryfield.internal.dispatch.queue import WaitQueue, allow_any_priority
 from celeryfield.internal.dispatch.slots import SlotUse
 
 # Maximum number of waiting suspects. A crash can make all running calls
--- a/src/celeryfield/internal/dispatch/levels.py
+++ b/src/celeryfield/internal/dispatch/levels.py
@@ -3,16 +3,16 @@
 import collections
 import statistics
 
-from celeryfield.internal.dispatch.queue import (
-    MIN_WEIGHT,
-    WeightFunction,
-    equal_weight,
-)
 from celeryfield.internal.dispatch.shares import (
     WorkspaceLoad,
     fair_share,
     fitting_level,
 )
+from celeryfield.internal.dispatch.weights import (
+    WeightFunction,
+    bounded_weight,
+    equal_weight,
+)
 from celeryfield.internal.schema import wire
 from celeryfield.internal.schema.settings import DispatchSettings
 
@@ -238,7 +238,7 @@
         """
         median = statistics.median_low(load.slots for load in competing)
         for load in competing:
-            load.weight = max(self.workspace_weight(load.workspace), MIN_WEIGHT)
+            load.weight = bounded_weight(self.workspace_weight, load.workspace)
             if load.workspace == OTHER_WORKSPACES:
                 load.weight *= max(1.0, load.slots / median)
 
