Split indirect probes and contact times out of the failure detector

The detector held the probes that a node makes for others (now indirect_probes.py) and the contact times that decide whether this node may report a failure (now contacts.py). No change of behaviour; the membership tests pass unchanged.

--- a/src/celeryfield/internal/membership/detector.py
+++ b/src/celeryfield/internal/membership/detector.py
@@ -6,11 +6,16 @@
 from collections.abc import Callable, Coroutine
 
 from celeryfield.internal.clock import Clock
+from celeryfield.internal.membership.contacts import ContactLog
 from celeryfield.internal.membership.datagrams import Endpoint
 from celeryfield.internal.membership.gossip_transport import (
     GossipTransport,
     Kind,
 )
+from celeryfield.internal.membership.indirect_probes import (
+    IndirectProbes,
+    send_ping,
+)
 from celeryfield.internal.membership.probing import ProbeOrder
 from celeryfield.internal.membership.records import Health, Member
 from celeryfield.internal.membership.table import MemberTable
@@ -20,14 +25,6 @@
 # A suspect is declared dead after the suspicion time multiplied by 1 plus the
 # local health penalty, which is at most this.
 MAX_HEALTH_PENALTY = 8
-MAX_INDIRECT_PROBES = 256
-# A member with fewer healthy peers in its zone is also monitored from other
-# zones, because the few members of its zone cannot tell which of them failed.
-MIN_SELF_MONITORING_PEERS = 3
-# Multiple of the suspicion time (10 min at 4 s) after which frozen suspects,
-# and members of zones without contact, are declared dead. Links between
-# regions may be down for minutes.
-GIVE_UP_FACTOR = 150
 # A sleep that ends later than planned by more than this share of the probe
 # timeout invalidates the probe. An ack waits for the event loops of both sides,
 # so a lag of a third of the timeout already delays acks beyond it.
@@ -60,21 +57,6 @@
     is_invalid: bool = False
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class IndirectProbe:
-    """A probe made on behalf of another member.
-
-    Attributes:
-        endpoint: Address of the requester.
-        sequence: Number of the requester's probe.
-        target_id: The probed member.
-    """
-
-    endpoint: Endpoint
-    sequence: int
-    target_id: str
-
-
 class FailureDetector:
     """Probes one member per interval and decides who is suspect or dead.
 
@@ -103,19 +85,24 @@
         spawn: Callable[[Coroutine], object],
     ) -> None:
         self._settings = settings.membership
-        self._zone = settings.node.zone
         self._clock = clock
         self._rng = rng
         self._table = table
         self._transport = transport
         self._on_change = on_change
-        self._spawn = spawn
         self._order = ProbeOrder(settings, rng, table)
         self._sequences = itertools.count(rng.randrange(2**16))
         self._probe: Probe | None = None
-        self._indirect_probes_by_sequence: dict[int, IndirectProbe] = {}
-        self._last_contact_ms_by_zone: dict[str, float] = {}
-        self._last_contact_ms_by_region: dict[str, float] = {}
+        self._contacts = ContactLog(settings, clock, table, self._order)
+        left_ms = self._settings.probe_interval_ms - self._timeout_ms
+        self._indirect_probes = IndirectProbes(
+            clock,
+            table,
+            transport,
+            self.next_sequence,
+            spawn,
+            wait_ms=min(self._timeout_ms, left_ms / 2),
+        )
         self._no_deaths_before_ms = 0.0
         self._tick = 0
         self.local_health_penalty = 0
@@ -131,9 +118,7 @@
 
     def record_contact(self, member: Member) -> None:
         """Records that a datagram of a member arrived."""
-        now_ms = self._clock.now_ms()
-        self._last_contact_ms_by_zone[member.zone] = now_ms
-        self._last_contact_ms_by_region[member.region] = now_ms
+        self._contacts.record(member)
 
     async def run_interval(self) -> None:
         """Probes one member and evaluates the result after the interval."""
@@ -189,12 +174,7 @@
     def _ping(
         self, target: Member, sequence: int, piggyback: bool = True
     ) -> None:
-        message = gossip.GossipMessage(
-            kind=Kind.PING, sequence=sequence, target_id=target.id
-        )
-        if target.health is not Health.HEALTHY:
-            message.deltas = (self._table.build_delta(target),)
-        self._transport.send(message, [target.endpoint], piggyback)
+        send_ping(self._table, self._transport, target, sequence, piggyback)
 
     def _probe_inactive(self) -> None:
         inactive_ids = list(self._table.inactive_ids)
@@ -221,48 +201,11 @@
         self, message: gossip.GossipMessage, endpoint: Endpoint
     ) -> None:
         """Probes a member on behalf of the sender."""
-        target = self._table.members_by_id.get(message.target_id)
-        if (
-            target is None
-            or len(self._indirect_probes_by_sequence) >= MAX_INDIRECT_PROBES
-        ):
-            return
-        sequence = self.next_sequence()
-        self._indirect_probes_by_sequence[sequence] = IndirectProbe(
-            endpoint, message.sequence, target.id
-        )
-        self._ping(target, sequence, piggyback=False)
-        self._spawn(self._send_nack_after_timeout(sequence))
-
-    async def _send_nack_after_timeout(self, sequence: int) -> None:
-        """Sends a nack to the requester unless the target has answered."""
-        left_ms = self._settings.probe_interval_ms - self._timeout_ms
-        await self._clock.sleep_ms(min(self._timeout_ms, left_ms / 2))
-        indirect_probe = self._indirect_probes_by_sequence.pop(sequence, None)
-        if indirect_probe is not None:
-            self._reply_to_requester(Kind.NACK, indirect_probe)
-
-    def _reply_to_requester(
-        self, kind: Kind, indirect_probe: IndirectProbe
-    ) -> None:
-        message = gossip.GossipMessage(
-            kind=kind,
-            sequence=indirect_probe.sequence,
-            target_id=indirect_probe.target_id,
-        )
-        self._transport.send(
-            message, [indirect_probe.endpoint], piggyback=False
-        )
+        self._indirect_probes.on_ping_request(message, endpoint)
 
     def on_ack(self, message: gossip.GossipMessage) -> None:
         """Handles the ack of a probed member, direct or through a helper."""
-        indirect_probe = self._indirect_probes_by_sequence.get(message.sequence)
-        if (
-            indirect_probe is not None
-            and indirect_probe.target_id == message.sender_id
-        ):
-            del self._indirect_probes_by_sequence[message.sequence]
-            self._reply_to_requester(Kind.ACK, indirect_probe)
+        if self._indirect_probes.relay_ack(message):
             return
         probe = self._probe
         if probe is not None and _matches_probe(message, probe):
@@ -291,75 +234,32 @@
             return
         if target.health is not Health.HEALTHY or target.is_inactive:
             return
-        if not self._may_report_failure(target):
+        if not self._contacts.may_report_failure(target):
             return
         if self._table.set_health(target, Health.SUSPECT):
             self._on_change(target.id)
 
-    def _may_report_failure(self, member: Member) -> bool:
-        """Returns whether this node may declare a member suspect or dead.
-
-        Members are monitored from their own zone, so that a broken link between
-        zones or regions makes no member suspect. Nodes of other zones decide
-        only if the member has few healthy peers in its zone, or if they have
-        had no contact to that zone for long.
-        """
-        if member.zone == self._zone:
-            return True
-        now_ms = self._clock.now_ms()
-        last_contact_ms = self._last_contact_ms_by_zone.setdefault(
-            member.zone, now_ms
-        )
-        if (
-            now_ms - last_contact_ms
-            > GIVE_UP_FACTOR * self._settings.suspicion_ms
-        ):
-            return True
-        return self._order.count_healthy_peers(member) < (
-            MIN_SELF_MONITORING_PEERS
-        )
-
     def _check_suspects(self) -> None:
         now_ms = self._clock.now_ms()
         if now_ms < self._no_deaths_before_ms:
             return
-        wait_ms = self._settings.suspicion_ms * (1 + self.local_health_penalty)
-        give_up_ms = GIVE_UP_FACTOR * self._settings.suspicion_ms
         for member_id in list(self._table.suspect_ids):
             member = self._table.members_by_id[member_id]
-            age_ms = now_ms - member.status_since_ms
-            if age_ms < wait_ms or not self._may_report_failure(member):
-                continue
-            if age_ms < give_up_ms and not self._has_reliable_view(member):
-                continue
-            if self._table.set_health(member, Health.DEAD):
+            if self._is_dead(member, now_ms - member.status_since_ms) and (
+                self._table.set_health(member, Health.DEAD)
+            ):
                 self._on_change(member_id)
 
-    def _has_reliable_view(self, member: Member) -> bool:
-        """Returns whether this node had enough contact to confirm a death.
-
-        Without contact to the witness zones since the suspicion, this node
-        itself may be cut off. Without contact to the member's region, only the
-        link to that region may be down.
-        """
-        if self._table.guard.is_frozen(member.zone):
+    def _is_dead(self, member: Member, suspected_ms: float) -> bool:
+        """Returns whether a member that is suspect for a time is dead."""
+        wait_ms = self._settings.suspicion_ms * (1 + self.local_health_penalty)
+        if suspected_ms < wait_ms:
             return False
-        witnesses = self._order.witness_zones(member)
-        last_contact_ms = max(
-            (
-                self._last_contact_ms_by_zone.get(zone, 0.0)
-                for zone in witnesses
-            ),
-            default=member.status_since_ms,
-        )
-        if last_contact_ms < member.status_since_ms:
+        if not self._contacts.may_report_failure(member):
             return False
-        if not self._order.has_region_peers(member):
+        if suspected_ms >= self._contacts.give_up_ms:
             return True
-        region_contact_ms = self._last_contact_ms_by_region.get(
-            member.region, 0.0
-        )
-        return region_contact_ms >= member.status_since_ms
+        return self._contacts.has_reliable_view(member)
 
 
 def _matches_probe(message: gossip.GossipMessage, probe: Probe) -> bool:
