Split handover checks and fixed results out of the ledger

The ledger held the conditions of export and adoption (now handover_checks.py) and the results that it gives in place of that of a run (now results.py). The result for an unknown key stood twice (ledger.py, gateway.py). No change of behaviour; the tests of keys, state machine with its mutants, node calls and admin interface pass unchanged.

--- a/src/celeryfield/internal/gateway.py
+++ b/src/celeryfield/internal/gateway.py
@@ -14,6 +14,7 @@
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
 from celeryfield.internal.idempotency.keys import KeyOwner, LedgerError
 from celeryfield.internal.idempotency.ledger import KeyLedger
+from celeryfield.internal.idempotency.results import key_unknown_result
 from celeryfield.internal.routing.executor import CallExecutor
 from celeryfield.internal.schema import wire
 from celeryfield.internal.transport.pool import PeerPool
@@ -21,7 +22,6 @@
 from celeryfield.internal.upstream import headers
 
 KEY_REQUIRED_STATUS = 428
-KEY_UNKNOWN_STATUS = 410
 # Repeating a request to the key owner is safe: the owner joins a repeat to the
 # running call. The total time of the attempts allows gossip to spread a
 # handover.
@@ -156,7 +156,7 @@
                 return result
         # Even if the owner was unreachable the outcome is unknown: an earlier
         # request with this key may have run there.
-        return _key_unknown_result()
+        return key_unknown_result()
 
     def issue_keys(self, count: int) -> list[str]:
         """Returns new keys; an empty list if this node is stopping."""
@@ -172,7 +172,3 @@
         result = not_run_result(Reason.KEY_REQUIRED, KEY_REQUIRED_STATUS)
         key = wire.Header(headers.IDEMPOTENCY_KEY, keys[0])
         return dataclasses.replace(result, headers=(key,))
-
-
-def _key_unknown_result() -> CallResult:
-    return CallResult(Outcome.UNKNOWN, Reason.KEY_UNKNOWN, KEY_UNKNOWN_STATUS)
--- a/src/celeryfield/internal/idempotency/ledger.py
+++ b/src/celeryfield/internal/idempotency/ledger.py
@@ -8,7 +8,6 @@
 import asyncio
 import collections
 import functools
-import logging
 from collections.abc import Awaitable, Callable
 
 from expression import Error, Ok, Result
@@ -20,40 +19,34 @@
     not_run_result,
 )
 from celeryfield.internal.clock import Clock
-from celeryfield.internal.idempotency import handover, keys
+from celeryfield.internal.idempotency import (
+    handover,
+    handover_checks,
+    keys,
+)
 from celeryfield.internal.idempotency.entries import (
     AnswerCache,
     Entry,
     make_repeat_answer,
 )
-from celeryfield.internal.idempotency.handover import (
-    AlreadyAdoptedError,
-    HandoverError,
-    Issuer,
-    SnapshotContent,
-)
+from celeryfield.internal.idempotency.handover import HandoverError, Issuer
 from celeryfield.internal.idempotency.keys import (
     InvalidKeyError,
     KeyOwner,
     LedgerError,
 )
 from celeryfield.internal.idempotency.ledger_clock import LedgerClock
+from celeryfield.internal.idempotency.results import (
+    key_unknown_result,
+    ledger_closed_result,
+    run_result,
+)
 from celeryfield.internal.schema.ledger import LedgerSnapshot
 from celeryfield.internal.schema.settings import NodeSettings
 
 StartCall = Callable[[], Awaitable[CallResult]]
 
-KEY_UNKNOWN_STATUS = 410
 KEY_MISMATCH_STATUS = 422
-LEDGER_CLOSED_STATUS = 503
-RUN_FAILED_STATUS = 502
-
-# Adopted issuers are kept for as long as the ledger exists, to recognize a
-# snapshot that is delivered again. With 160 restarts per day in the whole
-# fleet, a single node does not get near this limit.
-MAX_ISSUERS = 1024
-
-_logger = logging.getLogger(__name__)
 
 
 class KeyLedger:
@@ -157,7 +150,7 @@
             start: Dispatches the call; an exception counts as ``unknown``.
         """
         if self._closed:
-            return _ledger_closed_result()
+            return ledger_closed_result()
         self.expire_entries()
         entry = self._entries_by_key.get(key)
         if entry is None:
@@ -183,18 +176,11 @@
         Only ``successor`` can adopt the snapshot; see ``handover``. The ledger
         stays open and an error is returned if calls are running.
         """
-        if self._closed:
-            message = "the ledger was exported before; send that snapshot again"
-            return Error(HandoverError(message))
-        if not self.is_idle:
-            message = (
-                f"{self._running_count} run-once calls are still running; wait"
-                " until they have ended"
-            )
-            return Error(HandoverError(message))
-        if successor == self._owner:
-            message = f"{successor} cannot be its own successor; name another"
-            return Error(HandoverError(message))
+        refusal = handover_checks.check_export(
+            self._owner, successor, self._closed, self._running_count
+        )
+        if refusal is not None:
+            return Error(refusal)
         self.expire_entries()
         self._close()
         snapshot = handover.encode_snapshot(
@@ -216,7 +202,14 @@
         )
         if content.is_error():
             return Error(content.error)
-        refusal = self._check_adoption(snapshot, content.ok)
+        adopter = handover_checks.Adopter(
+            self._owner,
+            self._closed,
+            self._issuers_by_owner,
+            len(self._entries_by_key),
+            self._settings.max_entries,
+        )
+        refusal = handover_checks.check_adoption(snapshot, content.ok, adopter)
         if refusal is not None:
             return Error(refusal)
         for key, run in content.ok.runs_by_key.items():
@@ -227,44 +220,12 @@
             self._issuers_by_owner[issuer.owner] = issuer
         return Ok(None)
 
-    def _check_adoption(
-        self, snapshot: LedgerSnapshot, content: SnapshotContent
-    ) -> HandoverError | None:
-        addressee = KeyOwner(
-            snapshot.successor_id, snapshot.successor_incarnation
-        )
-        if addressee != self._owner:
-            message = f"the snapshot is for {addressee}, not for {self._owner}"
-            return HandoverError(message)
-        if self._closed:
-            message = "this ledger is closed; it can adopt no keys"
-            return HandoverError(message)
-        if any(
-            item.owner in self._issuers_by_owner for item in content.issuers
-        ):
-            message = "the snapshot was adopted before; do not send it again"
-            return AlreadyAdoptedError(message)
-        entry_count = len(self._entries_by_key) + len(content.runs_by_key)
-        issuer_count = len(self._issuers_by_owner) + len(content.issuers)
-        if entry_count > self._settings.max_entries:
-            message = (
-                f"{entry_count} entries would exceed max_entries ="
-                f" {self._settings.max_entries}; raise it in [idempotency]"
-            )
-            return HandoverError(message)
-        if issuer_count > MAX_ISSUERS:
-            message = (
-                f"more than {MAX_ISSUERS} adopted issuers; restart the node"
-            )
-            return HandoverError(message)
-        return None
-
     async def _run_new_key(
         self, key: str, fingerprint: bytes, start: StartCall
     ) -> CallResult:
         key_expiry_ms = self._key_expiry_ms(key)
         if key_expiry_ms is None:
-            return _key_unknown_result()
+            return key_unknown_result()
         if len(self._entries_by_key) >= self._settings.max_entries:
             return not_run_result(Reason.OVERLOAD)
         entry = self._add_running_entry(key, fingerprint)
@@ -305,7 +266,7 @@
     def _on_run_done(
         self, key: str, entry: Entry, task: asyncio.Task[CallResult]
     ) -> None:
-        result = _task_result(task)
+        result = run_result(task)
         result_future = entry.result_future
         entry.result_future = entry.task = None
         self._running_count -= 1
@@ -328,40 +289,3 @@
 
     def _close(self) -> None:
         self._closed = True
-
-
-def _task_result(task: asyncio.Task[CallResult]) -> CallResult:
-    """Returns the result of a run, or ``unknown`` if it returned none."""
-    if not task.cancelled() and task.exception() is None:
-        return task.result()
-    error = None if task.cancelled() else task.exception()
-    _logger.error(
-        "run-once call ended without a result; recorded as unknown",
-        exc_info=error,
-    )
-    return CallResult(
-        outcome=Outcome.UNKNOWN,
-        reason=Reason.INTERNAL,
-        status=RUN_FAILED_STATUS,
-        started=True,
-    )
-
-
-def _key_unknown_result() -> CallResult:
-    return CallResult(
-        outcome=Outcome.UNKNOWN,
-        reason=Reason.KEY_UNKNOWN,
-        status=KEY_UNKNOWN_STATUS,
-    )
-
-
-def _ledger_closed_result() -> CallResult:
-    """Returns the result for requests to a closed ledger.
-
-    It must not be ``not-run``, since the successor may have run the key by now.
-    """
-    return CallResult(
-        outcome=Outcome.UNKNOWN,
-        reason=Reason.DRAINING,
-        status=LEDGER_CLOSED_STATUS,
-    )
