Test a copy of a refusal with the id of a repeated request

A request that an upstream with free slots refuses is sent again at once, on another connection, because a copy of the refusal has its id. Until now only the pool was tested. The test fails if the pool may use the same connection (trial: UpstreamConnection.has_carried always False): "AssertionError: assert (503, b'') == (200, b'answer to a1')".

--- a/tests/cover/test_platform_copies.py
+++ b/tests/cover/test_platform_copies.py
@@ -255,3 +255,39 @@
     for first in (b"HTTP/1.1 503 Fu", b"HTTP/1.1 404 Not", b"HTTP/1.1 200 O"):
         answers = CopyingAnswers(first_answer(503), first, write)
         assert await exchange_after_copy(answers, "unsafe") == 502
+
+
+@pytest.mark.parametrize("status", [429, 503])
+async def test_copy_of_its_own_refusal_does_not_answer_a_repeat(status):
+    """Guards against a request that runs and is reported as not run.
+
+    The copy has the id of the request, which the node sends again at once to an
+    upstream that reports free slots.
+    """
+    refused = []
+    load = "X-Server-Load: 0,0,8"
+    copy = refusal(status, "X-Attempt-Id: a1", load)
+
+    async def answer(upstream, request, connection):
+        request_id = request.headers["X-Attempt-Id"]
+        if request_id == "a1" and not refused:
+            refused.append(connection)
+            await connection.send(copy)
+            return
+        upstream.runs_by_id[request_id] += 1
+        if request_id == "a1":
+            await refused[0].send(copy)
+        await connection.send(success(request_id, load))
+
+    async with running_raw_fleet(1, answer, routeType="unsafe") as fleet:
+        # The budget of repeats grows with the first requests.
+        for request_id in (*(f"first{number}" for number in range(10)), "a1"):
+            result, _, body = await fleet.request(
+                fleet.nodes[0],
+                method="POST",
+                headers={"X-Attempt-Id": request_id},
+            )
+            own = f"answer to {request_id}".encode()
+            assert (result, body) == (200, own)
+        assert runs_of(fleet, "a1") == 1
+        assert fleet.upstreams[0].arrivals_by_id["a1"] == 2
