--- a/src/celeryfield/platform/connections.py
+++ b/src/celeryfield/platform/connections.py
@@ -174,6 +174,7 @@
                 continue
             idle_since_ms = previous_since_ms.get(connection, now_ms)
             is_used = connection in self._used_since_check
+            # A response may take its caller longer to read than the idle limit.
             if is_used or not connection.is_idle:
                 idle_since_ms = now_ms
             if now_ms - idle_since_ms >= max_idle_ms:
--- a/tests/cover/test_platform_closing.py
+++ b/tests/cover/test_platform_closing.py
@@ -153,6 +153,31 @@
     assert len(upstream.received) == 1
 
 
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+async def test_requests_behind_a_slowly_read_response_are_answered(
+    caplog, kind
+):
+    """Guards against an idle limit that drops requests which have run."""
+    loop = asyncio.get_running_loop()
+    async with running_platform_fleet(
+        1, routeType=kind, timeoutMs=20_000
+    ) as fleet:
+        (node,), (upstream,) = fleet.nodes, fleet.upstreams
+        upstream.body = LARGE_BODY
+        limits = CallerLimits(header_timeout_ms=50, idle_timeout_ms=50)
+        node.caller_listener.set_limits(limits)
+        with slow_caller(node) as caller:
+            async with running_task(fleet.keep_reporting()):
+                heads = (request_head(each, 20_000) for each in ("a1", "a2"))
+                await loop.sock_sendall(caller, b"".join(heads))
+                await until(lambda: node.caller_listener.has_unsent_bytes)
+                # The check for idle connections runs once a second.
+                await asyncio.sleep(3.5)
+                received_count = len(await receive_all(caller))
+    assert received_count > 2 * len(LARGE_BODY)
+    assert dropped_requests(caplog) == {}
+
+
 def shorten_grace_period(node):
     node.settings = dataclasses.replace(node.settings, grace_ms=1_000.0)
 
