Move the planned stop out of the platform node

platform/node.py held the construction of a node, its planned stop and the handling of stored state. The planned stop is now in platform/planned_stop.py, with the services that it needs passed in whole; PlatformNode.drain() starts it. The node begins to report that it is not ready just before the event NodeLeaving instead of just after it, in the same step of the event loop. The code is otherwise unchanged. Tests patch READINESS_NOTICE_MS in the new module; nothing else in them changed.

--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -44,18 +44,15 @@
 )
 from celeryfield.platform import config, metrics, objects
 from celeryfield.platform.ingress import CallerListener
+from celeryfield.platform.planned_stop import PlannedStop
 from celeryfield.platform.reports import ReportListener, ready_listener
 from celeryfield.platform.settings import PlatformSettings
-from celeryfield.platform.stop_times import plan_stop
 from celeryfield.platform.upstream import PlatformUpstream
 
 logger = logging.getLogger(__name__)
 
 DEFAULT_CONNECTIONS = 100
 HOUSEKEEPING_MS = 250.0
-DRAIN_POLL_MS = 20.0
-# Callers stop sending after two failed readiness checks, one second apart.
-READINESS_NOTICE_MS = 2_300.0
 
 
 class PlatformNode(Service):
@@ -299,58 +296,17 @@
         aborted. All that were read are answered before this returns, unless
         callers do not read their answers.
         """
-        started_ms = self.clock.now_ms()
-        events.emit(events.NodeLeaving, in_flight=self._in_flight)
         self.is_leaving = True
-        self.caller_listener.disable_keepalive()
-        times = plan_stop(self.settings.grace_ms)
-        end_ms = started_ms + times.abort_ms
-        self._limit_deadlines(started_ms + times.limit_ms, end_ms)
-        notice_ms = min(READINESS_NOTICE_MS, self.settings.grace_ms / 2)
-        await self.clock.sleep_ms(notice_ms)
-        self.caller_listener.refuse_new_requests(end_ms)
-        self.admission.drain()
-        while self._is_busy and self.clock.now_ms() < end_ms:
-            await self.clock.sleep_ms(DRAIN_POLL_MS)
-        events.emit(
-            events.NodeStopped,
-            in_flight=self._in_flight,
-            waiting=self.caller_listener.waiting_count,
-            took_ms=self.clock.now_ms() - started_ms,
-        )
-        self.caller_listener.abort_requests(started_ms)
-        await self._settle(times.settle_ms)
-
-    async def _settle(self, limit_ms: float) -> None:
-        """Waits a limited time for the last answers to reach their callers."""
-        end_ms = self.clock.now_ms() + limit_ms
-        while self._is_settling and self.clock.now_ms() < end_ms:
-            await self.clock.sleep_ms(DRAIN_POLL_MS)
-
-    @property
-    def _is_settling(self) -> bool:
-        listener = self.caller_listener
-        return bool(
-            listener.in_flight
-            or listener.has_unsent_bytes
-            or listener.lingering_count
+        stop = PlannedStop(
+            settings=self.settings,
+            clock=self.clock,
+            caller_listener=self.caller_listener,
+            peer_server=self.peer_server,
+            executor=self.executor,
+            admission=self.admission,
+            dispatcher=self.dispatcher,
         )
-
-    def _limit_deadlines(self, limit_ms: float, abort_ms: float) -> None:
-        """Makes all work that starts from now on end by itself in time."""
-        self.executor.sender.limit_deadlines(limit_ms, abort_ms)
-        self.dispatcher.limit_deadlines(limit_ms)
-
-    @property
-    def _in_flight(self) -> int:
-        """Number of running requests from callers and from other nodes."""
-        return (
-            self.caller_listener.in_flight + self.peer_server.unfinished_count
-        )
-
-    @property
-    def _is_busy(self) -> bool:
-        return bool(self._in_flight or self.caller_listener.has_unsent_bytes)
+        await stop.run()
 
     def _on_config(self, listing: StoreListing) -> None:
         # A newer configuration of a neighbour comes first.
--- a/tests/cover/test_platform_drain.py
+++ b/tests/cover/test_platform_drain.py
@@ -7,7 +7,7 @@
 from platform_fleet import has_candidates, running_platform_fleet
 from platform_standins import HOST, running_task, until
 
-from celeryfield.platform import node as platform_node
+from celeryfield.platform import planned_stop
 from celeryfield.platform.process import run_until_stopped
 
 NOTICE_MS = 200.0
@@ -32,7 +32,7 @@
 
 async def test_leaving_node_ends_although_callers_keep_sending(monkeypatch):
     """Guards against requests accepted after SIGTERM and then aborted."""
-    monkeypatch.setattr(platform_node, "READINESS_NOTICE_MS", NOTICE_MS)
+    monkeypatch.setattr(planned_stop, "READINESS_NOTICE_MS", NOTICE_MS)
     async with running_platform_fleet(4) as fleet:
         node = fleet.nodes[0]
         for upstream in fleet.upstreams:
@@ -55,7 +55,7 @@
     monkeypatch,
 ):
     """Guards against requests in flight whose sub-calls are refused."""
-    monkeypatch.setattr(platform_node, "READINESS_NOTICE_MS", NOTICE_MS)
+    monkeypatch.setattr(planned_stop, "READINESS_NOTICE_MS", NOTICE_MS)
     long_deadline = {"X-Deadline-Ms": "20000"}
     async with running_platform_fleet(1, timeoutMs=20_000) as fleet:
         (node,), (upstream,) = fleet.nodes, fleet.upstreams
@@ -96,7 +96,7 @@
 
 async def test_response_that_a_caller_reads_slowly_is_complete(monkeypatch):
     """Guards against a stop that truncates responses being written."""
-    monkeypatch.setattr(platform_node, "READINESS_NOTICE_MS", NOTICE_MS)
+    monkeypatch.setattr(planned_stop, "READINESS_NOTICE_MS", NOTICE_MS)
     body = b"x" * 8_000_000
     async with running_platform_fleet(1) as fleet:
         node, upstream = fleet.nodes[0], fleet.upstreams[0]
@@ -125,7 +125,7 @@
     monkeypatch,
 ):
     """Guards against a stop that a waiting report blocks until the kill."""
-    monkeypatch.setattr(platform_node, "READINESS_NOTICE_MS", NOTICE_MS)
+    monkeypatch.setattr(planned_stop, "READINESS_NOTICE_MS", NOTICE_MS)
     async with running_platform_fleet(1) as fleet:
         node, upstream = fleet.nodes[0], fleet.upstreams[0]
         fleet.store.error_status = 503
@@ -143,7 +143,7 @@
     monkeypatch,
 ):
     """Guards against closing the connection of a partly read request."""
-    monkeypatch.setattr(platform_node, "READINESS_NOTICE_MS", NOTICE_MS)
+    monkeypatch.setattr(planned_stop, "READINESS_NOTICE_MS", NOTICE_MS)
     async with running_platform_fleet(1) as fleet:
         node = fleet.nodes[0]
         reader, writer = await asyncio.open_connection(
@@ -167,7 +167,7 @@
 
 async def test_node_whose_task_fails_drains_and_ends(monkeypatch, caplog):
     """Guards against a node that keeps serving without one of its tasks."""
-    monkeypatch.setattr(platform_node, "READINESS_NOTICE_MS", NOTICE_MS)
+    monkeypatch.setattr(planned_stop, "READINESS_NOTICE_MS", NOTICE_MS)
     async with running_platform_fleet(1) as fleet:
         (node,) = fleet.nodes
         fleet.upstreams[0].delay_s = 2 * NOTICE_MS / 1000
@@ -186,7 +186,7 @@
     monkeypatch,
 ):
     """Guards against senders that learn of a leave only from refusals."""
-    monkeypatch.setattr(platform_node, "READINESS_NOTICE_MS", NOTICE_MS)
+    monkeypatch.setattr(planned_stop, "READINESS_NOTICE_MS", NOTICE_MS)
     long_deadline = {"X-Deadline-Ms": "20000"}
     async with running_platform_fleet(3, timeoutMs=20_000) as fleet:
         node, sender = fleet.nodes[0], fleet.nodes[1]
--- a/tests/cover/test_platform_pipelining.py
+++ b/tests/cover/test_platform_pipelining.py
@@ -14,8 +14,7 @@
 from platform_fleet import running_platform_fleet
 from platform_standins import config_spec, running_task, until
 
-from celeryfield.platform import config
-from celeryfield.platform import node as platform_node
+from celeryfield.platform import config, planned_stop
 
 NOTICE_MS = 200.0
 
@@ -87,7 +86,7 @@
     The answer that closed the connection came before requests that were
     already received behind it.
     """
-    monkeypatch.setattr(platform_node, "READINESS_NOTICE_MS", NOTICE_MS)
+    monkeypatch.setattr(planned_stop, "READINESS_NOTICE_MS", NOTICE_MS)
     async with running_platform_fleet(1, routeType=kind) as fleet:
         (node,), (upstream,) = fleet.nodes, fleet.upstreams
         upstream.delay_s = 0.2
--- a/tests/cover/test_platform_stop_deadlines.py
+++ b/tests/cover/test_platform_stop_deadlines.py
@@ -21,8 +21,7 @@
 from celeryfield.internal.schema import wire
 from celeryfield.internal.transport.server import RunState
 from celeryfield.internal.upstream import time_limits
-from celeryfield.platform import listeners, stop_times
-from celeryfield.platform import node as platform_node
+from celeryfield.platform import listeners, planned_stop, stop_times
 from celeryfield.platform.stop_times import plan_stop
 
 NOTICE_MS = 200.0
@@ -81,7 +80,7 @@
 
     The upstream is told when it has to end, and its own answer is passed on.
     """
-    monkeypatch.setattr(platform_node, "READINESS_NOTICE_MS", NOTICE_MS)
+    monkeypatch.setattr(planned_stop, "READINESS_NOTICE_MS", NOTICE_MS)
     async with running_platform_fleet(1, timeoutMs=LONG_LIMIT_MS) as fleet:
         (node,) = fleet.nodes
         shorten_grace(node)
