Move stored state out of the platform node

platform/stored_state.py now handles the configuration and records that the store or a neighbour sends, with the routes, catalog, local upstream and neighbour bootstrap passed in whole. The bootstrap is built before the watchers, which now call the new class directly; neither constructor depends on the other. The bodies of the functions are otherwise unchanged, and so are all tests.

--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -7,7 +7,6 @@
 
 from celeryfield import __version__
 from celeryfield.internal import events
-from celeryfield.internal.calls import Candidate
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.dispatch.admission import AdmissionController
 from celeryfield.internal.dispatch.chain_limits import ChainLimits
@@ -33,7 +32,7 @@
 from celeryfield.internal.schema import wire
 from celeryfield.internal.store.client import StoreClient
 from celeryfield.internal.store.prefix_watcher import PrefixWatcher
-from celeryfield.internal.store.responses import StoreListing, StoreObject
+from celeryfield.internal.store.responses import StoreObject
 from celeryfield.internal.transport import frames
 from celeryfield.internal.transport.frames import Kind
 from celeryfield.internal.transport.pool import PeerPool
@@ -47,6 +46,11 @@
 from celeryfield.platform.planned_stop import PlannedStop
 from celeryfield.platform.reports import ReportListener, ready_listener
 from celeryfield.platform.settings import PlatformSettings
+from celeryfield.platform.stored_state import (
+    StoredState,
+    awaits_store,
+    seed_candidates,
+)
 from celeryfield.platform.upstream import PlatformUpstream
 
 logger = logging.getLogger(__name__)
@@ -69,8 +73,6 @@
         self.clock = clock
         self.is_leaving = False
         self._identity = settings.node.node
-        self._config_object: StoreObject | None = None
-        self._held_configs: list[StoreListing] = []
         self._incarnation = clock.wall_ms()
         self._build_call_services()
         self._build_store_services()
@@ -186,30 +188,35 @@
             self.suspect_recorder,
             self._apply_upstream,
         )
+        self.neighbour_bootstrap = NeighbourBootstrap(
+            self.peer_pool,
+            self.clock,
+            seed_candidates(self.settings),
+            lambda: awaits_store((self.config_watcher, self.record_watcher)),
+            self._on_neighbour_objects,
+        )
+        self.stored_state = StoredState(
+            self.routes,
+            self.catalog,
+            self.local_upstream,
+            self.neighbour_bootstrap,
+        )
         self.config_watcher = PrefixWatcher(
             self.store,
             self.clock,
             f"{config.KIND}/",
-            self._on_config,
-            self._on_config,
+            self.stored_state.on_config,
+            self.stored_state.on_config,
         )
         self.record_watcher = PrefixWatcher(
             self.store,
             self.clock,
             records.PREFIX,
-            self._on_records,
-            self._on_record_changes,
+            self.stored_state.on_records,
+            self.stored_state.on_record_changes,
             lambda: self.catalog.watch_delay_ms,
             lambda: self.catalog.watch_delay_ms,
         )
-        self.neighbour_bootstrap = NeighbourBootstrap(
-            self.peer_pool,
-            self.clock,
-            _seed_candidates(self.settings),
-            lambda: self._awaits_store,
-            self._on_neighbour_objects,
-        )
-        self.neighbour_bootstrap.call_when_settled(self._apply_held_configs)
         self.record_remover = RecordRemover(
             self._identity.id,
             self._identity.zone,
@@ -308,66 +315,11 @@
         )
         await stop.run()
 
-    def _on_config(self, listing: StoreListing) -> None:
-        # A newer configuration of a neighbour comes first.
-        if not self.neighbour_bootstrap.is_settled:
-            self._held_configs.append(listing)
-            return
-        self._apply_config(listing)
-
-    def _apply_held_configs(self) -> None:
-        held, self._held_configs = self._held_configs, []
-        for listing in held:
-            self._apply_config(listing)
-
-    def _apply_config(self, listing: StoreListing) -> None:
-        for stored in listing.objects:
-            if stored.key != config.KEY:
-                continue
-            decoded = config.decode(stored.value)
-            if decoded.is_error():
-                events.emit(events.ConfigRefused, problem=str(decoded.error))
-                continue
-            if self.routes.apply_if_newer(decoded.ok):
-                self._config_object = stored
-
-    @property
-    def _awaits_store(self) -> bool:
-        """Whether configuration or records were never read from the store."""
-        answered_ms = (
-            self.config_watcher.last_confirmed_ms,
-            self.record_watcher.last_confirmed_ms,
-        )
-        return None in answered_ms
-
     def _objects_for_neighbours(self) -> tuple[StoreObject, ...]:
-        """Returns the objects that a node needs while the store is down."""
-        record_objects = self.catalog.to_store_objects()
-        if self._config_object is None:
-            return record_objects
-        return (self._config_object, *record_objects)
+        return self.stored_state.objects_for_neighbours()
 
     def _on_neighbour_objects(self, objects: tuple[StoreObject, ...]) -> None:
-        """Applies objects from a neighbour, unless they are known here."""
-        config_objects = tuple(
-            item for item in objects if item.key == config.KEY
-        )
-        self._apply_config(StoreListing(config_objects, 0))
-        self.local_upstream.on_neighbour_copy(objects)
-        self.catalog.add_missing(
-            tuple(
-                item for item in objects if item.key.startswith(records.PREFIX)
-            )
-        )
-
-    def _on_records(self, listing: StoreListing) -> None:
-        self.neighbour_bootstrap.on_listing(listing)
-        self.local_upstream.on_listing(listing)
-        self.catalog.replace_all(listing.objects, listing.generation)
-
-    def _on_record_changes(self, listing: StoreListing) -> None:
-        self.local_upstream.on_changes(listing)
-        self.catalog.apply_changes(listing.objects, listing.deleted_keys)
+        self.stored_state.on_neighbour_objects(objects)
 
     def _apply_upstream(self, report: UpstreamReport, state: str) -> None:
         """Updates admission control and the HTTP client."""
@@ -388,11 +340,3 @@
             self.local_upstream.expire()
             if self.suspect_recorder.refresh():
                 self.local_upstream.publish()
-
-
-def _seed_candidates(settings: PlatformSettings) -> tuple[Candidate, ...]:
-    """Returns the seeds as candidates; their node ids are not known yet."""
-    return tuple(
-        Candidate("", number, seed.host, seed.port, "", "")
-        for number, seed in enumerate(settings.seeds)
-    )
