Move the confirmation of store writes into its own module

StoreClient.put_and_confirm() passes its arguments on. The code and the tests are otherwise unchanged.

--- a/src/celeryfield/internal/store/client.py
+++ b/src/celeryfield/internal/store/client.py
@@ -6,7 +6,7 @@
 import functools
 import random
 import urllib.parse
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import TypeVar
 
 import aiohttp
@@ -14,14 +14,13 @@
 
 from celeryfield.internal import sockets
 from celeryfield.internal.clock import Clock
-from celeryfield.internal.schema import wire
 from celeryfield.internal.schema.settings import StoreSettings
+from celeryfield.internal.store import confirmation
 from celeryfield.internal.store import dialect as default_dialect
 from celeryfield.internal.store.budget import Backoff, CallBudget
 from celeryfield.internal.store.dialect import StoreDialect, StoreRequest
 from celeryfield.internal.store.errors import (
     StoreBudgetError,
-    StoreConflictError,
     StoreError,
     StoreMissingError,
     StoreOutcomeUnknownError,
@@ -36,18 +35,11 @@
     read_response,
 )
 
-# Attempts to determine the outcome of a write before it counts as unknown.
-MAX_CONFIRM_ATTEMPTS = 3
 # Listings begun anew because the store was restored between two pages.
 MAX_LIST_RESTARTS = 3
 # Expected version of a write that replaces an object of any version.
 ANY_VERSION = -1
 
-# Returns the writes recorded in a value, newest first. The first entry is the
-# write of the value itself, whose version is that of the object. A final entry
-# with version 0 means that no earlier writes exist.
-DecodeWriteRecords = Callable[[bytes], Sequence[wire.WriteRecord]]
-
 _Decoded = TypeVar("_Decoded")
 
 # Inside the client, ``list`` is the name of a method.
@@ -259,18 +251,11 @@
         key: str,
         value: bytes,
         expected_version: int,
-        decode_write_records: DecodeWriteRecords,
+        decode_write_records: confirmation.DecodeWriteRecords,
     ) -> Result[StoreObject, StoreError]:
         """Writes an object and determines whether the write took effect.
 
-        The value contains a unique write id. After an unknown outcome or a
-        conflict, the object is read back. The write succeeded if the object or
-        its recorded earlier writes contain the id, and failed if the record
-        reaches back to the expected version without it. If the object still
-        has the expected version, the write may be in transit; it is sent
-        again, and at most one of the two can take effect. If the store was
-        restored since the first attempt, the expected version may belong to
-        another write, so nothing is sent again.
+        The value contains a unique write id.
 
         Args:
             key: Key of the object.
@@ -283,42 +268,15 @@
             first; ``StoreOutcomeUnknownError`` if the outcome cannot be
             determined.
         """
-        write_id = decode_write_records(value)[0].write_id
-        backoff = self.new_backoff()
-        changes = self._generations.changes
-        result = await self.put(key, value, expected_version)
-        for _ in range(MAX_CONFIRM_ATTEMPTS):
-            if result.is_ok() or not isinstance(
-                result.error, _AMBIGUOUS_ERRORS
-            ):
-                return result
-            read_result = await self.get(key)
-            if read_result.is_error():
-                await self._clock.sleep_ms(backoff.next_delay_ms())
-                continue
-            version = _find_written_version(
-                read_result.ok, write_id, expected_version, decode_write_records
-            )
-            if changes != self._generations.changes and not version:
-                version = None
-            if version is None:
-                return Error(_unknown_outcome(key, write_id))
-            if version > 0:
-                return Ok(StoreObject(key, version, value))
-            current_version = read_result.ok.version if read_result.ok else 0
-            if current_version != expected_version:
-                conflict = StoreConflictError(
-                    key, expected_version, current_version
-                )
-                return Error(conflict)
-            retry_result = await self.put(key, value, expected_version)
-            # If the retry was rejected, the earlier attempt may still take
-            # effect.
-            if retry_result.is_ok() or isinstance(
-                retry_result.error, _AMBIGUOUS_ERRORS
-            ):
-                result = retry_result
-        return Error(_unknown_outcome(key, write_id))
+        return await confirmation.put_and_confirm(
+            self,
+            self._clock,
+            self._generations,
+            key,
+            value,
+            expected_version,
+            decode_write_records,
+        )
 
     def _record_result(
         self, method: str, result: Result[_Decoded, StoreError]
@@ -437,7 +395,6 @@
         raise _ConnectionClosedError(str(error)) from error
 
 
-_AMBIGUOUS_ERRORS = (StoreConflictError, StoreOutcomeUnknownError)
 _RESTORED = "the store was restored from an older copy during the call"
 _BUDGET_EXHAUSTED = (
     "the store call budget of this node is used up; try again later"
@@ -447,38 +404,3 @@
 def _get_objects(listing: StoreListing) -> StoreObjects:
     """Returns only the objects of a listing."""
     return list(listing.objects)
-
-
-def _unknown_outcome(key: str, write_id: str) -> StoreOutcomeUnknownError:
-    """Returns the error for a write whose outcome cannot be determined."""
-    return StoreOutcomeUnknownError(
-        f"write {write_id} of {key!r} may or may not have taken effect; "
-        "read the object before writing again"
-    )
-
-
-def _find_written_version(
-    stored_object: StoreObject | None,
-    write_id: str,
-    expected_version: int,
-    decode_write_records: DecodeWriteRecords,
-) -> int | None:
-    """Finds the version that a write produced.
-
-    Returns:
-        The version; 0 if the object shows that the write has not taken effect
-        so far; none if the object does not allow a conclusion.
-    """
-    if stored_object is None or stored_object.version == expected_version:
-        return 0
-    own, *earlier = decode_write_records(stored_object.value) or [
-        wire.WriteRecord()
-    ]
-    if own.write_id == write_id:
-        return stored_object.version
-    for record in earlier:
-        if record.write_id == write_id:
-            return record.version
-    if any(record.version <= expected_version for record in earlier):
-        return 0
-    return None
