Move the sending of store requests into its own module

internal/store/sending.py opens the session, sends single HTTP requests and converts their failures to store errors; client.py keeps the budget, the generation checks and the session itself, which a test inspects. The order of the checks, the messages and the tests are unchanged.

--- a/src/celeryfield/internal/store/client.py
+++ b/src/celeryfield/internal/store/client.py
@@ -1,21 +1,18 @@
 """Typed client of the object store."""
 
-import asyncio
 import collections
 import dataclasses
 import functools
 import random
-import urllib.parse
 from collections.abc import Callable
 from typing import TypeVar
 
 import aiohttp
 from expression import Error, Ok, Result
 
-from celeryfield.internal import sockets
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.schema.settings import StoreSettings
-from celeryfield.internal.store import confirmation
+from celeryfield.internal.store import confirmation, sending
 from celeryfield.internal.store import dialect as default_dialect
 from celeryfield.internal.store.budget import Backoff, CallBudget
 from celeryfield.internal.store.dialect import StoreDialect, StoreRequest
@@ -25,14 +22,12 @@
     StoreMissingError,
     StoreOutcomeUnknownError,
     StoreRestoredError,
-    StoreUnavailableError,
 )
 from celeryfield.internal.store.generation import GenerationTracker
 from celeryfield.internal.store.responses import (
     StoreListing,
     StoreObject,
     StoreResponse,
-    read_response,
 )
 
 # Listings begun anew because the store was restored between two pages.
@@ -298,16 +293,8 @@
         changes = self._generations.changes
         try:
             response = await self._request(request, timeout_ms)
-        except aiohttp.ClientConnectorError as error:
-            return Error(
-                StoreUnavailableError(f"cannot connect to the store: {error}")
-            )
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return Error(
-                StoreOutcomeUnknownError(
-                    f"no response from the store: {error!r}"
-                )
-            )
+        except sending.FAILURES as error:
+            return Error(sending.convert_write_failure(error))
         if not self._generations.observe(response.generation, changes):
             return Error(StoreOutcomeUnknownError(_RESTORED))
         return Ok(response)
@@ -322,10 +309,8 @@
         changes = self._generations.changes
         try:
             response = await self._request(request, wait_ms + timeout_ms)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return Error(
-                StoreUnavailableError(f"no response from the store: {error!r}")
-            )
+        except sending.FAILURES as error:
+            return Error(sending.convert_read_failure(error))
         if not self._generations.observe(response.generation, changes):
             return Error(StoreRestoredError(_RESTORED))
         return Ok(response)
@@ -333,66 +318,18 @@
     async def _request(
         self, request: StoreRequest, timeout_ms: float
     ) -> StoreResponse:
-        """Sends one HTTP request.
-
-        Raises:
-            aiohttp.ClientError: The connection failed or the response is
-                malformed.
-            TimeoutError: The deadline passed.
-        """
+        """Sends one HTTP request; raises the errors of ``sending.send``."""
         if self._is_closed:
             raise aiohttp.ClientConnectionError("the client is closed")
         if self._session is None:
-            # Watches wait for a long time. TCP keepalive detects a dead
-            # connection, on which a watch would delay new configurations.
-            self._session = aiohttp.ClientSession(
-                raise_for_status=False,
-                connector=aiohttp.TCPConnector(
-                    socket_factory=sockets.create_keepalive_socket
-                ),
-            )
-        url = f"{self._settings.url.rstrip('/')}{request.path}"
-        if request.query:
-            url = f"{url}?{urllib.parse.urlencode(request.query)}"
-        async with (
-            asyncio.timeout(timeout_ms / 1000.0),
-            self._session.request(
-                request.method,
-                url,
-                data=request.body,
-                headers=request.headers,
-                allow_redirects=False,
-                middlewares=(_send_once,),
-            ) as response,
-        ):
-            return await read_response(
-                response, self._dialect.generation_header
-            )
-
-
-class _ConnectionClosedError(aiohttp.ClientError):
-    """The connection closed before the response arrived."""
-
-
-async def _send_once(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """Prevents aiohttp from retrying a request on its own.
-
-    aiohttp retries a PUT if the connection closes before the response. If the
-    first request took effect, the second one fails with a conflict or a refused
-    connection, and the write would be reported as having had no effect.
-
-    Raises:
-        _ConnectionClosedError: The connection closed; aiohttp does not retry
-            on this error.
-    """
-    try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise _ConnectionClosedError(str(error)) from error
+            self._session = sending.open_session()
+        return await sending.send(
+            self._session,
+            self._settings.url,
+            request,
+            timeout_ms,
+            self._dialect.generation_header,
+        )
 
 
 _RESTORED = "the store was restored from an older copy during the call"
