Shorten the notice of the stop table where the planned stop now is

The test of each stage of a stop was written before the stop had moved to planned_stop, and patched a constant that the node no longer has. No assertion changes.

--- a/tests/cover/test_platform_stop_table.py
+++ b/tests/cover/test_platform_stop_table.py
@@ -10,7 +10,7 @@
 from platform_fleet import running_platform_fleet
 from platform_standins import running_task
 
-from celeryfield.platform import node as platform_node
+from celeryfield.platform import planned_stop
 
 GRACE_MS = 3_000.0
 NOTICE_MS = 1_150.0
@@ -116,7 +116,7 @@
     answers before them were complete and in order.
     """
     caplog.set_level(logging.INFO)
-    monkeypatch.setattr(platform_node, "READINESS_NOTICE_MS", NOTICE_MS)
+    monkeypatch.setattr(planned_stop, "READINESS_NOTICE_MS", NOTICE_MS)
     async with (
         running_platform_fleet(1, routeType=kind) as fleet,
         contextlib.AsyncExitStack() as stack,
