Patch the retry budget of the faulty node where it now is

The replacement gives back the allowance as before; the rule that it breaks is still reported: the test passes.

--- a/tests/history/faulty_node.py
+++ b/tests/history/faulty_node.py
@@ -15,8 +15,8 @@
 from celeryfield.internal.dispatch.suspects import SuspectTable, Verdict
 from celeryfield.internal.idempotency.ledger import KeyLedger
 from celeryfield.internal.node import Node
-from celeryfield.internal.routing.executor import CallExecutor
 from celeryfield.internal.routing.retries import RetryRatios
+from celeryfield.internal.routing.retry_policy import RetryPolicy
 from celeryfield.internal.upstream.announcements import AnnouncementTracker
 from celeryfield.internal.upstream.client import UpstreamClient
 
@@ -99,14 +99,14 @@
 
 
 def retry_without_spending_allowance():
-    spend_retry = CallExecutor._spend_retry
+    spend_retry = RetryPolicy._spend_retry
 
-    def spend_and_refund(self, run):
-        is_spent = spend_retry(self, run)
-        run.allowance += is_spent
-        return is_spent
+    def spend_and_refund(self, run, candidate):
+        chosen = spend_retry(self, run, candidate)
+        run.allowance += chosen is not None
+        return chosen
 
-    CallExecutor._spend_retry = spend_and_refund
+    RetryPolicy._spend_retry = spend_and_refund
     # Also disables the retry ratio of each class and the repeat budget of the
     # node beside each upstream. They would prevent most of the extra attempts.
     RetryRatios.try_acquire = lambda self, class_name: True
