--- a/review/1/play.py
+++ b/review/1/play.py
@@ -51,9 +51,7 @@
     while record.now_s() < in_touch_s + CHECK_S:
         await caller.send("/read/after")
         await asyncio.sleep(0.2)
-    old_s = [
-        run.at_s for run in old_server.runs if run.at_s > in_touch_s
-    ]
+    old_s = [run.at_s for run in old_server.runs if run.at_s > in_touch_s]
     late_s = [f"{at_s - acked_s:.1f}" for at_s in old_s]
     record.write(f"run by the old service, s after the ack: {' '.join(late_s)}")
     return BROKEN if any(at_s > acked_s + CONFIG_S for at_s in old_s) else HELD
