--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -1,9 +1,9 @@
 """The frame of a script: temporary folder, record, end of all processes."""
 
 import asyncio
-import contextlib
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import traceback
@@ -195,6 +195,10 @@
 
 
 async def _run(folder, services, play):
+    # Ended from outside, the script still ends all that it started.
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.add_signal_handler(number, asyncio.current_task().cancel)
     record = Record(folder / "record.txt")
     record.write(f"disturbance: {'yes' if has_trouble() else 'no'}")
     status = NOT_RUN
@@ -203,21 +207,17 @@
         try:
             async with asyncio.timeout(LIMIT_S):
                 status = await play(site)
-        except Exception:
+        except (Exception, asyncio.CancelledError):
             record.write("the case could not run: " + traceback.format_exc())
             for machine in site.machines:
                 log = pathlib.Path(name) / f"{machine.name}.log"
                 if log.exists():
-                    record.write(f"end of the log of {machine.name}:\n"
-                                 + log.read_text()[-1500:])
+                    record.write(
+                        f"end of the log of {machine.name}:\n"
+                        + log.read_text()[-1500:]
+                    )
         finally:
             await site.close()
-            if keep := os.environ.get("KEEP_LOGS"):
-                with contextlib.suppress(OSError):
-                    for path in pathlib.Path(name).glob("*.log"):
-                        (pathlib.Path(keep) / path.name).write_bytes(
-                            path.read_bytes()
-                        )
     verdict = {HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[status]
     record.write(f"result: {verdict}")
     record.close()
