--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -8,13 +8,12 @@
 import tempfile
 import traceback
 
+import net
 from machine import Machine, Ports
 from record import Record
 from server import Server
 from store import Store
 
-import net
-
 HELD = 0
 BROKEN = 1
 NOT_RUN = 2
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -5,9 +5,8 @@
 import json
 import time
 
-from aiohttp import web
-
 import net
+from aiohttp import web
 
 HEARTBEAT_S = 1.5
 
