--- a/review/2/play.py
+++ b/review/2/play.py
@@ -54,9 +54,9 @@
     if await server.send_leave() != 200:
         return NOT_RUN
     acked_s = record.write("the leave of server 1 is acknowledged")
+    await machine.terminate()
     if has_trouble():
         slow = asyncio.ensure_future(slow_store(site))
-    await machine.terminate()
     await asyncio.sleep(RESTART_DELAY_S)
     machine.start()
     await deliver(server, late_report)
