--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -190,7 +190,12 @@
         services: Service of each machine.
         play: Coroutine function of a Site; returns HELD or BROKEN.
     """
-    sys.exit(asyncio.run(_run(pathlib.Path(folder), services, play)))
+    status = NOT_RUN
+    try:
+        status = asyncio.run(_run(pathlib.Path(folder), services, play))
+    except Exception:
+        traceback.print_exc()
+    sys.exit(status)
 
 
 async def _run(folder, services, play):
