Callers: keys name a workspace, which the upstream is told

Cause: with workspaces in the configuration, requests with unknown keys ran and keys were passed on to upstreams; the priority of a workspace was ignored. Change: CallerGate checks the key at the node that receives the request, by digest, before the body is read. Unknown keys get 401 on routes that are not public. The workspace's priority comes first.

--- a/src/celeryfield/internal/event_types/requests.py
+++ b/src/celeryfield/internal/event_types/requests.py
@@ -57,7 +57,8 @@
             a root request.
         route: Route that matched.
         service: Service that the route chose.
-        priority: Priority of the route; higher priorities are refused later.
+        workspace: Workspace of the caller; empty if it showed no key.
+        priority: Priority of the call; higher priorities are refused later.
         config_version: Version of the route table.
         deadline_ms: Time until the deadline when the request was read.
         took_ms: Time until the answer.
@@ -91,6 +92,7 @@
     parent: str
     route: str
     service: str
+    workspace: str
     priority: int
     config_version: int
     deadline_ms: float
@@ -148,6 +150,28 @@
     level_age_ms: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallerRefused(Event):
+    """The node that received a request refused its caller.
+
+    Attributes:
+        request: Id that the caller gave the request.
+        workspace: Workspace of the key; empty if no workspace holds it.
+        reason: unauthorized, config-outdated or rate-limited.
+        retry_after_s: Delay after which the request may be accepted; 0 if
+            unknown.
+        config_version: Version of the route table.
+    """
+
+    message: ClassVar[str] = "caller refused"
+    per_second: ClassVar[int | None] = 5
+    request: str
+    workspace: str
+    reason: str
+    retry_after_s: float
+    config_version: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class AttemptEnded(Event):
     """One attempt of a call has ended.
--- a/src/celeryfield/internal/routes/request_router.py
+++ b/src/celeryfield/internal/routes/request_router.py
@@ -20,6 +20,7 @@
 from celeryfield.internal.routes.retry_delay import RetryDelayPlanner
 from celeryfield.internal.routes.splits import TrafficSplitter
 from celeryfield.internal.routes.table import Route
+from celeryfield.internal.routes.workspaces import Workspace
 from celeryfield.internal.routing.attempts import (
     BAD_GATEWAY,
     CLIENT_CLOSED_REQUEST,
@@ -48,6 +49,7 @@
         deadline_ms: Time that the caller waits, in ms; None if not given.
         age_ms: Time since the request was received, in ms, spent behind other
             requests of its connection or on reading its body.
+        workspace: Workspace of the caller; None if it needs no key.
     """
 
     request_id: str
@@ -58,6 +60,7 @@
     headers: tuple[wire.Header, ...]
     deadline_ms: float | None
     age_ms: float = 0.0
+    workspace: Workspace | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -132,6 +135,12 @@
         """Whether a route table is active."""
         return self._routes.current is not None
 
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether the active route table has workspaces."""
+        table = self._routes.current
+        return table is not None and bool(table.workspaces)
+
     def accept(
         self, route: Route, request: IncomingRequest, body: bytes
     ) -> RoutedCall:
@@ -140,13 +149,15 @@
         If the parent of the request runs on the local upstream, the call joins
         the chain of that parent.
         """
+        workspace = request.workspace
         call_id = f"{self._id_prefix}{next(self._call_numbers):x}"
         call = wire.Call(
             call_id=call_id,
             root_id=request.request_id or call_id,
             service=self._splitter.choose(route),
+            workspace=workspace.name if workspace else "",
             class_name=route.name,
-            priority=route.priority,
+            priority=self._routes.current.priority(route, workspace),
             method=request.method,
             path=request.path,
             headers=request.headers,
@@ -244,6 +255,7 @@
             parent=routed.parent_id,
             route=call.route_name,
             service=call.service,
+            workspace=call.workspace,
             priority=call.priority,
             config_version=table.version if table else 0,
             deadline_ms=call.deadline_left_ms,
--- a/src/celeryfield/internal/routes/table.py
+++ b/src/celeryfield/internal/routes/table.py
@@ -3,6 +3,11 @@
 import dataclasses
 from collections.abc import Iterable
 
+from celeryfield.internal.routes.workspaces import Workspace, WorkspaceTable
+
+# Admission ranks have room for this many priorities.
+MAX_PRIORITIES = 512
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class WeightedService:
@@ -31,6 +36,8 @@
         target_latency_ms: Answers within this time, in ms, are worth most.
         priority: Requests with a higher priority are shed later.
         max_attempts: Largest number of attempts for one request.
+        is_public: Callers need no key, although the configuration has
+            workspaces.
     """
 
     name: str
@@ -42,6 +49,7 @@
     target_latency_ms: float = 0.0
     priority: int = 0
     max_attempts: int = 1
+    is_public: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -76,6 +84,48 @@
     idle_timeout_ms: float = 15_000.0
 
 
+class CallPriorities:
+    """Priorities of calls by workspace first and by route second.
+
+    Without workspaces, they are those of the routes. Calls without a workspace
+    are ordered by route among those of the most important workspaces.
+
+    Args:
+        routes: All routes.
+        workspaces: All workspaces.
+    """
+
+    def __init__(
+        self, routes: Iterable[Route], workspaces: WorkspaceTable
+    ) -> None:
+        self._has_workspaces = bool(workspaces)
+        self._index_by_route_priority = _index_by_value(
+            route.priority for route in routes
+        )
+        self._index_by_workspace_priority = _index_by_value(
+            workspace.priority
+            for workspace in workspaces.by_name.values()
+            if workspace.priority is not None
+        )
+
+    def priority(self, route: Route, workspace: Workspace | None) -> int:
+        """Returns the priority of a call; higher ones are shed later."""
+        if not self._has_workspaces:
+            return route.priority
+        indexes = self._index_by_workspace_priority
+        index = max(len(indexes) - 1, 0)
+        if workspace is not None and workspace.priority is not None:
+            index = indexes[workspace.priority]
+        route_index = self._index_by_route_priority.get(route.priority, 0)
+        combined = index * len(self._index_by_route_priority) + route_index
+        return min(combined, MAX_PRIORITIES - 1)
+
+
+def _index_by_value(values: Iterable[int]) -> dict[int, int]:
+    """Returns the position of each distinct value in ascending order."""
+    return {value: index for index, value in enumerate(sorted(set(values)))}
+
+
 class RouteTable:
     """Routes, services and limits of one configuration version.
 
@@ -84,6 +134,7 @@
         routes_by_name: The routes.
         services_by_name: The services.
         limits: Limits on requests and connections of callers.
+        workspaces: Workspaces of callers; empty if callers need no keys.
     """
 
     def __init__(
@@ -92,16 +143,25 @@
         routes: Iterable[Route],
         services: Iterable[Service] = (),
         limits: CallerLimits | None = None,
+        workspaces: Iterable[Workspace] = (),
     ) -> None:
         self.version = version
         self.routes_by_name = {route.name: route for route in routes}
         self.services_by_name = {service.name: service for service in services}
         self.limits = limits or CallerLimits()
+        self.workspaces = WorkspaceTable(workspaces)
+        self._priorities = CallPriorities(
+            self.routes_by_name.values(), self.workspaces
+        )
         self._routes_by_host_and_prefix = {
             (route.host, route.path_prefix): route
             for route in self.routes_by_name.values()
         }
 
+    def priority(self, route: Route, workspace: Workspace | None) -> int:
+        """Returns the priority of a call; higher ones are shed later."""
+        return self._priorities.priority(route, workspace)
+
     def match(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest matching prefix, or None.
 
--- /dev/null
+++ b/src/celeryfield/internal/routes/workspaces.py
@@ -0,0 +1,67 @@
+"""Workspaces of callers, and the keys by which callers name theirs.
+
+Keys are compared by their digests, so that no table, log or message holds a
+key. A digest is looked up in the same time whatever the key is.
+"""
+
+import dataclasses
+import hashlib
+from collections.abc import Iterable
+
+DIGEST_BYTES = 16
+
+
+def key_digest(key: str) -> bytes:
+    """Returns the digest by which a key is looked up."""
+    return hashlib.blake2b(
+        key.encode("utf-8", "surrogateescape"), digest_size=DIGEST_BYTES
+    ).digest()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Workspace:
+    """Settings of one workspace.
+
+    Attributes:
+        name: Name of the workspace.
+        key_digests: Digests of its keys.
+        priority: Calls of workspaces with a higher priority are shed later,
+            whatever their routes; None if only the routes decide.
+        rate_per_s: Requests a second over all nodes together; 0 for no limit.
+        burst: Requests above that rate at once, over all nodes together.
+    """
+
+    name: str
+    key_digests: frozenset[bytes] = frozenset()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether the workspace has a rate limit."""
+        return self.rate_per_s > 0
+
+
+class WorkspaceTable:
+    """The workspaces of one configuration version.
+
+    Attributes:
+        by_name: The workspaces.
+    """
+
+    def __init__(self, workspaces: Iterable[Workspace] = ()) -> None:
+        self.by_name = {workspace.name: workspace for workspace in workspaces}
+        self._by_digest = {
+            digest: workspace
+            for workspace in self.by_name.values()
+            for digest in workspace.key_digests
+        }
+
+    def __bool__(self) -> bool:
+        """Returns whether callers have to show a key."""
+        return bool(self.by_name)
+
+    def find(self, key: str) -> Workspace | None:
+        """Returns the workspace that holds a key, or None."""
+        return self._by_digest.get(key_digest(key))
--- a/src/celeryfield/platform/config.py
+++ b/src/celeryfield/platform/config.py
@@ -14,6 +14,7 @@
     Service,
     WeightedService,
 )
+from celeryfield.internal.routes.workspaces import Workspace, key_digest
 from celeryfield.platform.fields import PlatformModel, describe_first_error
 
 logger = logging.getLogger(__name__)
@@ -68,6 +69,8 @@
     split: tuple[_SplitTarget, ...] = pydantic.Field(
         alias="trafficSplit", default=()
     )
+    # Callers need no key.
+    public: bool = False
 
 
 class _ServiceSpec(PlatformModel):
@@ -88,6 +91,15 @@
     idle_timeout_ms: float = pydantic.Field(alias="idleTimeoutMs", gt=0)
 
 
+class _WorkspaceSpec(PlatformModel):
+    """Fields of a workspace; ``ratePerS`` 0 sets no rate limit."""
+
+    keys: tuple[str, ...] = pydantic.Field(alias="apiKeys", default=())
+    rank: int | None = pydantic.Field(alias="priority", default=None, ge=0)
+    rate_per_s: float = pydantic.Field(alias="ratePerS", default=0, ge=0)
+    burst: float = pydantic.Field(default=0, ge=0)
+
+
 class _Metadata(PlatformModel):
     name: str = ""
 
@@ -129,6 +141,7 @@
 def _make_table(config: _Config) -> RouteTable:
     routes = []
     services = []
+    workspaces = []
     limits = None
     for resource in config.resources:
         name = resource.metadata.name
@@ -136,11 +149,15 @@
             routes.append(_make_route(name, resource.spec))
         elif resource.resource_type == "services":
             services.append(_make_service(name, resource.spec))
+        elif resource.resource_type == "tenants":
+            workspaces.append(_make_workspace(name, resource.spec))
         elif resource.resource_type == "limits":
             limits = CallerLimits(
                 **_LimitsSpec.model_validate(resource.spec).model_dump()
             )
-    return RouteTable(int(config.version, 16), routes, services, limits)
+    return RouteTable(
+        int(config.version, 16), routes, services, limits, workspaces
+    )
 
 
 def _make_route(name: str, content: dict[str, object]) -> Route:
@@ -160,6 +177,7 @@
         target_latency_ms=spec.target_latency_ms,
         priority=HIGHEST_PRIORITY - min(spec.rank, HIGHEST_PRIORITY),
         max_attempts=spec.max_attempts,
+        is_public=spec.public,
     )
 
 
@@ -176,3 +194,14 @@
 def _make_service(name: str, content: dict[str, object]) -> Service:
     spec = _ServiceSpec.model_validate(content)
     return Service(name, spec.health_path, spec.max_connections)
+
+
+def _make_workspace(name: str, content: dict[str, object]) -> Workspace:
+    spec = _WorkspaceSpec.model_validate(content)
+    return Workspace(
+        name=name,
+        key_digests=frozenset(key_digest(key) for key in spec.keys),
+        priority=None if spec.rank is None else HIGHEST_PRIORITY - spec.rank,
+        rate_per_s=spec.rate_per_s,
+        burst=spec.burst,
+    )
--- a/src/celeryfield/platform/headers.py
+++ b/src/celeryfield/platform/headers.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable, Mapping
 
+from multidict import CIMultiDictProxy
+
 from celeryfield.internal.schema import wire
 
 # Id of one attempt by a caller; the response repeats it.
@@ -22,6 +24,12 @@
 # Id of the upstream that sent the response.
 INSTANCE = "X-Instance-Id"
 RETRY_AFTER = "Retry-After"
+# Key of the caller, as ``Bearer KEY``.
+AUTHORIZATION = "Authorization"
+# Workspace of the caller; set by the node that received the request.
+WORKSPACE = "X-Tenant"
+# Names the scheme of keys in a 401 response.
+AUTHENTICATE = "WWW-Authenticate"
 
 HOST = "Host"
 
@@ -53,24 +61,50 @@
 }
 
 
+_KEY_SCHEME = "bearer"
+# Not forwarded if the configuration has workspaces.
+_OF_CALLERS = frozenset((AUTHORIZATION.lower(), WORKSPACE.lower()))
+
+
 def forward_request_headers(
-    headers: Mapping[str, str], caller: str
+    headers: Mapping[str, str], caller: str, workspace: str | None = None
 ) -> list[wire.Header]:
     """Returns the request headers to send to an upstream.
 
     Args:
         headers: Headers as received.
         caller: Service to name in the caller header.
+        workspace: Workspace to name, empty for none; None if the configuration
+            has no workspaces, so that these headers belong to the application.
     """
+    excluded = _NOT_FORWARDED
+    if workspace is not None:
+        excluded = excluded | _OF_CALLERS
     forwarded = [
         wire.Header(name, value)
         for name, value in headers.items()
-        if name.lower() not in _NOT_FORWARDED
+        if name.lower() not in excluded
     ]
     forwarded.append(wire.Header(CALLER, caller))
+    if workspace:
+        forwarded.append(wire.Header(WORKSPACE, workspace))
     return forwarded
 
 
+def read_key(headers: CIMultiDictProxy[str]) -> str | None:
+    """Returns the key of a caller, or None without one.
+
+    Several credentials are none: another reader might take another one.
+    """
+    values = headers.getall(AUTHORIZATION, ())
+    if len(values) != 1:
+        return None
+    scheme, _, key = values[0].partition(" ")
+    if scheme.lower() != _KEY_SCHEME:
+        return None
+    return key.strip() or None
+
+
 def forward_response_headers(
     headers: Mapping[str, str],
 ) -> tuple[wire.Header, ...]:
--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -7,7 +7,6 @@
 
 from aiohttp import web
 from mode import Service
-from multidict import CIMultiDict
 
 from celeryfield.internal import events, listening, supervision
 from celeryfield.internal.bodies import BodyBudget, BodyError
@@ -19,6 +18,7 @@
     unknown_result,
 )
 from celeryfield.internal.clock import Clock
+from celeryfield.internal.routes.caller_gate import CallerClaim, CallerGate
 from celeryfield.internal.routes.request_router import (
     DEFAULT_DEADLINE_MS,
     IncomingRequest,
@@ -26,15 +26,14 @@
     RoutedCall,
 )
 from celeryfield.internal.routes.table import CallerLimits, Route
-from celeryfield.platform import headers
+from celeryfield.internal.routes.workspaces import Workspace
+from celeryfield.platform import headers, responses
 from celeryfield.platform.connections import IDLE_CHECK_MS, CallerConnections
 from celeryfield.platform.settings import PlatformSettings
 from celeryfield.platform.stop_times import plan_stop
 
 logger = logging.getLogger(__name__)
 
-# Retry-After of refusals whose result contains no delay.
-DEFAULT_RETRY_AFTER_S = 0.5
 # Most requests in flight end within this time after new ones are refused.
 EXPECTED_DRAIN_MS = 1_000.0
 # Typical time from the end of a process until its successor serves.
@@ -78,6 +77,7 @@
         settings: Settings written by the platform.
         clock: Time source.
         router: Runs requests by route.
+        gate: Accepts or refuses callers.
         bodies: Bounds the request bodies that the node holds; None if only
             this listener holds some.
 
@@ -90,6 +90,7 @@
         settings: PlatformSettings,
         clock: Clock,
         router: RequestRouter,
+        gate: CallerGate,
         bodies: BodyBudget | None = None,
     ) -> None:
         super().__init__()
@@ -102,6 +103,7 @@
         self._settings = settings
         self._clock = clock
         self._router = router
+        self._gate = gate
         self._limits = CallerLimits()
         self._bodies = bodies or BodyBudget(settings.request_bytes)
         self._connections = CallerConnections(
@@ -228,7 +230,7 @@
         self, request: web.BaseRequest, running: _RunningRequest
     ) -> web.Response:
         try:
-            return await self._respond(request, running)
+            result = await self._handle(request, running)
         except asyncio.CancelledError:
             if not running.is_aborted:
                 raise
@@ -236,19 +238,47 @@
             result = unknown_result(Reason.DRAINING, 502)
             if running.call is None:
                 result = not_run_result(Reason.DRAINING)
-            return self._make_response(result, running.request_id)
+        return responses.make_response(result, running.request_id)
 
-    async def _respond(
+    async def _handle(
         self, request: web.BaseRequest, running: _RunningRequest
-    ) -> web.Response:
+    ) -> CallResult:
         route = self._match_route(request)
         if route is None:
             status = 404 if self._router.is_configured else 503
-            return self._make_response(not_run_result(Reason.NO_ROUTE, status))
+            return not_run_result(Reason.NO_ROUTE, status)
         if self._is_ending:
             return self._refuse(request, running, route)
+        claim = CallerClaim(
+            running.request_id,
+            _parent_id(running.request_id),
+            headers.read_key(request.headers),
+        )
+        checked = await self._gate.check(route, claim)
+        if checked.is_error():
+            return responses.refusal_result(checked.error)
+        result = None
+        try:
+            result = await self._read_and_run(
+                request, running, route, checked.ok
+            )
+            return result
+        finally:
+            if result is not None and result.outcome is Outcome.NOT_RUN:
+                self._gate.give_back(checked.ok)
+
+    async def _read_and_run(
+        self,
+        request: web.BaseRequest,
+        running: _RunningRequest,
+        route: Route,
+        workspace: Workspace | None,
+    ) -> CallResult:
+        """Reads the body of an accepted request and runs it."""
         if not request.body_exists:
-            return await self._respond_to(request, running, route, b"")
+            return await self._accept_and_run(
+                request, running, route, workspace, b""
+            )
         timeout_ms = route.timeout_ms or DEFAULT_DEADLINE_MS
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
@@ -258,41 +288,42 @@
                     request.content_length or 0,
                 )
         except TimeoutError:
-            return self._make_response(not_run_result(Reason.DEADLINE))
+            return not_run_result(Reason.DEADLINE)
         if read.is_error():
-            return self._make_response(_BODY_REFUSALS[read.error]())
+            return _BODY_REFUSALS[read.error]()
         try:
-            return await self._respond_to(request, running, route, read.ok)
+            return await self._accept_and_run(
+                request, running, route, workspace, read.ok
+            )
         finally:
             self._bodies.release(len(read.ok))
 
     def _refuse(
         self, request: web.BaseRequest, running: _RunningRequest, route: Route
-    ) -> web.Response:
+    ) -> CallResult:
         """Refuses a request without reading its body."""
-        incoming = self._make_incoming_request(request, running.received_ms)
+        incoming = self._make_incoming_request(request, running, None)
         call = self._router.accept(route, incoming, b"")
-        return self._refuse_call(call, incoming.request_id)
+        return self._refuse_call(call)
 
-    def _refuse_call(self, call: RoutedCall, request_id: str) -> web.Response:
+    def _refuse_call(self, call: RoutedCall) -> CallResult:
         retry_after_s = self._retry_after_s()
-        result = self._router.refuse(call, Reason.DRAINING, retry_after_s)
-        return self._make_response(result, request_id)
+        return self._router.refuse(call, Reason.DRAINING, retry_after_s)
 
-    async def _respond_to(
+    async def _accept_and_run(
         self,
         request: web.BaseRequest,
         running: _RunningRequest,
         route: Route,
+        workspace: Workspace | None,
         body: bytes,
-    ) -> web.Response:
-        incoming = self._make_incoming_request(request, running.received_ms)
+    ) -> CallResult:
+        incoming = self._make_incoming_request(request, running, workspace)
         call = self._router.accept(route, incoming, body)
         running.call = call
         if not self._admits(call):
-            return self._refuse_call(call, incoming.request_id)
-        result = await self._run(call, incoming.request_id, body)
-        return self._make_response(result, incoming.request_id)
+            return self._refuse_call(call)
+        return await self._run(call, running.request_id, body)
 
     def _admits(self, call: RoutedCall) -> bool:
         """Returns whether a call may still start during a shutdown."""
@@ -317,38 +348,34 @@
             return unknown_result(Reason.INTERNAL, 502)
 
     def _make_incoming_request(
-        self, request: web.BaseRequest, received_ms: float
+        self,
+        request: web.BaseRequest,
+        running: _RunningRequest,
+        workspace: Workspace | None,
     ) -> IncomingRequest:
-        request_id = request.headers.get(headers.REQUEST_ID, "")
         deadline = request.headers.get(headers.DEADLINE, "")
         is_number = deadline.isascii() and deadline.isdecimal()
         caller = self._settings.service
+        named_workspace = None
+        if self._router.has_workspaces:
+            named_workspace = workspace.name if workspace else ""
         return IncomingRequest(
-            request_id=request_id,
-            # Ids of sub-calls are PARENT.SUFFIX.
-            parent_id=request_id.rpartition(".")[0],
+            request_id=running.request_id,
+            parent_id=_parent_id(running.request_id),
             caller=caller,
             method=request.method,
             path=request.raw_path,
             headers=tuple(
-                headers.forward_request_headers(request.headers, caller)
+                headers.forward_request_headers(
+                    request.headers, caller, named_workspace
+                )
             ),
             deadline_ms=float(deadline) if is_number else None,
-            age_ms=self._clock.now_ms() - received_ms,
+            age_ms=self._clock.now_ms() - running.received_ms,
+            workspace=workspace,
         )
 
-    def _make_response(
-        self, result: CallResult, request_id: str = ""
-    ) -> web.Response:
-        response_headers = CIMultiDict(headers.as_pairs(result.headers))
-        status = result.status
-        if result.outcome is Outcome.NOT_RUN and status not in (404, 413):
-            status = 503
-            response_headers = CIMultiDict()
-            retry_after_s = result.retry_after_s or DEFAULT_RETRY_AFTER_S
-            response_headers[headers.RETRY_AFTER] = f"{retry_after_s:.2f}"
-        if request_id:
-            response_headers[headers.REQUEST_ID] = request_id
-        return web.Response(
-            status=status, body=result.body, headers=response_headers
-        )
+
+def _parent_id(request_id: str) -> str:
+    """Returns the id of the parent; ids of sub-calls are PARENT.SUFFIX."""
+    return request_id.rpartition(".")[0]
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -25,6 +25,7 @@
 from celeryfield.internal.registry.publisher import RecordPublisher
 from celeryfield.internal.registry.removal import RecordRemover
 from celeryfield.internal.registry.suspects import SuspectRecorder
+from celeryfield.internal.routes.caller_gate import CallerGate
 from celeryfield.internal.routes.manager import RouteManager
 from celeryfield.internal.routes.request_router import RequestRouter
 from celeryfield.internal.routing.balancer import Balancer
@@ -165,8 +166,13 @@
             self.executor,
             self.metrics,
         )
+        self.caller_gate = CallerGate(self.routes, self.chains)
         self.caller_listener = CallerListener(
-            self.settings, clock, self.router, self.request_bodies
+            self.settings,
+            clock,
+            self.router,
+            self.caller_gate,
+            self.request_bodies,
         )
         self.routes.subscribe(
             lambda table: self.caller_listener.set_limits(table.limits)
--- a/tests/cover/test_platform_limits.py
+++ b/tests/cover/test_platform_limits.py
@@ -127,7 +127,7 @@
     """Runs a caller listener with a manual clock."""
     text = settings_text(1, store_port=1, upstream_port=1)
     settings = platform_settings.parse(text).ok
-    listener = CallerListener(settings, clock, EmptyRouter())
+    listener = CallerListener(settings, clock, EmptyRouter(), None)
     await listener.start()
     try:
         yield listener, settings.caller_address
