Wire: messages for proofs of freshness, leases of rate limits, slowdown

Cause: three parts that are built side by side need messages between nodes. Change: frame kinds FETCH_PROOF, PROOF, LEASE and LEASE_RESULT, their messages, and the reported slowdown in load reports. Nothing sends them yet. Result: generated code is current; no behaviour changes.

--- a/src/celeryfield/internal/schema/wire.capnp
+++ b/src/celeryfield/internal/schema/wire.capnp
@@ -62,6 +62,7 @@
   limit @3 :UInt32;
   levels @4 :List(ServiceLevel) $doc("Admission levels of this service and of the services it calls.");
   serviceMs @5 :Float32 $unit("ms") $doc("Typical service time of the class of the call; 0 if unknown.");
+  slowdown @6 :Float32 = 1 $doc("Current service time divided by the usual one, as the upstream reports it.");
 }
 
 struct Reply $doc("Reply to a call.") {
@@ -97,6 +98,39 @@
   requestedBy @1 :Text $doc("Node that received the request of the operator.");
 }
 
+struct FetchProof $doc("Asks a peer which version of the configuration is the newest.") {
+  version @0 :UInt64 $doc("Version in force at the sender.");
+}
+
+struct Proof $doc("Reply to a fetch of a proof.") {
+  version @0 :UInt64 $doc("Version that was the newest one; 0 if the peer has no proof.");
+  ageMs @1 :Float64 $unit("ms") $doc("Time since the question behind this proof was sent to the store.");
+}
+
+struct LeaseWant $doc("Tokens that a node wants from one slice of a rate limit.") {
+  workspace @0 :Text;
+  slice @1 :UInt16;
+  tokens @2 :UInt32;
+}
+
+struct LeaseRequest $doc("Requests tokens of slices that the peer owns.") {
+  wants @0 :List(LeaseWant);
+  configVersion @1 :UInt64 $doc("Version in force at the sender.");
+}
+
+struct LeaseGrant $doc("Tokens granted from one slice.") {
+  workspace @0 :Text;
+  slice @1 :UInt16;
+  tokens @2 :UInt32;
+  ttlMs @3 :Float32 $unit("ms") $doc("Time for which the tokens may be spent, counted from the sending of the request.");
+  retryAfterMs @4 :Float32 $unit("ms") $doc("Time until the slice has further tokens.");
+  isOwner @5 :Bool $doc("The peer owns the slice; otherwise nothing is granted.");
+}
+
+struct LeaseReply $doc("Reply to a lease request, in the order of the wants.") {
+  grants @0 :List(LeaseGrant);
+}
+
 struct FileEntry $doc("One file of a file set.") {
   name @0 :Text;
   text @1 :Text;
--- a/src/celeryfield/internal/schema/wire.py
+++ b/src/celeryfield/internal/schema/wire.py
@@ -353,6 +353,7 @@
         state: starting, ready or draining.
         levels: Admission levels of this service and of the services it calls.
         service_ms: Typical service time of the class of the call; 0 if unknown. Unit: ms.
+        slowdown: Current service time divided by the usual one, as the upstream reports it.
     """
 
     state: str = ""
@@ -361,6 +362,7 @@
     limit: int = 0
     levels: tuple[ServiceLevel, ...] = ()
     service_ms: float = 0.0
+    slowdown: float = 1.0
 
     def fill(self, builder: Any) -> None:
         """Copies the fields into a message builder."""
@@ -373,6 +375,7 @@
             for index, item in enumerate(self.levels):
                 item.fill(items[index])
         builder.serviceMs = self.service_ms
+        builder.slowdown = self.slowdown
 
     def encode(self) -> bytes:
         """Returns the message as bytes."""
@@ -390,6 +393,7 @@
             reader.limit,
             tuple([ServiceLevel.read(item) for item in reader.levels]),
             reader.serviceMs,
+            reader.slowdown,
         )
 
     @classmethod
@@ -668,6 +672,298 @@
             raise MessageError(message) from error
 
 
+@dataclasses.dataclass(slots=True)
+class FetchProof:
+    """Asks a peer which version of the configuration is the newest.
+
+    Attributes:
+        version: Version in force at the sender.
+    """
+
+    version: int = 0
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.version = self.version
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.FetchProof.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "FetchProof":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.version,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "FetchProof":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.FetchProof.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed FetchProof message"
+            raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class Proof:
+    """Reply to a fetch of a proof.
+
+    Attributes:
+        version: Version that was the newest one; 0 if the peer has no proof.
+        age_ms: Time since the question behind this proof was sent to the store. Unit: ms.
+    """
+
+    version: int = 0
+    age_ms: float = 0.0
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.version = self.version
+        builder.ageMs = self.age_ms
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.Proof.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "Proof":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.version,
+            reader.ageMs,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "Proof":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.Proof.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed Proof message"
+            raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class LeaseWant:
+    """Tokens that a node wants from one slice of a rate limit."""
+
+    workspace: str = ""
+    slice: int = 0
+    tokens: int = 0
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.workspace = self.workspace
+        builder.slice = self.slice
+        builder.tokens = self.tokens
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.LeaseWant.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "LeaseWant":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.workspace,
+            reader.slice,
+            reader.tokens,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "LeaseWant":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.LeaseWant.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed LeaseWant message"
+            raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class LeaseRequest:
+    """Requests tokens of slices that the peer owns.
+
+    Attributes:
+        config_version: Version in force at the sender.
+    """
+
+    wants: tuple[LeaseWant, ...] = ()
+    config_version: int = 0
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        if self.wants:
+            items = builder.init("wants", len(self.wants))
+            for index, item in enumerate(self.wants):
+                item.fill(items[index])
+        builder.configVersion = self.config_version
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.LeaseRequest.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "LeaseRequest":
+        """Copies the fields out of a message reader."""
+        return cls(
+            tuple([LeaseWant.read(item) for item in reader.wants]),
+            reader.configVersion,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "LeaseRequest":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.LeaseRequest.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed LeaseRequest message"
+            raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class LeaseGrant:
+    """Tokens granted from one slice.
+
+    Attributes:
+        ttl_ms: Time for which the tokens may be spent, counted from the sending of the request. Unit: ms.
+        retry_after_ms: Time until the slice has further tokens. Unit: ms.
+        is_owner: The peer owns the slice; otherwise nothing is granted.
+    """
+
+    workspace: str = ""
+    slice: int = 0
+    tokens: int = 0
+    ttl_ms: float = 0.0
+    retry_after_ms: float = 0.0
+    is_owner: bool = False
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        builder.workspace = self.workspace
+        builder.slice = self.slice
+        builder.tokens = self.tokens
+        builder.ttlMs = self.ttl_ms
+        builder.retryAfterMs = self.retry_after_ms
+        builder.isOwner = self.is_owner
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.LeaseGrant.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "LeaseGrant":
+        """Copies the fields out of a message reader."""
+        return cls(
+            reader.workspace,
+            reader.slice,
+            reader.tokens,
+            reader.ttlMs,
+            reader.retryAfterMs,
+            reader.isOwner,
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "LeaseGrant":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.LeaseGrant.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed LeaseGrant message"
+            raise MessageError(message) from error
+
+
+@dataclasses.dataclass(slots=True)
+class LeaseReply:
+    """Reply to a lease request, in the order of the wants."""
+
+    grants: tuple[LeaseGrant, ...] = ()
+
+    def fill(self, builder: Any) -> None:
+        """Copies the fields into a message builder."""
+        if self.grants:
+            items = builder.init("grants", len(self.grants))
+            for index, item in enumerate(self.grants):
+                item.fill(items[index])
+
+    def encode(self) -> bytes:
+        """Returns the message as bytes."""
+        builder = _schema.LeaseReply.new_message()
+        self.fill(builder)
+        return builder.to_bytes()
+
+    @classmethod
+    def read(cls, reader: Any) -> "LeaseReply":
+        """Copies the fields out of a message reader."""
+        return cls(
+            tuple([LeaseGrant.read(item) for item in reader.grants]),
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "LeaseReply":
+        """Reads a message.
+
+        Raises:
+            MessageError: The bytes are not such a message.
+        """
+        try:
+            with _schema.LeaseReply.from_bytes(
+                data, traversal_limit_in_words=read_limit(data)
+            ) as reader:
+                return cls.read(reader)
+        except (capnp.KjException, ValueError) as error:
+            message = "malformed LeaseReply message"
+            raise MessageError(message) from error
+
+
 @dataclasses.dataclass(slots=True)
 class FileEntry:
     """One file of a file set."""
--- a/src/celeryfield/internal/transport/frames.py
+++ b/src/celeryfield/internal/transport/frames.py
@@ -39,6 +39,10 @@
     DRAIN_RESULT = 15
     REACH = 16
     REACH_RESULT = 17
+    FETCH_PROOF = 18
+    PROOF = 19
+    LEASE = 20
+    LEASE_RESULT = 21
 
 
 # Kinds that answer a request of the other end. They carry the stream id that
@@ -51,6 +55,8 @@
         Kind.HANDOVER_RESULT,
         Kind.DRAIN_RESULT,
         Kind.REACH_RESULT,
+        Kind.PROOF,
+        Kind.LEASE_RESULT,
     )
 )
 _KINDS_BY_VALUE = {int(kind): kind for kind in Kind}
