Upstream: a status that HTTP does not define is no answer

Cause: an answer with status 000 to 199 was taken for an informational one, so that its caller waited until the deadline and got 504; statuses from 600 on reached the caller as they were. Change: other statuses than 100, 102, 103 and 200 to 599 end the attempt at once as an invalid response and close the connection.

--- a/src/celeryfield/internal/upstream/connection.py
+++ b/src/celeryfield/internal/upstream/connection.py
@@ -45,7 +45,9 @@
 # again until its deadline, after many other exchanges of its connection.
 MAX_REMEMBERED_IDS = 1024
 _BODILESS_STATUSES = frozenset((204, 304))
-_FIRST_FINAL_STATUS = 200
+# A 101 answers a request to change the protocol, which nodes never send.
+_INFORMATIONAL_STATUSES = frozenset((100, 102, 103))
+_FINAL_STATUSES = range(200, 600)
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -175,11 +177,14 @@
             self._fail(InvalidResponseError("two heads in one"))
             return
         self._status = self._parser.get_status_code()
+        if self._status in _INFORMATIONAL_STATUSES:
+            return
+        if self._status not in _FINAL_STATUSES:
+            self._fail(InvalidResponseError(f"status {self._status:03}"))
+            return
         has_length = "Content-Length" in self._headers
         is_chunked = "Transfer-Encoding" in self._headers
         is_bodiless = self._is_head or self._status in _BODILESS_STATUSES
-        if self._status < _FIRST_FINAL_STATUS:
-            return
         if not (has_length or is_chunked or is_bodiless):
             self._is_close_delimited = True
         if self._is_head:
@@ -200,11 +205,11 @@
         self._on_buffered(len(part))
 
     def on_message_complete(self) -> None:
-        """Completes a response; informational ones (1xx) are skipped.
+        """Completes a response; informational ones are skipped.
 
         Bytes that follow a complete response belong to no request.
         """
-        if self._status < _FIRST_FINAL_STATUS:
+        if self._status in _INFORMATIONAL_STATUSES:
             self._reset_response()
             return
         if not self._parser.should_keep_alive():
--- a/tests/cover/test_upstream_connection.py
+++ b/tests/cover/test_upstream_connection.py
@@ -410,3 +410,30 @@
             await send(pool, b"b", request_id=f"b{number}")
         await send(pool, request_id="a")
     assert upstream.connections == 2
+
+
+@pytest.mark.parametrize(
+    "status", ["000", "042", "099", "101", "104", "150", "199", "600", "999"]
+)
+async def test_a_status_that_http_does_not_define_is_invalid(status):
+    """Guards against an answer of a faulty upstream that reaches the caller.
+
+    Statuses below 200 were taken for informational answers, so that the caller
+    waited for another one until the deadline.
+    """
+    answer = (COMPLETE % b"a").replace(b"200", status.encode())
+    upstream = ScriptedUpstream([[answer], [COMPLETE % b"b"]])
+    async with serving_pool(upstream) as pool:
+        with pytest.raises(InvalidResponseError):
+            await send(pool)
+        assert (await send(pool, b"b")).body == b"body"
+    assert upstream.connections == 2
+
+
+@pytest.mark.parametrize("status", ["100", "102", "103"])
+async def test_informational_answers_precede_the_final_one(status):
+    """Guards against refusing early hints and the like."""
+    informational = f"HTTP/1.1 {status} Wait\r\n\r\n".encode()
+    upstream = ScriptedUpstream([[informational + (COMPLETE % b"a")]])
+    async with serving_pool(upstream) as pool:
+        assert (await send(pool)).status == 200
