Check: an operator's configuration before it is sent

Cause: operators asked for a check of a configuration that tells errors, entries that can never match, limits that contradict each other, and what differs from the version in force; `check` only told whether a file decodes. Change: routes/checks.py and routes/changes.py work on the decoded entries of the product, so that nothing of the platform's format is known outside its folder.

--- a/src/celeryfield/platform/config.py
+++ b/src/celeryfield/platform/config.py
@@ -7,6 +7,7 @@
 from expression import Error, Ok, Result
 
 from celeryfield.errors import CeleryfieldError
+from celeryfield.internal.routes.entries import ConfigEntries
 from celeryfield.internal.routes.table import (
     CallerLimits,
     Route,
@@ -131,18 +132,23 @@
     Returns:
         The route table, or the first error.
     """
+    return decode_entries(value).map(ConfigEntries.to_table)
+
+
+def decode_entries(value: bytes) -> Result[ConfigEntries, ConfigError]:
+    """Decodes the stored configuration like ``decode``, entry by entry."""
     try:
         config = _Config.model_validate_json(value)
-        return Ok(_make_table(config))
+        return Ok(_make_entries(config))
     except pydantic.ValidationError as error:
         return Error(ConfigError(describe_first_error(error)))
 
 
-def _make_table(config: _Config) -> RouteTable:
+def _make_entries(config: _Config) -> ConfigEntries:
     routes = []
     services = []
     workspaces = []
-    limits = None
+    limits = CallerLimits()
     for resource in config.resources:
         name = resource.metadata.name
         if resource.resource_type == "routes":
@@ -155,8 +161,12 @@
             limits = CallerLimits(
                 **_LimitsSpec.model_validate(resource.spec).model_dump()
             )
-    return RouteTable(
-        int(config.version, 16), routes, services, limits, workspaces
+    return ConfigEntries(
+        int(config.version, 16),
+        tuple(routes),
+        tuple(services),
+        tuple(workspaces),
+        limits,
     )
 
 
