Admission: share scarce room in proportion to rate limits

Cause: on the platform all workspaces had the same weight, so that under overload a large workspace within its limit counted as greedy before a small one that floods. Change: the weight of a workspace is its rate limit; those without one count like the mean. Configurations without workspaces are not affected.

--- a/src/celeryfield/internal/routes/manager.py
+++ b/src/celeryfield/internal/routes/manager.py
@@ -59,6 +59,12 @@
             callback(candidate)
         return True
 
+    def workspace_weight(self, workspace: str) -> float:
+        """Returns the share of scarce room that a workspace may use."""
+        if self.current is None:
+            return 1.0
+        return self.current.workspaces.weight(workspace)
+
     def class_section(self, route_name: str) -> ClassSection | None:
         """Returns the priority and retry settings of a route, or None."""
         return self._sections_by_route.get(route_name)
--- a/src/celeryfield/internal/routes/workspaces.py
+++ b/src/celeryfield/internal/routes/workspaces.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import hashlib
+import statistics
 from collections.abc import Iterable
 
 DIGEST_BYTES = 16
@@ -57,11 +58,29 @@
             for workspace in self.by_name.values()
             for digest in workspace.key_digests
         }
+        rates = [
+            workspace.rate_per_s
+            for workspace in self.by_name.values()
+            if workspace.is_limited
+        ]
+        self._mean_rate = statistics.fmean(rates) if rates else 1.0
 
     def __bool__(self) -> bool:
         """Returns whether callers have to show a key."""
         return bool(self.by_name)
 
+    def weight(self, name: str) -> float:
+        """Returns the share of scarce room that a workspace may use.
+
+        Weights are relative to each other. A rate limit is what the operator
+        grants a workspace, so its share is in proportion to it. Others count
+        like the mean of the limited ones.
+        """
+        workspace = self.by_name.get(name)
+        if workspace is None or not workspace.is_limited:
+            return self._mean_rate
+        return workspace.rate_per_s
+
     def find(self, key: str) -> Workspace | None:
         """Returns the workspace that holds a key, or None."""
         return self._by_digest.get(key_digest(key))
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -111,6 +111,7 @@
         self.balancer = Balancer(settings, clock)
         self.catalog = Catalog(settings.node.id, self.balancer, clock)
         self.admission = AdmissionController(settings, clock)
+        self.admission.set_workspace_weights(self.routes.workspace_weight)
         self.suspect_recorder = SuspectRecorder(clock, self.admission.suspects)
         self.upstream = PlatformUpstream(self.settings, clock)
         self.upstream_tracker = UpstreamTracker(
--- a/tests/cover/test_workspace_keys.py
+++ b/tests/cover/test_workspace_keys.py
@@ -201,6 +201,18 @@
     assert CallPriorities([route], WorkspaceTable()).priority(route, None) == 98
 
 
+def test_scarce_room_is_shared_in_proportion_to_rate_limits():
+    """Guards against a large workspace that counts as greedy in its limit."""
+    large = Workspace("large", rate_per_s=90.0, burst=90.0)
+    small = Workspace("small", rate_per_s=10.0, burst=10.0)
+    free = Workspace("free")
+    table = WorkspaceTable((large, small, free))
+    weights = {name: table.weight(name) for name in ("large", "small", "free")}
+    assert weights == {"large": 90.0, "small": 10.0, "free": 50.0}
+    assert table.weight("unknown") == 50.0
+    assert WorkspaceTable((free,)).weight("free") == 1.0
+
+
 def workspace_spec(version=1, **fields):
     spec = config_spec(version, **fields)
     spec["resources"].append(
