Transport: memory of ended calls in a module of its own

Change: FinishedCalls in transport/finished_calls.py; no behaviour changes. Result: tests of the transport pass.

--- a/src/celeryfield/internal/transport/server.py
+++ b/src/celeryfield/internal/transport/server.py
@@ -1,7 +1,6 @@
 """Server side of the transport: connections that other nodes open."""
 
 import asyncio
-import collections
 import dataclasses
 import functools
 import logging
@@ -22,13 +21,11 @@
 from celeryfield.internal.schema import wire
 from celeryfield.internal.transport import frames
 from celeryfield.internal.transport.connection import PeerConnection
+from celeryfield.internal.transport.finished_calls import FinishedCalls
 from celeryfield.internal.transport.frames import Frame, Kind
 
 logger = logging.getLogger(__name__)
 
-# The end of a call is remembered for this time, for cancels that arrive late.
-FINISHED_TTL_MS = 60_000.0
-MAX_FINISHED = 50_000
 # Retries if the port that the system chose for TCP is in use for UDP.
 MAX_PORT_ATTEMPTS = 16
 # Limit on the bodies of all calls that are received or run, unless the node
@@ -89,11 +86,7 @@
         self._connections_by_peer: dict[tuple[str, int], PeerConnection] = {}
         self._connections: set[PeerConnection] = set()
         self._running_by_call: dict[str, RunState] = {}
-        # Values are (monotonic end in ms, whether the call had started).
-        self._finished_by_call: collections.OrderedDict[
-            str, tuple[float, bool]
-        ] = collections.OrderedDict()
-        self._assume_started_until_ms = 0.0
+        self._finished = FinishedCalls(clock)
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
 
@@ -238,10 +231,11 @@
     def _duplicate_result(self, call_id: str) -> CallResult | None:
         """Returns the result of a duplicate call; None for a new call id."""
         is_running = call_id in self._running_by_call
-        if not is_running and call_id not in self._finished_by_call:
+        finished = self._finished.find(call_id)
+        if not is_running and finished is None:
             return None
         # A running call may still start.
-        if is_running or self._finished_by_call[call_id][1]:
+        if is_running or finished.started:
             return CallResult(
                 Outcome.UNKNOWN, Reason.CANCELLED, 503, started=True
             )
@@ -251,7 +245,7 @@
         """Moves a call from running to finished; idempotent."""
         if self._running_by_call.get(call_id) is state:
             del self._running_by_call[call_id]
-            self._record_finished(call_id, state.started)
+            self._finished.record(call_id, state.started)
 
     async def _serve(
         self,
@@ -304,32 +298,17 @@
             started = state.started
             if state.task is not None and (cancel.abort or not started):
                 state.task.cancel()
-        elif cancel.call_id in self._finished_by_call:
-            started = self._finished_by_call[cancel.call_id][1]
         else:
-            started = self._clock.now_ms() < self._assume_started_until_ms
-            self._record_finished(cancel.call_id, started)
+            finished = self._finished.find(cancel.call_id)
+            if finished is not None:
+                started = finished.started
+            else:
+                started = self._finished.record_cancelled(cancel.call_id)
         result = wire.CancelResult(cancel.call_id, started)
         connection.send_frame(
             Kind.CANCEL_RESULT, frame.stream_id, result.encode()
         )
 
-    def _record_finished(self, call_id: str, started: bool) -> None:
-        now_ms = self._clock.now_ms()
-        finished = self._finished_by_call
-        finished[call_id] = (now_ms, started)
-        while finished:
-            ended_ms, _ = next(iter(finished.values()))
-            is_expired = now_ms - ended_ms > FINISHED_TTL_MS
-            if not is_expired and len(finished) <= MAX_FINISHED:
-                break
-            finished.popitem(last=False)
-            if not is_expired:
-                # A record was dropped before it expired. Until it would have
-                # expired, an unknown call may be the dropped one and must be
-                # reported as possibly started.
-                self._assume_started_until_ms = ended_ms + FINISHED_TTL_MS
-
     async def _handle_control(
         self, connection: PeerConnection, frame: Frame
     ) -> None:
