Callers: no 401 for unknown keys while the configuration may be outdated

Cause: a node without proof of the newest configuration answered 401 for a key that a newer one may hold; and a request that a change of the configuration overtook could fail on a priority that the new version no longer has. Change: such keys get a 503 that has not run; unknown priorities fall back to that of calls without a workspace.

--- a/src/celeryfield/internal/routes/caller_gate.py
+++ b/src/celeryfield/internal/routes/caller_gate.py
@@ -49,7 +49,7 @@
         request_id: Id that the caller gave the request.
         parent_id: Id of the request during whose execution this one was sent;
             empty if unknown.
-        key: The key; None if the request has none.
+        key: The key; None if the request has none, or several.
     """
 
     request_id: str
@@ -125,19 +125,23 @@
         table = self._routes.current
         if not table.workspaces or route.is_public:
             return Ok(None)
-        workspace = table.workspaces.find(claim.key) if claim.key else None
-        if workspace is None:
-            if claim.key is None and self._is_sub_call(claim):
+        if claim.key is None:
+            if self._is_sub_call(claim):
                 return Ok(None)
             return self._refuse(table, claim, "", Refusal(Reason.UNAUTHORIZED))
+        workspace = table.workspaces.find(claim.key)
+        name = workspace.name if workspace else ""
         if not self._has_fresh_keys():
+            # A newer configuration may hold an unknown key, too.
             refusal = Refusal(Reason.CONFIG_OUTDATED)
-            return self._refuse(table, claim, workspace.name, refusal)
+            return self._refuse(table, claim, name, refusal)
+        if workspace is None:
+            return self._refuse(table, claim, "", Refusal(Reason.UNAUTHORIZED))
         if workspace.is_limited:
             decision = await self._take_rate(workspace)
             if not decision.is_granted:
                 refusal = Refusal(Reason.RATE_LIMITED, decision.retry_after_s)
-                return self._refuse(table, claim, workspace.name, refusal)
+                return self._refuse(table, claim, name, refusal)
         return Ok(workspace)
 
     def give_back(self, workspace: Workspace | None) -> None:
--- a/src/celeryfield/internal/routes/table.py
+++ b/src/celeryfield/internal/routes/table.py
@@ -115,7 +115,8 @@
         indexes = self._index_by_workspace_priority
         index = max(len(indexes) - 1, 0)
         if workspace is not None and workspace.priority is not None:
-            index = indexes[workspace.priority]
+            # The request may have been accepted under an earlier version.
+            index = indexes.get(workspace.priority, index)
         route_index = self._index_by_route_priority.get(route.priority, 0)
         combined = index * len(self._index_by_route_priority) + route_index
         return min(combined, MAX_PRIORITIES - 1)
