Freshness: keys only with a proof that the configuration is the newest

Cause: settings may demand that a revoked key never runs later than a bound, also at nodes that are cut off, frozen or started from a neighbour's copy. Change: ProofKeeper asks witnesses over peer connections, or the store, and CallerGate refuses keys while the proof is too old. The boot clock counts suspended time. Off unless the settings have failClosed and revokeMs.

--- a/src/celeryfield/internal/clock.py
+++ b/src/celeryfield/internal/clock.py
@@ -8,6 +8,8 @@
 import itertools
 import time
 
+_BOOT_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
 
 class Clock:
     """The system's clocks, in milliseconds."""
@@ -16,6 +18,14 @@
         """Returns monotonic time in ms; only differences are meaningful."""
         return time.monotonic() * 1000.0
 
+    def boot_ms(self) -> float:
+        """Returns time in ms that, unlike ``now_ms``, counts suspended time.
+
+        While a VM is suspended, the monotonic clock may stand still. Systems
+        without a clock that counts on use the monotonic one.
+        """
+        return time.clock_gettime(_BOOT_CLOCK) * 1000.0
+
     def wall_ms(self) -> int:
         """Returns milliseconds since the epoch."""
         return time.time_ns() // 1_000_000
@@ -30,6 +40,7 @@
 
     def __init__(self, now_ms: float = 1_000.0) -> None:
         self._now_ms = now_ms
+        self._suspended_ms = 0.0
         self._sleepers: list[tuple[float, int, asyncio.Future[None]]] = []
         self._sequence = itertools.count()
 
@@ -37,10 +48,18 @@
         """Returns the time set so far."""
         return self._now_ms
 
+    def boot_ms(self) -> float:
+        """Returns the time set so far and the time suspended."""
+        return self._now_ms + self._suspended_ms
+
     def wall_ms(self) -> int:
         """Returns the time set so far, as whole milliseconds."""
         return int(self._now_ms)
 
+    def suspend(self, duration_ms: float) -> None:
+        """Suspends the machine: sleeps do not end, ``boot_ms`` counts on."""
+        self._suspended_ms += duration_ms
+
     async def sleep_ms(self, duration_ms: float) -> None:
         """Waits until ``advance`` passes the end of the sleep."""
         future = asyncio.get_running_loop().create_future()
--- a/src/celeryfield/internal/event_types/fleet.py
+++ b/src/celeryfield/internal/event_types/fleet.py
@@ -217,3 +217,39 @@
     team: str
     version: int
     stored: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class KeysRefused(Event):
+    """Requests with keys are refused, since the proof is too old.
+
+    Attributes:
+        proof_age_ms: Age of the proof that the configuration in force is the
+            newest; -1 without one.
+        longest_age_ms: Age up to which keys are accepted.
+        source: Source of the last proof: store or a node id; empty without one.
+        config_version: Version in force.
+    """
+
+    message: ClassVar[str] = "keys refused"
+    level: ClassVar[int] = logging.WARNING
+    proof_age_ms: float
+    longest_age_ms: float
+    source: str
+    config_version: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class KeysAccepted(Event):
+    """Requests with keys are accepted again.
+
+    Attributes:
+        proof_age_ms: Age of the new proof.
+        refused_ms: Time since the first refusal.
+        source: Source of the proof: store or a node id.
+    """
+
+    message: ClassVar[str] = "keys accepted again"
+    proof_age_ms: float
+    refused_ms: float
+    source: str
--- a/src/celeryfield/internal/schema/wire.capnp
+++ b/src/celeryfield/internal/schema/wire.capnp
@@ -103,8 +103,8 @@
 }
 
 struct Proof $doc("Reply to a fetch of a proof.") {
-  version @0 :UInt64 $doc("Version that was the newest one; 0 if the peer has no proof.");
-  ageMs @1 :Float64 $unit("ms") $doc("Time since the question behind this proof was sent to the store.");
+  version @0 :UInt64 $doc("Version in force at the peer, above which none existed; 0 if it has none.");
+  ageMs @1 :Float64 $unit("ms") $doc("Time since the question behind this proof was sent to the store; infinite without a proof.");
 }
 
 struct LeaseWant $doc("Tokens that a node wants from one slice of a rate limit.") {
--- a/src/celeryfield/internal/schema/wire.py
+++ b/src/celeryfield/internal/schema/wire.py
@@ -721,8 +721,8 @@
     """Reply to a fetch of a proof.
 
     Attributes:
-        version: Version that was the newest one; 0 if the peer has no proof.
-        age_ms: Time since the question behind this proof was sent to the store. Unit: ms.
+        version: Version in force at the peer, above which none existed; 0 if it has none.
+        age_ms: Time since the question behind this proof was sent to the store; infinite without a proof. Unit: ms.
     """
 
     version: int = 0
--- a/src/celeryfield/platform/metrics.py
+++ b/src/celeryfield/platform/metrics.py
@@ -8,6 +8,7 @@
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.dispatch.admission import AdmissionController
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
+from celeryfield.internal.freshness.service import ProofKeeper
 from celeryfield.internal.metrics import (
     Metrics,
     age_seconds,
@@ -115,6 +116,20 @@
         metrics.register_gauge(name, description, read)
 
 
+def register_proof_metrics(metrics: Metrics, keeper: ProofKeeper) -> None:
+    """Registers the age of the proof that the configuration is the newest."""
+    metrics.register_gauge(
+        "config_proof_age_seconds",
+        "Age of the proof that the configuration in force is the newest.",
+        lambda: keeper.proof_age_ms() / 1000.0,
+    )
+    metrics.register_gauge(
+        "keys_refused",
+        "1 while requests with keys are refused for lack of a recent proof.",
+        lambda: float(keeper.are_keys_refused),
+    )
+
+
 def metrics_listener(address: ListenAddress, metrics: Metrics) -> HttpListener:
     """Returns a listener that serves metrics in the text format of Prometheus.
 
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -12,6 +12,7 @@
 from celeryfield.internal.dispatch.admission import AdmissionController
 from celeryfield.internal.dispatch.chain_limits import ChainLimits
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
+from celeryfield.internal.freshness.service import make_proof_handler
 from celeryfield.internal.gateway import Gateway
 from celeryfield.internal.listening import ListenError
 from celeryfield.internal.metrics import Metrics
@@ -46,6 +47,7 @@
     UpstreamTracker,
 )
 from celeryfield.platform import config, metrics, objects
+from celeryfield.platform.freshness import ConfigSources, create_proof_keeper
 from celeryfield.platform.ingress import CallerListener
 from celeryfield.platform.planned_stop import PlannedStop
 from celeryfield.platform.reports import ReportListener, ready_listener
@@ -97,6 +99,7 @@
                 record_watcher=self.record_watcher,
             ),
         )
+        metrics.register_proof_metrics(self.metrics, self.proof_keeper)
 
     def _build_call_services(self) -> None:
         settings, clock = self.settings.node, self.clock
@@ -154,6 +157,7 @@
                 Kind.REACH: removal.make_reach_handler(
                     self.catalog, self.peer_pool
                 ),
+                Kind.FETCH_PROOF: make_proof_handler(lambda: self.proof_keeper),
             },
             bodies=self.request_bodies,
         )
@@ -166,7 +170,11 @@
             self.executor,
             self.metrics,
         )
-        self.caller_gate = CallerGate(self.routes, self.chains)
+        self.caller_gate = CallerGate(
+            self.routes,
+            self.chains,
+            lambda: self.proof_keeper.has_fresh_keys(),
+        )
         self.caller_listener = CallerListener(
             self.settings,
             clock,
@@ -242,6 +250,15 @@
             self.store,
             lambda: self.record_watcher.available_since_ms,
         )
+        self.proof_keeper = create_proof_keeper(
+            self.settings,
+            self.clock,
+            self.routes,
+            self.catalog,
+            ConfigSources(
+                self.catalog, self.peer_pool, self.store, self.stored_state
+            ),
+        )
         self.routes.subscribe(lambda _table: self.local_upstream.apply())
 
     def _own_identity(self) -> NodeIdentity:
@@ -275,6 +292,7 @@
             self.record_publisher,
             self.neighbour_bootstrap,
             self.record_remover,
+            self.proof_keeper,
             ReportListener(
                 self.settings.report_address,
                 self.local_upstream.handle_report,
--- a/src/celeryfield/platform/settings.py
+++ b/src/celeryfield/platform/settings.py
@@ -94,6 +94,12 @@
     drain_ms: float = pydantic.Field(alias="drainMs", gt=0)
     grace_s: float = pydantic.Field(alias="graceS", gt=0)
     config_ms: float = pydantic.Field(alias="configMs", gt=0)
+    # A key that was taken away must not be accepted later than this, if the
+    # first of the two says so.
+    fail_closed: bool = pydantic.Field(alias="failClosed", default=False)
+    revoke_ms: float = pydantic.Field(
+        alias="revokeMs", default=0, ge=0, allow_inf_nan=False
+    )
     retry_budget_ratio: float = pydantic.Field(
         alias="retryBudgetRatio", default=0.2
     )
@@ -147,6 +153,8 @@
         drain_ms: Time after which a draining upstream gets no more requests.
         grace_ms: Time from SIGTERM to SIGKILL.
         config_ms: Time within which a configuration must be in force.
+        revocation_ms: Time within which each node must refuse a key that was
+            taken away, even if it is cut off; 0 if that is not required.
         request_bytes: Limit on all request bodies that the node holds, of its
             own callers and of other nodes.
         response_bytes: Limit on all incomplete responses of the upstream.
@@ -162,6 +170,7 @@
     drain_ms: float
     grace_ms: float
     config_ms: float
+    revocation_ms: float
     request_bytes: int
     response_bytes: int
 
@@ -217,6 +226,7 @@
         drain_ms=bounds.drain_ms,
         grace_ms=bounds.grace_s * 1000.0,
         config_ms=bounds.config_ms,
+        revocation_ms=bounds.revoke_ms if bounds.fail_closed else 0.0,
         request_bytes=_share_of_memory(memory_mb, REQUEST_MEMORY_SHARE),
         response_bytes=_share_of_memory(memory_mb, RESPONSE_MEMORY_SHARE),
     )
