--- a/src/celeryfield/internal/freshness/reader.py
+++ b/src/celeryfield/internal/freshness/reader.py
@@ -51,7 +51,7 @@
             The task of the read; None if it is too early for one.
         """
         if self._task is None:
-            if self._clock.now_ms() < self._next_ms:
+            if self._clock.boot_ms() < self._next_ms:
                 return None
             self._task = asyncio.ensure_future(self._read())
             self._task.add_done_callback(self._finish)
@@ -78,7 +78,7 @@
                 self._gap_ms = min(self._gap_ms * 2.0, MAX_GAP_MS)
             else:
                 self._gap_ms = MIN_GAP_MS
-            self._next_ms = self._clock.now_ms() + self._gap_ms
+            self._next_ms = self._clock.boot_ms() + self._gap_ms
         if version is not None:
             self._on_version(version, sent_ms)
 
--- a/src/celeryfield/internal/freshness/service.py
+++ b/src/celeryfield/internal/freshness/service.py
@@ -281,7 +281,7 @@
 
     def _read_as_last_resort(self) -> None:
         """Reads the store without waiting, if that is due."""
-        now_ms = self._clock.now_ms()
+        now_ms = self._clock.boot_ms()
         age_ms = self.proof_state.age_ms
         if age_ms < self.proof_state.longest_age_ms * FALLBACK_SHARE:
             return
@@ -298,22 +298,26 @@
         """Looks for a version that a restored store has lost."""
         if version > self._missing_version:
             self._missing_version = version
-            self._missing_until_ms = self._clock.now_ms() + MISSING_SEARCH_MS
+            self._missing_until_ms = self._clock.boot_ms() + MISSING_SEARCH_MS
             self._wake.set()
 
     @property
     def _is_searching(self) -> bool:
         return (
             self._missing_version > (self._version_in_force() or 0)
-            and self._clock.now_ms() < self._missing_until_ms
+            and self._clock.boot_ms() < self._missing_until_ms
         )
 
-    async def _sleep(self) -> None:
-        """Waits for the next round, or until a request needs a proof."""
+    def next_delay_ms(self) -> float:
+        """Returns the time until the next round, in ms."""
         interval_ms = self._interval_ms
         if self._is_wanted() and not self._is_recent:
             interval_ms = min(interval_ms, RETRY_INTERVAL_MS)
-        interval_ms *= self._rng.uniform(1.0 - JITTER, 1.0)
+        return interval_ms * self._rng.uniform(1.0 - JITTER, 1.0)
+
+    async def _sleep(self) -> None:
+        """Waits for the next round, or until a request needs a proof."""
+        interval_ms = self.next_delay_ms()
         await self._clock.sleep_ms(MIN_INTERVAL_MS)
         waits = [
             asyncio.ensure_future(self._wake.wait()),
--- a/src/celeryfield/internal/freshness/witnesses.py
+++ b/src/celeryfield/internal/freshness/witnesses.py
@@ -69,17 +69,13 @@
         Args:
             others_first: Puts this node, which reads the store, last.
         """
-        order = self._preferred_order()
-        now_ms = self._clock.now_ms()
-        open_ids = [
-            node_id
-            for node_id in order
-            if self._skipped_until_ms.get(node_id, 0.0) <= now_ms
-        ]
-        if not open_ids:
-            self._skipped_until_ms.clear()
-            open_ids = order
-        targets = open_ids[:TARGETS_PER_ROUND]
+        now_ms = self._clock.boot_ms()
+        # Nodes that are passed over come last, the longest known ones first.
+        ordered = sorted(
+            self._preferred_order(),
+            key=lambda node_id: self._skipped_ms(node_id, now_ms),
+        )
+        targets = ordered[:TARGETS_PER_ROUND]
         if others_first:
             targets.sort(key=lambda node_id: node_id == self._own_id)
         return tuple(targets)
@@ -93,11 +89,15 @@
 
     def skip(self, node_id: str, duration_ms: float) -> None:
         """Passes over a node for a time in ms."""
-        self._skipped_until_ms[node_id] = self._clock.now_ms() + duration_ms
+        self._skipped_until_ms[node_id] = self._clock.boot_ms() + duration_ms
         known = self._read_records().keys() | {self._own_id}
         for other_id in self._skipped_until_ms.keys() - known:
             del self._skipped_until_ms[other_id]
 
+    def _skipped_ms(self, node_id: str, now_ms: float) -> float:
+        """Returns for how long a node is still passed over, in ms."""
+        return max(self._skipped_until_ms.get(node_id, 0.0) - now_ms, 0.0)
+
     def _order(self) -> list[str]:
         """Returns the ids of all nodes that may be asked, the same at each."""
         ids = {
