--- a/tests/cover/test_freshness_service.py
+++ b/tests/cover/test_freshness_service.py
@@ -1,6 +1,7 @@
 """Tests of how nodes get their proofs from witnesses and the store."""
 
 import asyncio
+import dataclasses
 import math
 
 import pytest
@@ -171,8 +172,8 @@
         return wire.Proof(1, math.nan)
 
     fleet.store.refused_ids = set(fleet.nodes_by_id)
-    node.keeper._sources = type(node.keeper._sources)(
-        answer_oddly, node.fetch_copy, node.read_newest
+    node.keeper._sources = dataclasses.replace(
+        node.keeper._sources, ask=answer_oddly
     )
     await node.keeper.refresh()
     assert not node.keeper.has_fresh_keys()
@@ -245,3 +246,24 @@
         gaps_ms.append(fixture.clock.now_ms() - started_ms)
     assert gaps_ms == [800.0, 1_600.0, 1_600.0, 1_600.0, 1_600.0]
     assert fixture.found == []
+
+
+async def test_answer_is_dated_to_the_sending_of_its_question():
+    """Guards against an answer that waited on its way."""
+    fleet = FakeFleet(13)
+    await fleet.run(4_000)
+    fleet.store.refused_ids = {"node-3"}
+    node = fleet.restart("node-3", version=1)
+    ask = node.ask
+
+    async def ask_slowly(node_id, question):
+        answer = await ask(node_id, question)
+        fleet.clock.suspend(BOUND_MS)
+        return answer
+
+    node.keeper._sources = dataclasses.replace(
+        node.keeper._sources, ask=ask_slowly
+    )
+    await node.keeper.refresh()
+    assert math.isfinite(node.keeper.proof_age_ms())
+    assert not node.keeper.has_fresh_keys()
