--- a/src/celeryfield/internal/freshness/service.py
+++ b/src/celeryfield/internal/freshness/service.py
@@ -318,7 +318,8 @@
     async def _sleep(self) -> None:
         """Waits for the next round, or until a request needs a proof."""
         interval_ms = self.next_delay_ms()
-        await self._clock.sleep_ms(MIN_INTERVAL_MS)
+        if self._is_wanted():
+            await self._clock.sleep_ms(MIN_INTERVAL_MS)
         waits = [
             asyncio.ensure_future(self._wake.wait()),
             asyncio.ensure_future(
--- a/src/celeryfield/platform/freshness.py
+++ b/src/celeryfield/platform/freshness.py
@@ -2,7 +2,6 @@
 
 import pydantic
 
-from celeryfield.internal.calls import Candidate
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.freshness.service import (
     AskError,
@@ -10,7 +9,7 @@
     ProofSources,
 )
 from celeryfield.internal.freshness.witnesses import WitnessList
-from celeryfield.internal.registry import neighbours
+from celeryfield.internal.registry import neighbours, removal
 from celeryfield.internal.registry.catalog import Catalog
 from celeryfield.internal.routes.manager import RouteManager
 from celeryfield.internal.schema import wire
@@ -97,16 +96,10 @@
         record = self._catalog.records_by_id.get(node_id)
         if record is None:
             raise AskError(f"node {node_id} has no record")
-        candidate = Candidate(
-            node_id=node_id,
-            incarnation=record.incarnation,
-            address=record.address,
-            port=record.port,
-            zone=record.zone,
-            service="",
-        )
         try:
-            return await self._pool.request(candidate, kind, header)
+            return await self._pool.request(
+                removal.node_candidate(record), kind, header
+            )
         except TransportError as error:
             raise AskError(str(error)) from error
 
--- a/tests/cover/test_freshness_service.py
+++ b/tests/cover/test_freshness_service.py
@@ -9,6 +9,7 @@
 
 from celeryfield.internal.clock import ManualClock
 from celeryfield.internal.freshness.reader import NewestReader
+from celeryfield.internal.freshness.service import MIN_INTERVAL_MS
 from celeryfield.internal.schema import wire
 
 
@@ -179,6 +180,40 @@
     assert not node.keeper.has_fresh_keys()
 
 
+async def settle():
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+async def test_first_configuration_starts_a_round_at_once():
+    """Guards against refusals in the first moments of a process."""
+    fleet = FakeFleet(1)
+    (node,) = fleet.nodes
+    node.version = None
+    await node.keeper.start()
+    await settle()
+    assert fleet.store.calls == 0
+    node.apply(1)
+    await settle()
+    assert node.keeper.has_fresh_keys()
+    await node.keeper.stop()
+
+
+async def test_refused_request_starts_a_round():
+    """Guards against a machine that wakes and waits out its interval."""
+    fleet = FakeFleet(1)
+    (node,) = fleet.nodes
+    await node.keeper.start()
+    await settle()
+    assert node.keeper.has_fresh_keys()
+    fleet.clock.suspend(BOUND_MS)
+    assert not node.keeper.has_fresh_keys()
+    fleet.clock.advance(MIN_INTERVAL_MS)
+    await settle()
+    assert node.keeper.has_fresh_keys()
+    await node.keeper.stop()
+
+
 class ReaderFixture:
     """A reader whose reads end when a test says so."""
 
@@ -197,11 +232,6 @@
         return await self.results[-1]
 
 
-async def settle():
-    for _ in range(5):
-        await asyncio.sleep(0)
-
-
 async def test_reads_are_shared_and_dated_to_their_start():
     fixture = ReaderFixture()
     waits = [
