Limits: leases of rate limits from the owners of fixed slices

Cause: a workspace's rate limit holds over all nodes together, and any node may receive any share of its requests. Metrics of refusals and leases by workspace.

--- a/src/celeryfield/internal/event_types/fleet.py
+++ b/src/celeryfield/internal/event_types/fleet.py
@@ -56,6 +56,24 @@
     away_ms: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class LeaseOwnerSilent(Event):
+    """A node that owns a part of a rate limit did not answer.
+
+    Attributes:
+        peer: Id of the node.
+        workspace: Workspace whose limit was asked for.
+        problem: Why there is no answer.
+    """
+
+    message: ClassVar[str] = "owner of a rate limit is silent"
+    level: ClassVar[int] = logging.WARNING
+    per_second: ClassVar[int | None] = 2
+    peer: str
+    workspace: str
+    problem: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class WatchRenewed(Event):
     """A watch of the store that could miss changes was replaced by a listing.
--- /dev/null
+++ b/src/celeryfield/internal/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits of workspaces over all nodes together."""
--- a/src/celeryfield/internal/registry/catalog.py
+++ b/src/celeryfield/internal/registry/catalog.py
@@ -50,6 +50,8 @@
             that the store is not known to hold.
         generation: Generation of the store that the versions belong to; None if
             it is unknown.
+        predecessor: Record that the last process of this node left in the
+            store; None if there is none, or it has not been read yet.
     """
 
     def __init__(
@@ -58,9 +60,11 @@
         self.records_by_id: dict[str, NodeRecord] = {}
         self.versions_by_id: dict[str, int] = {}
         self.generation: int | None = None
+        self.predecessor: NodeRecord | None = None
         self._clock = clock or Clock()
         self._keep_until_ms = float("-inf")
         self._own_id = own_id
+        self._own: NodeRecord | None = None
         self._balancer = balancer
         self._candidates_by_service: dict[str, list[Candidate]] = {}
         # Kept with the record that each was made from, so that a change of one
@@ -160,6 +164,7 @@
 
     def set_own(self, record: NodeRecord) -> None:
         """Sets this node's own record."""
+        self._own = record
         self.records_by_id[self._own_id] = record
         self._refresh()
 
@@ -175,6 +180,10 @@
         self.versions_by_id[record.node_id] = item.version
         if record.node_id != self._own_id:
             self.records_by_id[record.node_id] = record
+        elif self.predecessor is None:
+            own = self._own
+            if own is None or own.incarnation > record.incarnation:
+                self.predecessor = record
 
     def _keep_unconfirmed(self, before: dict[str, NodeRecord]) -> None:
         """Keeps known records whose owners have not written them again."""
--- a/src/celeryfield/internal/registry/records.py
+++ b/src/celeryfield/internal/registry/records.py
@@ -167,6 +167,17 @@
         )
         return content.model_dump_json(exclude_none=True).encode()
 
+    def node_candidate(self) -> Candidate:
+        """Returns the address of the node, which may have no upstream."""
+        return Candidate(
+            node_id=self.node_id,
+            incarnation=self.incarnation,
+            address=self.address,
+            port=self.port,
+            zone=self.zone,
+            service="",
+        )
+
     def candidate(self) -> Candidate | None:
         """Returns the upstream as a candidate for calls, or None."""
         upstream = self.upstream
--- a/src/celeryfield/internal/registry/removal.py
+++ b/src/celeryfield/internal/registry/removal.py
@@ -20,7 +20,6 @@
 import mode
 
 from celeryfield.internal import events, supervision
-from celeryfield.internal.calls import Candidate
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.registry.catalog import Catalog
 from celeryfield.internal.registry.records import NodeRecord
@@ -81,7 +80,7 @@
             return Kind.REACH_RESULT, UNKNOWN
         try:
             async with asyncio.timeout(WITNESS_TIMEOUT_S):
-                is_reached = await pool.is_reachable(_node_candidate(record))
+                is_reached = await pool.is_reachable(record.node_candidate())
         except TimeoutError:
             is_reached = False
         return Kind.REACH_RESULT, REACHED if is_reached else UNREACHABLE
@@ -139,7 +138,7 @@
         """Checks preceding nodes up to the first one that is reachable."""
         previous, self._absences_by_id = self._absences_by_id, {}
         for record in self._predecessors()[:MAX_CHECKED_NODES]:
-            if await self._pool.is_reachable(_node_candidate(record)):
+            if await self._pool.is_reachable(record.node_candidate()):
                 return
             answering_ms = self._answering_since_ms()
             if answering_ms is None:
@@ -239,20 +238,8 @@
     async def _ask_witness(self, witness: NodeRecord, node_id: str) -> bytes:
         try:
             frame = await self._pool.request(
-                _node_candidate(witness), Kind.REACH, node_id.encode()
+                witness.node_candidate(), Kind.REACH, node_id.encode()
             )
         except TransportError:
             return UNKNOWN
         return frame.payload
-
-
-def _node_candidate(record: NodeRecord) -> Candidate:
-    """Returns the address of a node, which may have no upstream."""
-    return Candidate(
-        node_id=record.node_id,
-        incarnation=record.incarnation,
-        address=record.address,
-        port=record.port,
-        zone=record.zone,
-        service="",
-    )
--- a/src/celeryfield/platform/metrics.py
+++ b/src/celeryfield/platform/metrics.py
@@ -8,6 +8,7 @@
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.dispatch.admission import AdmissionController
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
+from celeryfield.internal.limits.service import RateLimiter
 from celeryfield.internal.metrics import (
     Metrics,
     age_seconds,
@@ -15,6 +16,7 @@
     register_store_metrics,
 )
 from celeryfield.internal.registry.catalog import Catalog
+from celeryfield.internal.routes.caller_gate import CallerGate
 from celeryfield.internal.routes.manager import RouteManager
 from celeryfield.internal.routing.executor import CallExecutor
 from celeryfield.internal.store.client import StoreClient
@@ -41,6 +43,8 @@
         catalog: Records of all nodes.
         config_watcher: Watches the configuration.
         record_watcher: Watches the records.
+        caller_gate: Refuses callers.
+        rate_limiter: Takes requests out of rate limits.
     """
 
     clock: Clock
@@ -52,6 +56,8 @@
     catalog: Catalog
     config_watcher: PrefixWatcher
     record_watcher: PrefixWatcher
+    caller_gate: CallerGate
+    rate_limiter: RateLimiter
 
 
 def address_from_environment(host: str) -> ListenAddress | None:
@@ -65,6 +71,7 @@
     metrics.register_counters("executor", node.executor.counters)
     register_store_metrics(metrics, node.clock, lambda: node.store)
     register_repeat_metrics(metrics, node.dispatcher.repeat_totals)
+    _register_workspace_metrics(metrics, node)
     gauges = (
         (
             "calls_running",
@@ -115,6 +122,37 @@
         metrics.register_gauge(name, description, read)
 
 
+def _register_workspace_metrics(metrics: Metrics, node: MetricSources) -> None:
+    """Registers counts by workspace; the configuration bounds the labels."""
+    limiter = node.rate_limiter
+    metrics.register_totals(
+        "caller_refusals",
+        "Requests refused at entry; no workspace if the key is unknown.",
+        ("workspace", "reason"),
+        lambda: node.caller_gate.refusals_by_label,
+    )
+    metrics.register_totals(
+        "rate_limit_requests",
+        "Requests of limited workspaces that may run.",
+        ("workspace", "source"),
+        lambda: limiter.taken_by_label,
+    )
+    metrics.register_totals(
+        "rate_limit_tokens",
+        "Tokens that this node granted as an owner.",
+        ("workspace",),
+        lambda: {
+            (name,): total
+            for name, total in limiter.owner.granted_by_workspace.items()
+        },
+    )
+    metrics.register_gauge(
+        "rate_limit_owners_unreachable",
+        "Owners of rate limits that did not answer recently.",
+        lambda: limiter.unreachable_owners,
+    )
+
+
 def metrics_listener(address: ListenAddress, metrics: Metrics) -> HttpListener:
     """Returns a listener that serves metrics in the text format of Prometheus.
 
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -13,8 +13,9 @@
 from celeryfield.internal.dispatch.chain_limits import ChainLimits
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
 from celeryfield.internal.gateway import Gateway
+from celeryfield.internal.limits.service import RateLimiter
 from celeryfield.internal.listening import ListenError
-from celeryfield.internal.metrics import Metrics
+from celeryfield.internal.metrics import Metrics, age_seconds
 from celeryfield.internal.registry import neighbours, records, removal
 from celeryfield.internal.registry.catalog import Catalog
 from celeryfield.internal.registry.local_upstream import (
@@ -95,6 +96,8 @@
                 catalog=self.catalog,
                 config_watcher=self.config_watcher,
                 record_watcher=self.record_watcher,
+                caller_gate=self.caller_gate,
+                rate_limiter=self.rate_limiter,
             ),
         )
 
@@ -117,6 +120,14 @@
             clock, settings.dispatch.announce_ttl_ms
         )
         self.peer_pool = PeerPool(settings, clock, hello)
+        self.rate_limiter = RateLimiter(
+            settings.node.id,
+            clock,
+            self.routes,
+            self.catalog,
+            self.peer_pool,
+            lambda: age_seconds(clock, self.store.last_response_ms) * 1000.0,
+        )
         self.dispatcher = Dispatcher(
             clock,
             self.admission,
@@ -151,6 +162,7 @@
                 Kind.FETCH_CONFIG: neighbours.make_snapshot_handler(
                     self._objects_for_neighbours
                 ),
+                Kind.LEASE: self.rate_limiter.answer,
                 Kind.REACH: removal.make_reach_handler(
                     self.catalog, self.peer_pool
                 ),
@@ -166,7 +178,12 @@
             self.executor,
             self.metrics,
         )
-        self.caller_gate = CallerGate(self.routes, self.chains)
+        self.caller_gate = CallerGate(
+            self.routes,
+            self.chains,
+            take_rate=self.rate_limiter.take,
+            return_rate=self.rate_limiter.give_back,
+        )
         self.caller_listener = CallerListener(
             self.settings,
             clock,
@@ -275,6 +292,7 @@
             self.record_publisher,
             self.neighbour_bootstrap,
             self.record_remover,
+            self.rate_limiter,
             ReportListener(
                 self.settings.report_address,
                 self.local_upstream.handle_report,
