--- a/src/celeryfield/internal/limits/asker.py
+++ b/src/celeryfield/internal/limits/asker.py
@@ -22,8 +22,12 @@
 # Demand for which a node asks ahead. Well below the time for which a lease
 # lives, so that few tokens are lost.
 AHEAD_MS = 100.0
-# A silent owner is left alone for this time.
+# A silent owner is left alone for this time, and twice as long each time that
+# it is still silent.
 SILENCE_MS = 1_000.0
+MAX_SILENCE_MS = 4_000.0
+# An owner whose last silence ended this long ago is not known to be lost.
+FORGET_SILENCE_MS = 2_000.0
 # A peer that owns another slice than expected is asked again after this time;
 # records cross the fleet meanwhile.
 NOT_OWNER_MS = 200.0
@@ -70,26 +74,37 @@
     """Nodes that did not answer recently."""
 
     def __init__(self) -> None:
-        self._until_ms_by_id: dict[str, float] = {}
+        # End and duration of the last silence.
+        self._silences_by_id: dict[str, tuple[float, float]] = {}
 
     def add(self, node_id: str, now_ms: float) -> None:
         """Leaves a node alone for a while."""
-        self._until_ms_by_id[node_id] = now_ms + SILENCE_MS
+        _end_ms, last_ms = self._silences_by_id.get(node_id, (0.0, 0.0))
+        duration_ms = min(max(2.0 * last_ms, SILENCE_MS), MAX_SILENCE_MS)
+        self._silences_by_id[node_id] = (now_ms + duration_ms, duration_ms)
+
+    def remove(self, node_id: str) -> None:
+        """Forgets the silence of a node that has answered."""
+        self._silences_by_id.pop(node_id, None)
 
     def is_silent(self, node_id: str, now_ms: float) -> bool:
         """Returns whether a node is left alone."""
-        until_ms = self._until_ms_by_id.get(node_id)
-        if until_ms is None:
-            return False
-        if until_ms <= now_ms:
-            del self._until_ms_by_id[node_id]
-            return False
-        return True
+        silence = self._silences_by_id.get(node_id)
+        return silence is not None and now_ms < silence[0]
 
     def count(self, now_ms: float) -> int:
         """Returns the number of nodes that are left alone."""
-        ids = list(self._until_ms_by_id)
-        return sum(self.is_silent(node_id, now_ms) for node_id in ids)
+        return sum(
+            self.is_silent(node_id, now_ms) for node_id in self._silences_by_id
+        )
+
+    def forget_old(self, now_ms: float) -> None:
+        """Drops what is known of silences that ended a while ago."""
+        for node_id, (end_ms, _duration_ms) in list(
+            self._silences_by_id.items()
+        ):
+            if now_ms - end_ms > FORGET_SILENCE_MS:
+                del self._silences_by_id[node_id]
 
 
 class Asker:
@@ -190,6 +205,7 @@
         self, ask: Ask, grant: wire.LeaseGrant, now_ms: float
     ) -> None:
         """Adds the tokens of an answer."""
+        self._silent.remove(ask.owner_id)
         if not grant.is_owner:
             self._blocked_until_ms[ask.key.index] = now_ms + NOT_OWNER_MS
             return
--- a/src/celeryfield/internal/limits/ownership.py
+++ b/src/celeryfield/internal/limits/ownership.py
@@ -1,8 +1,13 @@
-"""Owners of the slices of rate limits, and since when this node is one."""
+"""Owners of the slices of rate limits, and since when this node is one.
+
+The owner of a slice is the first node in the rendezvous order of the slice,
+among the nodes of one availability zone. The slices of a workspace take the
+zones in turn, so that the loss of a zone leaves the slices of the others.
+"""
 
 import dataclasses
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from celeryfield.internal import rendezvous
 from celeryfield.internal.limits.slices import LIMIT_SLICES
@@ -48,7 +53,8 @@
 
     def __init__(self, own_id: str) -> None:
         self._own_id = own_id
-        self._node_ids: frozenset[str] = frozenset()
+        self._zones_by_id: dict[str, str] = {}
+        self._zones: list[str] = []
         self._changed_ms = 0.0
         self._owners_by_key: dict[SliceKey, _Owner] = {}
         self._names: frozenset[str] = frozenset()
@@ -56,7 +62,7 @@
     @property
     def node_count(self) -> int:
         """Number of nodes that own slices."""
-        return len(self._node_ids)
+        return len(self._zones_by_id)
 
     def owner_id(self, key: SliceKey) -> str | None:
         """Returns the node that owns a slice; None if there is none."""
@@ -87,46 +93,61 @@
                     self._owners_by_key[key] = owner
 
     def set_nodes(
-        self, node_ids: Iterable[str], now_ms: float, resumes: bool = False
+        self,
+        zones_by_id: Mapping[str, str],
+        now_ms: float,
+        resumes: bool = False,
     ) -> None:
         """Sets the nodes that may own slices.
 
         Args:
-            node_ids: Ids of the nodes.
+            zones_by_id: Availability zones of the nodes by their ids.
             now_ms: Current time.
             resumes: Whether this node owned its slices before it was
                 restarted, so that no predecessor can be granting.
         """
-        previous, self._node_ids = self._node_ids, frozenset(node_ids)
-        if self._node_ids == previous and not resumes:
+        previous, self._zones_by_id = self._zones_by_id, dict(zones_by_id)
+        if self._zones_by_id == previous and not resumes:
             return
         self._changed_ms = -math.inf if resumes else now_ms
-        added = self._node_ids - previous
+        self._zones = sorted(set(self._zones_by_id.values()))
+        changed_zones = {
+            zones.get(node_id)
+            for node_id in previous.keys() | self._zones_by_id.keys()
+            for zones in (previous, self._zones_by_id)
+            if previous.get(node_id) != self._zones_by_id.get(node_id)
+        }
+        has_same_zones = self._zones == sorted(set(previous.values()))
         for name in self._names:
             for index in range(LIMIT_SLICES):
-                self._update(SliceKey(name, index), added, resumes)
-
-    def _update(
-        self, key: SliceKey, added: frozenset[str], resumes: bool
-    ) -> None:
-        """Chooses the owner of a slice again, as far as it may change."""
-        known = self._owners_by_key.get(key)
-        if known is None or known.score[1] not in self._node_ids or resumes:
-            chosen = self._choose(key, self._changed_ms)
-        else:
-            scores = (rendezvous.score(key.text, node_id) for node_id in added)
-            best = max(scores, default=known.score)
-            chosen = known
-            if best > known.score:
-                chosen = _Owner(best, self._changed_ms)
-        if chosen is None:
-            self._owners_by_key.pop(key, None)
-        else:
-            self._owners_by_key[key] = chosen
+                key = SliceKey(name, index)
+                is_affected = self._zone(key) in changed_zones
+                if is_affected or resumes or not has_same_zones:
+                    self._update(key, resumes)
+
+    def _update(self, key: SliceKey, resumes: bool) -> None:
+        """Chooses the owner of a slice again."""
+        known = self._owners_by_key.pop(key, None)
+        chosen = self._choose(key, self._changed_ms)
+        is_kept = known and chosen and known.score == chosen.score
+        if chosen is not None:
+            self._owners_by_key[key] = (
+                known if is_kept and not resumes else chosen
+            )
+
+    def _zone(self, key: SliceKey) -> str | None:
+        """Returns the zone of the owner of a slice."""
+        if not self._zones:
+            return None
+        first = rendezvous.score(key.workspace, "")[0]
+        return self._zones[(first + key.index) % len(self._zones)]
 
     def _choose(self, key: SliceKey, since_ms: float) -> _Owner | None:
+        zone = self._zone(key)
         scores = (
-            rendezvous.score(key.text, node_id) for node_id in self._node_ids
+            rendezvous.score(key.text, node_id)
+            for node_id, node_zone in self._zones_by_id.items()
+            if node_zone == zone
         )
         best = max(scores, default=None)
         return None if best is None else _Owner(best, since_ms)
--- a/src/celeryfield/internal/limits/service.py
+++ b/src/celeryfield/internal/limits/service.py
@@ -11,10 +11,11 @@
 from celeryfield.internal import events, supervision
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.limits.asker import Ask, Asker, Lease, SilentOwners
+from celeryfield.internal.limits.eligible import EligibleNodes, is_draining
 from celeryfield.internal.limits.owner import TAKEOVER_MS, LeaseOwner
 from celeryfield.internal.limits.ownership import SliceOwners
-from celeryfield.internal.registry import records
 from celeryfield.internal.registry.catalog import Catalog
+from celeryfield.internal.registry.records import NodeRecord
 from celeryfield.internal.routes.caller_gate import GRANTED, RateDecision
 from celeryfield.internal.routes.manager import RouteManager
 from celeryfield.internal.routes.table import RouteTable
@@ -25,12 +26,12 @@
 from celeryfield.internal.transport.frames import Frame, Kind
 from celeryfield.internal.transport.pool import PeerPool
 
-# A request waits this long for a token, so that a second owner can be asked
-# after a silent one.
+# A request waits this long for a token, so that a third owner can be asked after
+# two silent ones.
 MAX_WAIT_MS = 150.0
 # Time limit of one question. Owners answer within a few ms; a loaded one takes
 # longer.
-ANSWER_TIMEOUT_MS = 100.0
+ANSWER_TIMEOUT_MS = 70.0
 CHECK_INTERVAL_MS = 500.0
 # Age at which a process owns its slices for certain: it started, stored its
 # record and waited for the time of a takeover.
@@ -72,6 +73,7 @@
         pool: Connections to other nodes.
         contact_age_ms: Returns the age of the last proof of contact with the
             store, in ms; infinite without one.
+        rng: Spreads the first questions and the delays of callers.
 
     Attributes:
         owner: Grants leases of the slices that this node owns.
@@ -87,6 +89,7 @@
         catalog: Catalog,
         pool: PeerPool,
         contact_age_ms: Callable[[], float],
+        rng: random.Random | None = None,
     ) -> None:
         super().__init__()
         self._own_id = own_id
@@ -94,8 +97,9 @@
         self._catalog = catalog
         self._pool = pool
         self._routes = routes
-        self._rng = random.Random()
+        self._rng = rng or random.Random()
         self._owners = SliceOwners(own_id)
+        self._eligible = EligibleNodes()
         self._silent = SilentOwners()
         self._askers_by_name: dict[str, Asker] = {}
         self._waiters_by_name: dict[str, _Waiters] = {}
@@ -108,7 +112,7 @@
         self.owner = LeaseOwner(clock, self._owners, contact_age_ms)
         self.taken_by_label: dict[tuple[str, str], int] = {}
         routes.subscribe(self._on_routes)
-        catalog.subscribe(self._on_catalog)
+        catalog.subscribe(self._update_owners)
 
     @property
     def unreachable_owners(self) -> int:
@@ -265,7 +269,7 @@
                 workspace, self._owners, self._silent, self._rng
             )
 
-    def _on_catalog(self) -> None:
+    def _update_owners(self) -> None:
         """Updates the owners of the slices."""
         now_ms = self._clock.now_ms()
         predecessor = self._catalog.predecessor
@@ -273,24 +277,19 @@
         if resumes:
             self._has_resumed = True
             resumes = self._was_owner(predecessor)
-        self._owners.set_nodes(
-            (
-                record.node_id
-                for record in self._catalog.records_by_id.values()
-                if not _is_draining(record)
-            ),
-            now_ms,
-            resumes,
+        zones_by_id = self._eligible.select(
+            self._catalog.records_by_id.values(), now_ms
         )
+        self._owners.set_nodes(zones_by_id, now_ms, resumes)
 
-    def _was_owner(self, predecessor: records.NodeRecord) -> bool:
+    def _was_owner(self, predecessor: NodeRecord) -> bool:
         """Returns whether the last process owned the slices of this node.
 
         It had to know them for longer than a takeover, and to count as an owner
         until it ended.
         """
         age_ms = self._clock.wall_ms() - predecessor.incarnation
-        return age_ms > MIN_OWNER_AGE_MS and not _is_draining(predecessor)
+        return age_ms > MIN_OWNER_AGE_MS and not is_draining(predecessor)
 
     @mode.Service.task
     async def _run(self) -> None:
@@ -300,6 +299,8 @@
         await self._clock.sleep_ms(CHECK_INTERVAL_MS)
         if self._askers_by_name:
             self.owner.check_contact()
+            self._silent.forget_old(self._clock.now_ms())
+            self._update_owners()
 
 
 def _result(future: asyncio.Future[Lease | None]) -> Lease | None:
@@ -307,8 +308,3 @@
     if future.cancelled() or not future.done():
         return None
     return future.result()
-
-
-def _is_draining(record: records.NodeRecord) -> bool:
-    upstream = record.upstream
-    return upstream is not None and upstream.state == records.DRAINING
--- a/src/celeryfield/internal/limits/slices.py
+++ b/src/celeryfield/internal/limits/slices.py
@@ -14,13 +14,19 @@
 
 from celeryfield.internal.routes.workspaces import Workspace
 
-LIMIT_SLICES = 4
+# Divided evenly between three availability zones, so that the loss of one takes
+# a third of a limit along, which is less than limits usually leave free.
+LIMIT_SLICES = 9
 # Unused tokens of a lease are lost, so it is short; it outlasts a few round
 # trips between nodes.
 LEASE_TTL_MS = 250.0
 # A bucket holds what arrives between two requests of busy nodes, even if the
 # limit has no burst.
 MIN_BURST_MS = 100.0
+# Part of the tolerance that is added to the buckets. The requests of a small
+# workspace come by chance, and its burst in parts would often be less than the
+# next two of them.
+EXTRA_CAPACITY = 12.0
 WINDOW_MS = 5_000.0
 TOLERANCE = 0.1
 TOLERANCE_REQUESTS = 20.0
@@ -35,7 +41,7 @@
 
     Attributes:
         rate_per_ms: Tokens that arrive in one ms.
-        capacity: Largest number of tokens; at least 1.
+        capacity: Largest number of tokens.
     """
 
     rate_per_ms: float
@@ -47,7 +53,7 @@
     rate_per_ms = workspace.rate_per_s / 1000.0
     burst = max(workspace.burst, rate_per_ms * MIN_BURST_MS)
     return SliceLimit(
-        rate_per_ms / LIMIT_SLICES, max(burst / LIMIT_SLICES, 1.0)
+        rate_per_ms / LIMIT_SLICES, (burst + EXTRA_CAPACITY) / LIMIT_SLICES
     )
 
 
