Limits: state machine over owners, askers, faults and changes of the limit

Cause: the bound has to hold in any order of events. Change: an owner that was away so long that its record may have been removed waits as long as a new one.

--- a/src/celeryfield/internal/limits/owner.py
+++ b/src/celeryfield/internal/limits/owner.py
@@ -23,6 +23,9 @@
 # Time for which a new owner grants nothing. Its predecessor stops within the
 # age above, or once it sees the change; the rest is for slow watches.
 TAKEOVER_MS = 8_000.0
+# A node that was away for longer may have lost its record, and its slices to
+# other nodes; records are kept for twice this time.
+LONG_ABSENCE_MS = 300_000.0
 # Longest time between two checks of a process that was not suspended.
 MAX_CHECK_GAP_MS = 2_000.0
 # Least delay that a node is told while this one may not grant.
@@ -95,7 +98,9 @@
             # A new process misses nothing: it has yet to read the records.
             return False
         if gap_ms > MAX_CHECK_GAP_MS or age_ms > MAX_CONTACT_AGE_MS:
-            self._silent_until_ms = now_ms + REGAIN_MS
+            is_long = max(gap_ms, age_ms) > LONG_ABSENCE_MS
+            wait_ms = TAKEOVER_MS if is_long else REGAIN_MS
+            self._silent_until_ms = now_ms + wait_ms
         return now_ms >= self._silent_until_ms
 
     def answer(self, request: wire.LeaseRequest) -> wire.LeaseReply:
--- a/src/celeryfield/internal/limits/service.py
+++ b/src/celeryfield/internal/limits/service.py
@@ -26,8 +26,8 @@
 from celeryfield.internal.transport.frames import Frame, Kind
 from celeryfield.internal.transport.pool import PeerPool
 
-# A request waits this long for a token, so that a third owner can be asked after
-# two silent ones.
+# A request waits this long for a token, so that a third owner can be asked
+# after two silent ones.
 MAX_WAIT_MS = 150.0
 # Time limit of one question. Owners answer within a few ms; a loaded one takes
 # longer.
--- a/tests/cover/test_rate_limit_machine.py
+++ b/tests/cover/test_rate_limit_machine.py
@@ -5,10 +5,12 @@
 import hypothesis.strategies as st
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
-from rate_limit_fleet import LimitNode, limited, worst_window, zones_of
+from rate_limit_fleet import LimitNode, limited, zones_of
 
 from celeryfield.internal.clock import ManualClock
+from celeryfield.internal.limits.service import MIN_OWNER_AGE_MS
 from celeryfield.internal.limits.slices import WINDOW_MS, bound
+from celeryfield.internal.registry.removal import MIN_ABSENCE_MS
 
 NODE_COUNT = 4
 NAME = "north"
@@ -30,26 +32,29 @@
     def start(self, seed, limit):
         self.rng = random.Random(seed)
         self.clock = ManualClock()
-        self.workspaces = [limited(*limit)]
-        self.changed_ms = float("-inf")
+        # With the time from which each is in force.
+        self.limits = [(float("-inf"), limited(*limit))]
         self.is_store_up = True
         self.cut_ids = set()
         self.frozen_ids = set()
-        self.dead_ids = set()
-        self.record_ids = {f"n{number}" for number in range(NODE_COUNT)}
+        self.dead_ids = {"n3"}
+        self.record_ids = {"n0", "n1", "n2"}
         self.pending = []
         self.served_ms = []
-        self.nodes = {}
-        for node_id in sorted(self.record_ids):
-            self.nodes[node_id] = self.new_process(node_id)
+        self.nodes = {
+            f"n{number}": self.new_process(f"n{number}")
+            for number in range(NODE_COUNT)
+        }
         self.pass_time(15_000.0)
 
-    def new_process(self, node_id, resumes=False):
+    def new_process(self, node_id, may_resume=False):
         node = LimitNode(node_id, self.clock, self.rng.random())
         node.contact_ms = float("-inf")
-        node.configure(*self.workspaces[-1:])
-        node.resumes = resumes
+        node.configure(self.limits[-1][1])
+        node.may_resume = may_resume
         node.seen_ms = float("-inf")
+        # When its record was stored; that of its last process remains.
+        node.stored_ms = self.clock.now_ms()
         return node
 
     def is_running(self, node_id):
@@ -73,12 +78,18 @@
             node.contact_ms = now_ms - self.rng.uniform(0, 200)
             is_late = self.rng.random() < 0.5
             if not is_late or now_ms - node.seen_ms > LAG_MS:
-                node.seen_ms = now_ms
-                ids = self.record_ids | {node_id}
-                node.owners.set_nodes(zones_of(ids), now_ms, node.resumes)
-                node.resumes = False
+                self.see_records(node, now_ms)
         node.owner.check_contact()
 
+    def see_records(self, node, now_ms):
+        resumes = node.may_resume and node.id in self.record_ids
+        if node.id not in self.record_ids:
+            node.stored_ms = now_ms
+            self.record_ids.add(node.id)
+        node.seen_ms = now_ms
+        node.owners.set_nodes(zones_of(self.record_ids), now_ms, resumes)
+        node.may_resume = False
+
     @rule(duration_ms=st.sampled_from([50, 400, 1_500, 6_000, 20_000]))
     def wait(self, duration_ms):
         self.pass_time(float(duration_ms))
@@ -95,6 +106,7 @@
                 if self.is_running(node_id):
                     self.send(node_id, count, loses)
             self.pass_time(STEP_MS)
+        self.check()
 
     def send(self, node_id, count, loses):
         """Sends requests to a node; some are answered too late or never."""
@@ -108,7 +120,7 @@
             if lease is not None and self.rng.random() < 0.1:
                 asker.give_back(lease)
                 continue
-            self.record_served(now_ms)
+            self.served_ms.append(now_ms)
 
     def ask(self, node_id, asker, loses):
         for _ in range(3):
@@ -134,14 +146,6 @@
                 return lease
         return None
 
-    def record_served(self, now_ms):
-        self.served_ms.append(now_ms)
-        recent_ms = now_ms - 2 * WINDOW_MS
-        if self.served_ms[0] < recent_ms - 60_000:
-            self.served_ms = [
-                time_ms for time_ms in self.served_ms if time_ms > recent_ms
-            ]
-
     @rule()
     def late_answers_arrive(self):
         for asker, ask, grant in self.pending:
@@ -167,35 +171,52 @@
         self.dead_ids.add(node_id)
         self.pass_time(downtime_ms)
         self.dead_ids.discard(node_id)
+        age_ms = self.clock.now_ms() - self.nodes[node_id].stored_ms
         self.nodes[node_id] = self.new_process(
-            node_id, self.is_settled(node_id)
-        )
-
-    def is_settled(self, node_id):
-        since_ms = self.nodes[node_id].owners.joined_ms
-        return (
-            node_id in self.record_ids
-            and self.clock.now_ms() - since_ms > 10_000.0
+            node_id, age_ms > MIN_OWNER_AGE_MS
         )
 
     @rule(node_id=NODE_IDS)
-    def leave_or_join(self, node_id):
-        """Removes a record from the store, or adds it."""
-        self.record_ids ^= {node_id}
+    def remove_lost(self, node_id):
+        """Removes the record of a node that stays away for long."""
+        if self.has_store(node_id) or not self.is_store_up:
+            return
+        self.pass_time(MIN_ABSENCE_MS)
+        self.record_ids.discard(node_id)
 
     @rule(limit=LIMITS)
     def change_limit(self, limit):
-        """Changes the limit; later bounds are those of the higher one."""
-        self.workspaces.append(limited(*limit))
+        self.limits.append((self.clock.now_ms(), limited(*limit)))
         for node in self.nodes.values():
-            node.configure(self.workspaces[-1])
-        self.changed_ms = self.clock.now_ms()
-        self.check()
-        self.served_ms.clear()
+            node.configure(self.limits[-1][1])
+
+    def bound_at(self, start_ms):
+        """Returns the bound of a window.
+
+        A lower limit binds one window after the change.
+        """
+        ends_ms = [since_ms for since_ms, _limit in self.limits[1:]]
+        return max(
+            bound(limit)
+            for (since_ms, limit), end_ms in zip(
+                self.limits, [*ends_ms, float("inf")], strict=True
+            )
+            if since_ms <= start_ms + WINDOW_MS
+            and end_ms >= start_ms - WINDOW_MS
+        )
 
     def check(self):
-        highest = max(self.workspaces[-1:], key=bound)
-        assert worst_window(self.served_ms) <= bound(highest)
+        """Compares all windows that start with a request to their bounds."""
+        end = 0
+        times_ms = self.served_ms
+        for start, start_ms in enumerate(times_ms):
+            if start and times_ms[start - 1] == start_ms:
+                continue
+            while end < len(times_ms) and times_ms[end] < start_ms + WINDOW_MS:
+                end += 1
+            assert end - start <= self.bound_at(start_ms)
+        recent_ms = self.clock.now_ms() - 2 * WINDOW_MS
+        self.served_ms = [time for time in times_ms if time > recent_ms]
 
     def teardown(self):
         if hasattr(self, "served_ms"):
