Merge: rate limits over all nodes beside proofs of freshness

Cause: two parts were built side by side. Change: both hooks of the caller gate are connected; records make the address of their node, once.

--- a/src/celeryfield/platform/freshness.py
+++ b/src/celeryfield/platform/freshness.py
@@ -9,7 +9,7 @@
     ProofSources,
 )
 from celeryfield.internal.freshness.witnesses import WitnessList
-from celeryfield.internal.registry import neighbours, removal
+from celeryfield.internal.registry import neighbours
 from celeryfield.internal.registry.catalog import Catalog
 from celeryfield.internal.routes.manager import RouteManager
 from celeryfield.internal.schema import wire
@@ -98,7 +98,7 @@
             raise AskError(f"node {node_id} has no record")
         try:
             return await self._pool.request(
-                removal.node_candidate(record), kind, header
+                record.node_candidate(), kind, header
             )
         except TransportError as error:
             raise AskError(str(error)) from error
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -14,8 +14,9 @@
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
 from celeryfield.internal.freshness.service import make_proof_handler
 from celeryfield.internal.gateway import Gateway
+from celeryfield.internal.limits.service import RateLimiter
 from celeryfield.internal.listening import ListenError
-from celeryfield.internal.metrics import Metrics
+from celeryfield.internal.metrics import Metrics, age_seconds
 from celeryfield.internal.registry import neighbours, records, removal
 from celeryfield.internal.registry.catalog import Catalog
 from celeryfield.internal.registry.local_upstream import (
@@ -97,6 +98,8 @@
                 catalog=self.catalog,
                 config_watcher=self.config_watcher,
                 record_watcher=self.record_watcher,
+                caller_gate=self.caller_gate,
+                rate_limiter=self.rate_limiter,
             ),
         )
         metrics.register_proof_metrics(self.metrics, self.proof_keeper)
@@ -121,6 +124,14 @@
             clock, settings.dispatch.announce_ttl_ms
         )
         self.peer_pool = PeerPool(settings, clock, hello)
+        self.rate_limiter = RateLimiter(
+            settings.node.id,
+            clock,
+            self.routes,
+            self.catalog,
+            self.peer_pool,
+            lambda: age_seconds(clock, self.store.last_response_ms) * 1000.0,
+        )
         self.dispatcher = Dispatcher(
             clock,
             self.admission,
@@ -155,6 +166,7 @@
                 Kind.FETCH_CONFIG: neighbours.make_snapshot_handler(
                     self._objects_for_neighbours
                 ),
+                Kind.LEASE: self.rate_limiter.answer,
                 Kind.REACH: removal.make_reach_handler(
                     self.catalog, self.peer_pool
                 ),
@@ -175,6 +187,8 @@
             self.routes,
             self.chains,
             lambda: self.proof_keeper.has_fresh_keys(),
+            take_rate=self.rate_limiter.take,
+            return_rate=self.rate_limiter.give_back,
         )
         self.caller_listener = CallerListener(
             self.settings,
@@ -294,6 +308,7 @@
             self.neighbour_bootstrap,
             self.record_remover,
             self.proof_keeper,
+            self.rate_limiter,
             ReportListener(
                 self.settings.report_address,
                 self.local_upstream.handle_report,
