Dispatch: learn the concurrency at which an upstream yields the most

Cause: upstreams of one service differ in speed, some bend before all slots are in use, some are slowed down for moments by other work on their VM. Change: trials compare limits while both are in full use; reports carry the slowdown that the upstream states, which senders apply to the service times.

--- a/src/celeryfield/internal/dispatch/admission.py
+++ b/src/celeryfield/internal/dispatch/admission.py
@@ -8,6 +8,7 @@
 from celeryfield.internal.calls import Reason
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.dispatch.bands import Waiter
+from celeryfield.internal.dispatch.capacity import LearnedCapacity
 from celeryfield.internal.dispatch.control import LoadControl
 from celeryfield.internal.dispatch.isolation import IsolatedRuns
 from celeryfield.internal.dispatch.permits import (
@@ -79,7 +80,12 @@
         self._isolated_runs.queue.workspace_weight = workspace_weight
 
     def apply_announcement(
-        self, slots: int, connections: int, state: str, service: str = ""
+        self,
+        slots: int,
+        connections: int,
+        state: str,
+        service: str = "",
+        boot: object = None,
     ) -> None:
         """Applies an announcement of the upstream.
 
@@ -89,14 +95,19 @@
             state: starting, ready or draining; any other state means
                 that the upstream is unavailable.
             service: Service named in load reports; empty keeps the last one.
+            boot: Identity of the process of the upstream, if known. What was
+                learned is forgotten when it changes.
         """
         now_ms = self._clock.now_ms()
+        if boot != self._upstream.boot:
+            self._upstream.boot = boot
+            self._control.forget_upstream(now_ms)
         capacity = min(slots, connections)
         state = effective_state(state, capacity)
         previous = self._upstream.set_announced_state(state)
         self._upstream.service = service or self._upstream.service
         if state in (STARTING, READY):
-            self._limit.set_capacity(capacity)
+            self._control.set_capacity(capacity)
             self._update_slow_start(previous, state, now_ms)
         self._process_queue(now_ms)
 
@@ -109,6 +120,14 @@
         """
         self._limit.report_busy(busy_slots)
 
+    def report_slowdown(self, slowdown: float) -> None:
+        """Records how slow the VM of the upstream is at this moment.
+
+        Args:
+            slowdown: Current service time divided by the usual one.
+        """
+        self._control.meter.record_slowdown(slowdown, self._clock.now_ms())
+
     def drain(self) -> None:
         """Rejects new calls from now on, whatever the upstream announces."""
         self._upstream.node_is_draining = True
@@ -148,7 +167,8 @@
         now_ms = self._clock.now_ms()
         self._update_suspects(permit, end, now_ms)
         self._slots.remove(permit)
-        self._control.record_end(permit.call.class_name, end, now_ms)
+        self._control.record_end(permit, end, now_ms)
+        self._control.meter.set_in_flight(self._slots.count, now_ms)
         if permit.is_isolated:
             self._isolated_runs.end(now_ms)
         self._process_queue(now_ms)
@@ -158,6 +178,11 @@
         """Lowest admission rank that is admitted; 0 admits all calls."""
         return self._control.admission_level.level
 
+    @property
+    def learned(self) -> LearnedCapacity:
+        """Learned capacity of the upstream, for metrics."""
+        return self._control.capacity
+
     @property
     def service(self) -> str:
         """Name of the upstream's service; empty until it is announced."""
@@ -183,7 +208,8 @@
             self._waiter_count(),
             self._limit.current(now_ms),
             (level,) if service else (),
-            self._times.geometric_mean_ms(class_name),
+            self._times.usual_mean_ms(class_name),
+            self._control.reported_slowdown(now_ms),
         )
 
     async def wait_idle(self) -> None:
@@ -196,9 +222,11 @@
         """Limits a starting upstream and ramps up one that became ready."""
         if state == STARTING and previous != STARTING:
             self._limit.limit_to_initial_share()
+            self._control.forget_upstream(now_ms)
             self._times.reset_best_latency(now_ms)
         elif state == READY and previous == GONE:
             self._limit.limit_to_initial_share()
+            self._control.forget_upstream(now_ms)
             self._limit.start_ramp(now_ms)
             self._times.reset_best_latency(now_ms)
         elif state == READY and previous == STARTING:
@@ -255,6 +283,8 @@
     ) -> Permit:
         permit = Permit(call, now_ms, queued_ms, is_isolated)
         self._slots.add(permit)
+        self._control.meter.set_in_flight(self._slots.count, now_ms)
+        permit.mark = self._control.meter.mark(now_ms)
         self._limit.record_in_flight(self._slots.count)
         self._idle.clear()
         return permit
--- a/src/celeryfield/internal/dispatch/control.py
+++ b/src/celeryfield/internal/dispatch/control.py
@@ -4,10 +4,12 @@
 
 from celeryfield.internal import events
 from celeryfield.internal.calls import admission_rank
+from celeryfield.internal.dispatch.capacity import LearnedCapacity
 from celeryfield.internal.dispatch.levels import AdmissionLevel
 from celeryfield.internal.dispatch.limiter import ConcurrencyLimit
-from celeryfield.internal.dispatch.permits import EndKind, RunEnd
+from celeryfield.internal.dispatch.permits import EndKind, Permit, RunEnd
 from celeryfield.internal.dispatch.queue import WaitQueue
+from celeryfield.internal.dispatch.run_meter import RunMeter
 from celeryfield.internal.dispatch.service_times import ServiceTimes
 from celeryfield.internal.dispatch.slots import SlotUse
 from celeryfield.internal.schema import wire
@@ -22,6 +24,8 @@
         admission_level: Lowest rank admitted, with separate levels for heavy
             workspaces.
         times: Service times by class.
+        capacity: Learned capacity of the upstream, a cap on the limit.
+        meter: Calls in flight and stated speed over time.
     """
 
     def __init__(
@@ -34,6 +38,8 @@
         self.limit = ConcurrencyLimit(settings)
         self.admission_level = AdmissionLevel(settings)
         self.times = ServiceTimes()
+        self.capacity = LearnedCapacity()
+        self.meter = RunMeter(now_ms)
         slots.short_load_above = self.admission_level.load_above
         self._settings = settings
         self._slots = slots
@@ -70,7 +76,20 @@
         delay_ms = self._queue.root_cost_ms() / max(limit, 1)
         self._lowest_delay_ms = min(self._lowest_delay_ms, delay_ms)
 
-    def record_end(self, call_class: str, end: RunEnd, now_ms: float) -> None:
+    def set_capacity(self, capacity: int) -> None:
+        """Sets the announced capacity of the upstream."""
+        self.limit.set_capacity(capacity)
+        self.capacity.set_capacity(capacity)
+        self.limit.learned_cap = self.capacity.limit
+
+    def forget_upstream(self, now_ms: float) -> None:
+        """Forgets what was learned about an earlier upstream process."""
+        self.capacity.reset()
+        self.meter.reset(now_ms)
+        self.meter.set_in_flight(self._slots.count, now_ms)
+        self.limit.learned_cap = self.capacity.limit
+
+    def record_end(self, permit: Permit, end: RunEnd, now_ms: float) -> None:
         """Updates limit and service times with the end of a run.
 
         The duration of a cancelled run is a lower bound of its service time, so
@@ -79,13 +98,35 @@
         """
         is_shed = end.kind is EndKind.SHED
         self.limit.record_run_end(is_shed, self._slots.count)
+        call_class = permit.call.class_name
         service_ms = end.service_ms
         if end.kind is EndKind.CANCELLED:
             if service_ms <= self.times.decayed_mean_ms(call_class, now_ms):
                 return
         elif end.kind is not EndKind.OK:
             return
-        self.times.record(call_class, service_ms, now_ms)
+        usual_ms = self._record_run(permit, end, now_ms)
+        self.times.record(call_class, service_ms, now_ms, usual_ms)
+
+    def _record_run(self, permit: Permit, end: RunEnd, now_ms: float) -> float:
+        """Learns from a run; returns its time at the usual speed."""
+        means = permit.mark and self.meter.means_since(permit.mark, now_ms)
+        if means is None:
+            return end.service_ms
+        sub_call_ms = min(end.sub_call_ms, end.service_ms)
+        own_ms = end.service_ms - sub_call_ms
+        if end.kind is EndKind.OK:
+            call_class = permit.call.class_name
+            self.capacity.record_run(call_class, own_ms, means, now_ms)
+        return sub_call_ms + own_ms * means.unslowed_share
+
+    def reported_slowdown(self, now_ms: float) -> float:
+        """Returns the factor on the service times that are reported.
+
+        Sub-calls do not run on this VM, so only the own share is slowed down.
+        """
+        slowdown = self.meter.reported_slowdown(now_ms)
+        return 1.0 + (slowdown - 1.0) * self.capacity.own_share
 
     def adjust_if_due(self, now_ms: float) -> None:
         """Adjusts the limit and the level once per interval."""
@@ -109,6 +150,8 @@
             self._emit_level(previous, limit)
         inflation = self.times.inflation(now_ms)
         self.limit.adjust(now_ms, self._had_to_wait, inflation)
+        self.capacity.adjust(now_ms, self._had_to_wait)
+        self.limit.learned_cap = self.capacity.limit
         self._had_to_wait = False
         self._lowest_delay_ms = math.inf
 
--- a/src/celeryfield/internal/dispatch/dispatcher.py
+++ b/src/celeryfield/internal/dispatch/dispatcher.py
@@ -177,7 +177,8 @@
             result = await self._send(call, body, traceparent, timeout_ms)
         finally:
             unused = self._chains.close(span_id)
-            service_ms = self._clock.now_ms() - started_ms
+            ended_ms = self._clock.now_ms()
+            service_ms = ended_ms - started_ms
             stats.time_limit_ms = timeout_ms
             stats.service_ms = service_ms
             stats.sub_call_wait_ms = chain.queued_ms
@@ -199,7 +200,8 @@
             # queued calls would start on the crashed upstream.
             self._on_crash()
             result.reason = Reason.UPSTREAM_CRASHED
-        return result, RunEnd(service_ms, kind)
+        sub_call_ms = chain.sub_call_ms_until(ended_ms)
+        return result, RunEnd(service_ms, kind, sub_call_ms)
 
     async def _send(
         self, call: wire.Call, body: bytes, traceparent: str, timeout_ms: float
--- a/src/celeryfield/internal/dispatch/limiter.py
+++ b/src/celeryfield/internal/dispatch/limiter.py
@@ -36,11 +36,14 @@
     Attributes:
         capacity: Announced slots or connections, whichever is lower; the limit
             never exceeds it.
+        learned_cap: Upper bound from the learned capacity; None if there is
+            none.
     """
 
     def __init__(self, settings: DispatchSettings) -> None:
         self._settings = settings
         self.capacity = 0
+        self.learned_cap: int | None = None
         self._adaptive_limit = 0.0
         self._interval_start = 0.0
         self._hold_intervals = 0
@@ -96,6 +99,8 @@
             limit = min(limit, self._ramp_limit(now_ms))
         if self._reported_cap is not None:
             limit = min(limit, self._reported_cap)
+        if self.learned_cap is not None:
+            limit = min(limit, self.learned_cap)
         return max(self._floor(), int(limit))
 
     def record_in_flight(self, in_flight: int) -> None:
--- a/src/celeryfield/internal/dispatch/permits.py
+++ b/src/celeryfield/internal/dispatch/permits.py
@@ -4,6 +4,7 @@
 import enum
 
 from celeryfield.internal.calls import Reason
+from celeryfield.internal.dispatch.run_meter import RunMark
 from celeryfield.internal.schema import wire
 
 
@@ -29,10 +30,12 @@
     Attributes:
         service_ms: Time from sending the request to the complete answer.
         kind: How the run ended.
+        sub_call_ms: Part of that time in which sub-calls were in flight.
     """
 
     service_ms: float
     kind: EndKind = EndKind.OK
+    sub_call_ms: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -47,6 +50,7 @@
         released: Whether the permit was released.
         crash_counted: Whether a crash during this run was already counted
             against the call.
+        mark: Concurrency and speed of the upstream at the start.
     """
 
     call: wire.Call
@@ -55,6 +59,7 @@
     is_isolated: bool = False
     released: bool = False
     crash_counted: bool = False
+    mark: RunMark | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/celeryfield/internal/dispatch/service_times.py
+++ b/src/celeryfield/internal/dispatch/service_times.py
@@ -36,6 +36,8 @@
         mean_ms: Arithmetic mean, the expected cost of a call in slot time.
         log_ms: Mean logarithm of the service time in ms; its exponential is
             the geometric mean.
+        usual_log_ms: The same for the service time at the usual speed of the
+            upstream.
         sampled_ms: Monotonic time of the last sample.
     """
 
@@ -49,11 +51,15 @@
         "log_ms",
         "mean_ms",
         "sampled_ms",
+        "usual_log_ms",
     )
 
-    def __init__(self, service_ms: float, now_ms: float) -> None:
+    def __init__(
+        self, service_ms: float, now_ms: float, usual_ms: float
+    ) -> None:
         self.mean_ms = service_ms
         self.log_ms = math.log(service_ms)
+        self.usual_log_ms = math.log(usual_ms)
         self.sampled_ms = now_ms
         self._sample_count = 1
         self.reset_best_latency(now_ms)
@@ -66,13 +72,15 @@
         self._window_sum = 0.0
         self._window_count = 0
 
-    def record(self, service_ms: float, now_ms: float) -> None:
+    def record(self, service_ms: float, now_ms: float, usual_ms: float) -> None:
         """Adds one sample."""
         log_ms = math.log(service_ms)
         self._sample_count += 1
         weight = max(ARITHMETIC_MEAN_WEIGHT, 1.0 / self._sample_count)
         self.mean_ms += weight * (service_ms - self.mean_ms)
         self.log_ms += GEOMETRIC_MEAN_WEIGHT * (log_ms - self.log_ms)
+        usual_change = math.log(usual_ms) - self.usual_log_ms
+        self.usual_log_ms += GEOMETRIC_MEAN_WEIGHT * usual_change
         self.sampled_ms = now_ms
         self._window_sum += log_ms
         self._window_count += 1
@@ -98,19 +106,40 @@
     def __init__(self) -> None:
         self._times_by_class: dict[str, ClassTimes] = {}
 
-    def record(self, call_class: str, service_ms: float, now_ms: float) -> None:
-        """Adds the service time of a completed call."""
+    def record(
+        self,
+        call_class: str,
+        service_ms: float,
+        now_ms: float,
+        usual_ms: float | None = None,
+    ) -> None:
+        """Adds the service time of a completed call.
+
+        Args:
+            call_class: Class of the call.
+            service_ms: Its service time.
+            now_ms: Monotonic time.
+            usual_ms: Its service time had the upstream run at its usual speed;
+                None if the same.
+        """
         service_ms = max(service_ms, MIN_SERVICE_MS)
+        usual_ms = max(
+            service_ms if usual_ms is None else usual_ms, MIN_SERVICE_MS
+        )
         times = self._times_by_class.get(call_class)
         if times is not None:
-            times.record(service_ms, now_ms)
+            times.record(service_ms, now_ms, usual_ms)
             return
         if len(self._times_by_class) >= MAX_CLASSES:
             call_class = SHARED_CLASS
         if call_class in self._times_by_class:
-            self._times_by_class[call_class].record(service_ms, now_ms)
+            self._times_by_class[call_class].record(
+                service_ms, now_ms, usual_ms
+            )
         else:
-            self._times_by_class[call_class] = ClassTimes(service_ms, now_ms)
+            self._times_by_class[call_class] = ClassTimes(
+                service_ms, now_ms, usual_ms
+            )
 
     def decayed_mean_ms(self, call_class: str, now_ms: float) -> float:
         """Returns the geometric mean, decayed by the age of the last sample.
@@ -123,10 +152,10 @@
         age_ms = now_ms - times.sampled_ms
         return math.exp(times.log_ms) * 0.5 ** (age_ms / ESTIMATE_HALF_LIFE_MS)
 
-    def geometric_mean_ms(self, call_class: str) -> float:
-        """Returns the geometric mean of the service time; 0 if unknown."""
+    def usual_mean_ms(self, call_class: str) -> float:
+        """Returns the geometric mean at the usual speed; 0 if unknown."""
         times = self._find(call_class)
-        return 0.0 if times is None else math.exp(times.log_ms)
+        return 0.0 if times is None else math.exp(times.usual_log_ms)
 
     def mean_ms(self, call_class: str) -> float:
         """Returns the arithmetic mean of the service time; 0 if unknown."""
--- a/src/celeryfield/internal/dispatch/upstream.py
+++ b/src/celeryfield/internal/dispatch/upstream.py
@@ -16,10 +16,12 @@
         service: Service named in load reports.
         node_is_draining: Whether the node itself is draining; overrides the
             announced state.
+        boot: Identity of the process of the upstream; None if unknown.
     """
 
     def __init__(self) -> None:
         self.service = ""
+        self.boot: object = None
         self.node_is_draining = False
         self._announced = GONE
 
--- a/src/celeryfield/internal/event_types/node.py
+++ b/src/celeryfield/internal/event_types/node.py
@@ -178,6 +178,28 @@
     queued: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class LearnedLimitChanged(Event):
+    """A trial showed that another limit of the local upstream yields more.
+
+    Attributes:
+        limit: Calls that may run from now on.
+        previous: The same before.
+        capacity: Slots or connections that the upstream announced.
+        gain: Logarithm of the yield at the new limit over that at the previous
+            one.
+        runs: Number of runs of the trial.
+    """
+
+    message: ClassVar[str] = "learned limit changed"
+    per_second: ClassVar[int | None] = 2
+    limit: int
+    previous: int
+    capacity: int
+    gain: float
+    runs: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class SuspectFound(Event):
     """A request was running when the upstream crashed.
--- a/src/celeryfield/internal/events.py
+++ b/src/celeryfield/internal/events.py
@@ -28,6 +28,7 @@
 from celeryfield.internal.event_types.node import (
     ConfigInForce,
     ConfigRefused,
+    LearnedLimitChanged,
     LevelChanged,
     LinesLeftOut,
     NodeCrashed,
@@ -65,6 +66,7 @@
     "DependencyRegained",
     "Event",
     "FileSetLost",
+    "LearnedLimitChanged",
     "LevelChanged",
     "LinesLeftOut",
     "NeighbourChanged",
--- a/src/celeryfield/internal/routing/balancer.py
+++ b/src/celeryfield/internal/routing/balancer.py
@@ -211,7 +211,8 @@
             service_ms = entry.mean_service_ms_by_class.get(
                 class_name, UNKNOWN_SERVICE_MS
             )
-        expected_ms = service_ms * self._slowdown(entry, state, now_ms)
+        service_ms *= state.fresh_slowdown(now_ms)
+        expected_ms = service_ms * self._load_factor(entry, state, now_ms)
         expected_ms += FAILURE_COST_MS * state.fresh_failure_share(now_ms)
         if state.candidate.zone != self._settings.node.zone:
             expected_ms += self._zone_penalty_ms(entry, class_name)
@@ -223,7 +224,7 @@
         mean_kb = entry.mean_bytes_by_class.get(class_name, 0.0) / 1024.0
         return routing.zone_penalty_ms + routing.zone_penalty_kb_ms * mean_kb
 
-    def _slowdown(
+    def _load_factor(
         self, entry: ServiceState, state: CandidateState, now_ms: float
     ) -> float:
         """Returns the factor by which load increases the service time.
--- a/src/celeryfield/internal/routing/candidates.py
+++ b/src/celeryfield/internal/routing/candidates.py
@@ -15,6 +15,9 @@
 # Reported service times are used up to this age. Afterwards the mean of the
 # service is used, so that a candidate that was slow is tried again.
 SERVICE_TIME_TTL_MS = 3000.0
+# The weight of a reported slowdown falls linearly to zero at this age. Other
+# work on a VM comes and goes several times a second.
+SLOWDOWN_TTL_MS = 400.0
 FAILURE_WEIGHT = 0.1
 # Half-life of the failure share. A candidate that is avoided gets no new
 # samples, so its failures decay with time.
@@ -39,6 +42,7 @@
         reported_state: State in the newest report.
         cold_since_ms: Monotonic start of the slow start; None once it is over.
         service_ms_by_class: Typical service times from reports.
+        slowdown: Factor on these at the time of the newest report.
         failure_share: Moving average of the share of attempts that the upstream
             failed or shed.
         failure_ms: Monotonic time of the last attempt in that average.
@@ -56,6 +60,7 @@
     service_ms_by_class: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
+    slowdown: float = 1.0
     failure_share: float = 0.0
     failure_ms: float = 0.0
 
@@ -73,6 +78,15 @@
             return None
         return self.service_ms_by_class.get(class_name)
 
+    def fresh_slowdown(self, now_ms: float) -> float:
+        """Returns the reported slowdown; it is moments old or 1."""
+        slowdown = self.slowdown
+        if slowdown == 1.0:
+            return 1.0
+        age_ms = now_ms - self.reported_ms
+        weight = max(1.0 - age_ms / SLOWDOWN_TTL_MS, 0.0)
+        return 1.0 + weight * (slowdown - 1.0)
+
     @property
     def penalty(self) -> int:
         """Factor applied to the load for failures and overdue calls.
@@ -148,6 +162,7 @@
             _update_mean(
                 self.mean_service_ms_by_class, end.class_name, load.service_ms
             )
+        state.slowdown = load.slowdown
         state.limit = load.limit or max(state.candidate.slots, 1)
         state.reported_state = load.state
         state.reported_ms = now_ms
--- a/src/celeryfield/internal/routing/chains.py
+++ b/src/celeryfield/internal/routing/chains.py
@@ -43,6 +43,10 @@
         sub_calls: Number of sub-calls.
         refused_calls: Number of sub-calls that were refused under overload,
             by the called service or deeper.
+        open_sub_calls: Number of sub-calls in flight.
+        sub_call_ms: Time during which sub-calls were in flight, up to the last
+            change of their number.
+        sub_call_start_ms: Monotonic time of that change.
         is_open: Whether the call is still running.
     """
 
@@ -54,8 +58,23 @@
     queued_ms: float = 0.0
     sub_calls: int = 0
     refused_calls: int = 0
+    open_sub_calls: int = 0
+    sub_call_ms: float = 0.0
+    sub_call_start_ms: float = 0.0
     is_open: bool = True
 
+    def change_open_sub_calls(self, change: int, now_ms: float) -> None:
+        """Counts the start or the end of a sub-call."""
+        self.sub_call_ms = self.sub_call_ms_until(now_ms)
+        self.sub_call_start_ms = now_ms
+        self.open_sub_calls = max(self.open_sub_calls + change, 0)
+
+    def sub_call_ms_until(self, now_ms: float) -> float:
+        """Returns the time during which sub-calls were in flight."""
+        if not self.open_sub_calls:
+            return self.sub_call_ms
+        return self.sub_call_ms + now_ms - self.sub_call_start_ms
+
     def draw_allowance(self) -> int:
         """Draws the allowance of a sub-call.
 
@@ -158,9 +177,11 @@
         sub_call.retry_allowance = (
             chain.draw_allowance() if chain.is_open else 0
         )
-        left_ms = max(chain.deadline_ms - self._clock.now_ms(), 0.0)
+        now_ms = self._clock.now_ms()
+        left_ms = max(chain.deadline_ms - now_ms, 0.0)
         sub_call.deadline_left_ms = min(call.deadline_left_ms, left_ms)
         chain.sub_calls += 1
+        chain.change_open_sub_calls(1, now_ms)
         self._record_use(parent, sub_call)
         return sub_call
 
@@ -173,6 +194,7 @@
         )
         chain.return_allowance(unused)
         chain.queued_ms += result.queued_ms
+        chain.change_open_sub_calls(-1, self._clock.now_ms())
         if result.outcome is Outcome.OK:
             return
         chain.failed_deeper = True
--- a/src/celeryfield/platform/metrics.py
+++ b/src/celeryfield/platform/metrics.py
@@ -81,6 +81,26 @@
             "Calls that may run.",
             lambda: node.admission.load_report().limit,
         ),
+        (
+            "learned_limit",
+            "Calls at once that yield the most, as far as trials have shown.",
+            lambda: node.admission.learned.learned_limit,
+        ),
+        (
+            "learned_limit_lowered_seconds",
+            "Time since the learned limit fell below the announced slots.",
+            lambda: _lowered_seconds(node),
+        ),
+        (
+            "learned_limit_gain",
+            "Log of the gain in yield that lowered the limit.",
+            lambda: node.admission.learned.gain,
+        ),
+        (
+            "upstream_slowdown",
+            "Service time now over the usual one, as the upstream states it.",
+            lambda: node.admission.load_report().slowdown,
+        ),
         (
             "admission_level",
             "Lowest admitted rank.",
@@ -115,6 +135,14 @@
         metrics.register_gauge(name, description, read)
 
 
+def _lowered_seconds(node: MetricSources) -> float:
+    """Returns the age of the lowered limit; 0 if it is not lowered."""
+    lowered_ms = node.admission.learned.lowered_ms
+    if lowered_ms is None:
+        return 0.0
+    return (node.clock.now_ms() - lowered_ms) / 1000.0
+
+
 def metrics_listener(address: ListenAddress, metrics: Metrics) -> HttpListener:
     """Returns a listener that serves metrics in the text format of Prometheus.
 
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -113,6 +113,7 @@
         self.admission = AdmissionController(settings, clock)
         self.suspect_recorder = SuspectRecorder(clock, self.admission.suspects)
         self.upstream = PlatformUpstream(self.settings, clock)
+        self.upstream.on_slowdown = self.admission.report_slowdown
         self.upstream_tracker = UpstreamTracker(
             clock, settings.dispatch.announce_ttl_ms
         )
@@ -353,7 +354,7 @@
             connections = service.max_connections
         self.upstream.set_upstream(report.address, report.upstream_id)
         self.admission.apply_announcement(
-            report.slots, connections, state, report.service
+            report.slots, connections, state, report.service, report.boot
         )
 
     @Service.task
--- a/src/celeryfield/platform/upstream.py
+++ b/src/celeryfield/platform/upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import functools
+from collections.abc import Callable
 
 from celeryfield.internal.calls import (
     CallResult,
@@ -55,6 +56,7 @@
 
     Attributes:
         load: Load that the upstream reported last.
+        on_slowdown: Called with each slowdown that the upstream reports.
     """
 
     def __init__(self, settings: PlatformSettings, clock: Clock) -> None:
@@ -62,6 +64,7 @@
         self._pool = UpstreamPool(clock, settings.response_bytes)
         self._upstream_id = ""
         self.load: UpstreamLoad | None = None
+        self.on_slowdown: Callable[[float], None] = lambda _slowdown: None
 
     @property
     def has_free_slots(self) -> bool:
@@ -140,6 +143,8 @@
             values = [int(part) for part in parts]
             slowdown = values[3] / 100.0 if len(values) > 3 else 1.0
             self.load = UpstreamLoad(*values[:3], slowdown)
+            if len(values) > 3:
+                self.on_slowdown(slowdown)
 
 
 def _is_response_to(request_id: str, response: HttpResponse) -> bool:
