--- a/src/celeryfield/internal/dispatch/capacity.py
+++ b/src/celeryfield/internal/dispatch/capacity.py
@@ -349,6 +349,11 @@
             doubled_ms = 2.0 * self._pause_up_ms
             self._pause_up_ms = min(doubled_ms, MAX_PAUSE_UP_MS)
         else:
+            if verdict is _Verdict.FAILED:
+                # What suggested the trial is from another speed, or was an
+                # effect of slow moments.
+                for memory in self._memory:
+                    memory.weight = 0.0
             self._next_down_ms = now_ms + self._pause_down_ms
             doubled_ms = 2.0 * self._pause_down_ms
             self._pause_down_ms = min(doubled_ms, MAX_PAUSE_DOWN_MS)
--- a/src/celeryfield/internal/event_types/fleet.py
+++ b/src/celeryfield/internal/event_types/fleet.py
@@ -124,6 +124,40 @@
     for_ms: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class CandidateSlow(Event):
+    """This sender takes a candidate for slow; it gets fewer calls.
+
+    Attributes:
+        peer: Id of the candidate's node.
+        relative: Its mean reported service time relative to the service.
+        reports: Number of its load reports since this sender knows it.
+    """
+
+    message: ClassVar[str] = "candidate is slow"
+    per_second: ClassVar[int | None] = 2
+    peer: str
+    relative: float
+    reports: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CandidateNotSlow(Event):
+    """This sender no longer takes a candidate for slow.
+
+    Attributes:
+        peer: Id of the candidate's node.
+        relative: Its mean reported service time relative to the service.
+        for_ms: Time for which it was taken for slow.
+    """
+
+    message: ClassVar[str] = "candidate is no longer slow"
+    per_second: ClassVar[int | None] = 2
+    peer: str
+    relative: float
+    for_ms: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class CandidateReturned(Event):
     """An ejected candidate gets calls again.
--- a/src/celeryfield/internal/events.py
+++ b/src/celeryfield/internal/events.py
@@ -12,7 +12,9 @@
 from celeryfield.internal.event_types.base import Event
 from celeryfield.internal.event_types.fleet import (
     CandidateEjected,
+    CandidateNotSlow,
     CandidateReturned,
+    CandidateSlow,
     DependencyLost,
     DependencyRegained,
     FileSetLost,
@@ -59,7 +61,9 @@
     "CallEnded",
     "CallerRefused",
     "CandidateEjected",
+    "CandidateNotSlow",
     "CandidateReturned",
+    "CandidateSlow",
     "ConfigInForce",
     "ConfigRefused",
     "DependencyLost",
--- a/src/celeryfield/internal/routing/candidates.py
+++ b/src/celeryfield/internal/routing/candidates.py
@@ -8,6 +8,7 @@
     Health,
     OutlierDetector,
 )
+from celeryfield.internal.routing.relative_speed import RelativeSpeed
 
 READY = "ready"
 DRAINING = "draining"
@@ -18,6 +19,9 @@
 # The weight of a reported slowdown falls linearly to zero at this age. Other
 # work on a VM comes and goes several times a second.
 SLOWDOWN_TTL_MS = 400.0
+# Slowdowns outside are taken for 1.
+MIN_SLOWDOWN = 0.1
+MAX_SLOWDOWN = 100.0
 FAILURE_WEIGHT = 0.1
 # Half-life of the failure share. A candidate that is avoided gets no new
 # samples, so its failures decay with time.
@@ -43,6 +47,7 @@
         cold_since_ms: Monotonic start of the slow start; None once it is over.
         service_ms_by_class: Typical service times from reports.
         slowdown: Factor on these at the time of the newest report.
+        speed: Whether it is taken for slow, for the log.
         failure_share: Moving average of the share of attempts that the upstream
             failed or shed.
         failure_ms: Monotonic time of the last attempt in that average.
@@ -61,6 +66,7 @@
         default_factory=dict
     )
     slowdown: float = 1.0
+    speed: RelativeSpeed = dataclasses.field(default_factory=RelativeSpeed)
     failure_share: float = 0.0
     failure_ms: float = 0.0
 
@@ -157,12 +163,20 @@
         # The report includes the calls that this sender has in flight.
         total = load.in_flight + load.queued
         state.reported_in_flight = max(total - state.own_in_flight, 0)
+        # Also false for a number that is none.
+        is_valid = MIN_SLOWDOWN <= load.slowdown <= MAX_SLOWDOWN
+        state.slowdown = load.slowdown if is_valid else 1.0
         if load.service_ms > 0:
             state.service_ms_by_class[end.class_name] = load.service_ms
             _update_mean(
                 self.mean_service_ms_by_class, end.class_name, load.service_ms
             )
-        state.slowdown = load.slowdown
+            mean_ms = self.mean_service_ms_by_class[end.class_name]
+            state.speed.record(
+                state.candidate.node_id,
+                load.service_ms * state.slowdown / mean_ms,
+                now_ms,
+            )
         state.limit = load.limit or max(state.candidate.slots, 1)
         state.reported_state = load.state
         state.reported_ms = now_ms
