--- a/src/celeryfield/internal/dispatch/run_meter.py
+++ b/src/celeryfield/internal/dispatch/run_meter.py
@@ -12,8 +12,11 @@
 MIN_SLOWDOWN = 0.1
 MAX_SLOWDOWN = 100.0
 
+# Marks and means are made for each call, so they are not frozen: that would
+# multiply the cost of making one.
 
-@dataclasses.dataclass(slots=True, frozen=True)
+
+@dataclasses.dataclass(slots=True)
 class RunMark:
     """Totals of a meter at the start of a run.
 
@@ -32,7 +35,7 @@
     unslowed_ms: float
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
+@dataclasses.dataclass(slots=True)
 class RunMeans:
     """Means over the time of one run.
 
--- /dev/null
+++ b/tests/cover/test_capacity_goodput.py
@@ -0,0 +1,76 @@
+"""Tests of calls served within the target latency by unequal upstreams.
+
+Compares learned capacity with the decision before it, on the same seeded load.
+Run as a program, it prints the figures.
+"""
+
+import asyncio
+
+from capacity_fakes import Fleet, Speed
+
+SLOTS = 20
+# Calls per ms that an upstream of speed 1 serves with all slots.
+RATE = SLOTS / 39.0
+UPSTREAMS = 4
+
+
+def constant(load):
+    return lambda _now_ms: load * UPSTREAMS * RATE
+
+
+def rising(load):
+    """Returns a rate that rises from light load, as after a start."""
+    return lambda now_ms: (
+        load * UPSTREAMS * RATE * min(0.4 + now_ms / 5_000, 1.0)
+    )
+
+
+def same(*speeds):
+    return [speeds] * UPSTREAMS
+
+
+def unequal(**fields):
+    return [[Speed(base, **fields)] for base in (0.5, 1.0, 1.0, 1.5)]
+
+
+CASES = {
+    "equal, overload": (same(Speed()), constant(1.1), {}),
+    "unequal, busy": (unequal(), constant(0.8), {}),
+    "unequal with slow moments": (
+        unequal(moment_share=0.15),
+        constant(0.8),
+        {},
+    ),
+    "bend at 70%, overload": (
+        same(Speed(knee=0.7, knee_x=1.8)),
+        rising(0.8),
+        {"duration_ms": 10_000, "warm_up_ms": 6_000},
+    ),
+    "one becomes slow": (
+        [[Speed(until_ms=3_000), Speed(0.4)], *[[Speed()]] * 3],
+        constant(0.8),
+        {},
+    ),
+}
+
+
+def play(name, learns, seed=1):
+    speeds, rate, fields = CASES[name]
+    return Fleet(speeds, rate, learns, slots=SLOTS, seed=seed, **fields).run()
+
+
+async def both(name):
+    return await play(name, False), await play(name, True)
+
+
+async def _print_figures():
+    for name in CASES:
+        for seed in (1, 2, 3):
+            ended = [await play(name, learns, seed) for learns in (False, True)]
+            limits = [n.learned.learned_limit for n in ended[1].nodes.values()]
+            before, after = (each.share() for each in ended)
+            print(f"{name}, seed {seed}: {before:.3f} {after:.3f} {limits}")
+
+
+if __name__ == "__main__":
+    asyncio.run(_print_figures())
