Dispatch: suggestions pool the lower bands, deviations stay comparable

Cause: demand passes quickly through single bands, and the class means took a long overload for the usual speed, so a bend at 70% was not suggested. Change: bands up to the suggested one are pooled; what the class means move by is kept in later deviations; calls refused for lack of slots count as use.

--- a/src/celeryfield/internal/dispatch/admission.py
+++ b/src/celeryfield/internal/dispatch/admission.py
@@ -150,6 +150,8 @@
         limit = self._limit.current(now_ms)
         verdict = self.suspects.verdict(call.fingerprint, now_ms)
         can_start = verdict is Verdict.CLEAR and self._can_start(call, limit)
+        if self._slots.count >= limit:
+            self._control.record_full()
         reason = self._early_rejection_reason(
             call, verdict, can_start, limit, now_ms
         )
--- a/src/celeryfield/internal/dispatch/capacity.py
+++ b/src/celeryfield/internal/dispatch/capacity.py
@@ -37,7 +37,11 @@
 MIN_RUN_MS = 0.01
 # A trial is decided by this many standard errors.
 CONFIDENCE = 2.5
+# A suggestion needs fewer, since the trial decides.
+SUGGESTION_CONFIDENCE = 1.5
 MIN_SAMPLES = 50.0
+# Samples of a single band that count against a suggestion.
+MIN_OWN_SAMPLES = 10.0
 # Least gain in yield for which the limit is lowered.
 MIN_GAIN = 0.03
 # A trial counts runs after this many mean run times; by then runs from before
@@ -75,6 +79,15 @@
         remaining = sample - self.mean
         self.variance += (change * remaining - self.variance) / self.weight
 
+    def merge(self, other: "_Estimate") -> None:
+        """Adds the samples of another estimate that is as old."""
+        if other.weight <= 0.0:
+            return
+        self.weight += other.weight
+        share = other.weight / self.weight
+        self.mean += share * (other.mean - self.mean)
+        self.variance += share * (other.variance - self.variance)
+
     def decay(self, now_ms: float) -> None:
         elapsed_ms = now_ms - self._updated_ms
         self._updated_ms = now_ms
@@ -92,13 +105,16 @@
     sampled_ms: float
     count: int = 1
 
-    def add(self, log_ms: float, now_ms: float) -> None:
+    def add(self, log_ms: float, now_ms: float) -> float:
+        """Adds a sample; returns by how much the mean has moved."""
         self.count += 1
         weight = min((now_ms - self.sampled_ms) / CLASS_MEAN_MS, 1.0)
         if self.count < CLASS_FIRST_SAMPLES:
             weight = max(weight, 1.0 / self.count)
-        self.log_ms += weight * (log_ms - self.log_ms)
+        change = weight * (log_ms - self.log_ms)
+        self.log_ms += change
         self.sampled_ms = now_ms
+        return change
 
 
 class _Verdict(enum.Enum):
@@ -138,6 +154,8 @@
         self.gain = 0.0
         self.lowered_ms: float | None = None
         self._means_by_class: dict[str, _ClassMean] = {}
+        self._run_count = 0
+        self._moved = 0.0
         self._own_ms = 0.0
         self._run_ms = 0.0
         self._restart_at_capacity()
@@ -235,17 +253,25 @@
     def _record_class(
         self, call_class: str, log_ms: float, now_ms: float
     ) -> float:
-        """Adds a run time to its class; returns its deviation from the mean."""
+        """Adds a run time to its class; returns its deviation from the mean.
+
+        Deviations are comparable over time: what the means of the classes move
+        by is added to later ones. Otherwise a long overload would become the
+        mean, and look like no stretch.
+        """
         means = self._means_by_class
         if call_class not in means and len(means) >= MAX_CLASSES:
             call_class = SHARED_CLASS
+        self._run_count += 1
         mean = means.get(call_class)
         if mean is None:
             means[call_class] = _ClassMean(log_ms, now_ms)
-            return 0.0
-        mean.add(log_ms, now_ms)
+            return self._moved
+        change = mean.add(log_ms, now_ms)
+        self._moved += change * mean.count / self._run_count
         deviation = log_ms - mean.log_ms
-        return min(max(deviation, -MAX_LOG_DEVIATION), MAX_LOG_DEVIATION)
+        deviation = min(max(deviation, -MAX_LOG_DEVIATION), MAX_LOG_DEVIATION)
+        return deviation + self._moved
 
     def _gain(
         self, band: int, estimate: _Estimate, over: int, other: _Estimate
@@ -272,16 +298,26 @@
             self._start_trial(min(self._band + self._step_up, top), now_ms)
 
     def _suggested_band(self, now_ms: float) -> int | None:
-        """Returns the lower band with the highest yield, if it is clear."""
+        """Returns the lower band with the highest yield, if it is clear.
+
+        Demand passes quickly through single bands, so a band is judged by all
+        bands up to it, unless its own runs were stretched further.
+        """
         best, best_gain = None, MIN_GAIN
-        for band in range(self._lowest_band(), self._band):
+        pool = _Estimate(MEMORY_HALF_LIFE_MS)
+        for band in range(self._band):
             memory = self._memory[band]
             memory.decay(now_ms)
-            if memory.weight < MIN_SAMPLES:
+            pool.merge(memory)
+            if band < self._lowest_band() or pool.weight < MIN_SAMPLES:
                 continue
-            gain, error = self._gain(band, memory, self._band, self._current)
-            if gain - CONFIDENCE * error > best_gain:
-                best, best_gain = band, gain - CONFIDENCE * error
+            has_own = memory.weight >= MIN_OWN_SAMPLES
+            is_stretched = has_own and memory.mean > pool.mean
+            estimate = memory if is_stretched else pool
+            gain, error = self._gain(band, estimate, self._band, self._current)
+            gain -= SUGGESTION_CONFIDENCE * error
+            if gain > best_gain:
+                best, best_gain = band, gain
         return best
 
     def _start_trial(self, band: int, now_ms: float) -> None:
--- a/src/celeryfield/internal/dispatch/control.py
+++ b/src/celeryfield/internal/dispatch/control.py
@@ -47,6 +47,7 @@
         self._adjusted_ms = now_ms
         self._lowest_delay_ms = math.inf
         self._had_to_wait = False
+        self._was_full = False
 
     @property
     def is_overloaded(self) -> bool:
@@ -61,6 +62,10 @@
             cost_ms = self.times.mean_ms(call.class_name)
         return self.admission_level.record_arrival(call, rank, cost_ms)
 
+    def record_full(self) -> None:
+        """Records that a call found no slot, whether it waited or not."""
+        self._was_full = True
+
     def record_wait(self) -> None:
         """Records that a call had to wait for a slot."""
         self._had_to_wait = True
@@ -150,9 +155,10 @@
             self._emit_level(previous, limit)
         inflation = self.times.inflation(now_ms)
         self.limit.adjust(now_ms, self._had_to_wait, inflation)
-        self.capacity.adjust(now_ms, self._had_to_wait)
+        self.capacity.adjust(now_ms, self._was_full)
         self.limit.learned_cap = self.capacity.limit
         self._had_to_wait = False
+        self._was_full = False
         self._lowest_delay_ms = math.inf
 
     def _emit_level(self, previous: int, limit: int) -> None:
