--- a/src/celeryfield/internal/dispatch/capacity.py
+++ b/src/celeryfield/internal/dispatch/capacity.py
@@ -13,6 +13,7 @@
 
 from celeryfield.internal import events
 from celeryfield.internal.dispatch.run_meter import RunMeans
+from celeryfield.internal.dispatch.stretch import ClassDeviations, Estimate
 
 # Bands of concurrency, each this share of the capacity and at least one call.
 BAND_COUNT = 20
@@ -25,16 +26,6 @@
 MEMORY_HALF_LIFE_MS = 20_000.0
 # Half-life of the samples at the current limit, with which a trial is compared.
 CURRENT_HALF_LIFE_MS = 2_000.0
-# Time constant of the mean run time of a class. It is much longer than a trial,
-# whose effect the mean would otherwise absorb.
-CLASS_MEAN_MS = 30_000.0
-CLASS_FIRST_SAMPLES = 100
-MAX_CLASSES = 256
-SHARED_CLASS = ""
-# Run times are clipped to this distance from their class mean, so that single
-# long requests do not decide.
-MAX_LOG_DEVIATION = 1.5
-MIN_RUN_MS = 0.01
 # A trial is decided by this many standard errors.
 CONFIDENCE = 2.5
 # A suggestion needs fewer, since the trial decides.
@@ -53,6 +44,8 @@
 MIN_SETTLE_MS = 100.0
 MAX_SETTLE_MS = 2_000.0
 MAX_TRIAL_MS = 2_000.0
+# Weight of one run in the mean run time.
+RUN_WEIGHT = 0.01
 # Pause between trials in one direction; doubles each time one fails.
 MIN_PAUSE_UP_MS = 500.0
 MAX_PAUSE_UP_MS = 8_000.0
@@ -62,64 +55,6 @@
 TOLERANCE_SHARE = 0.03
 
 
-class _Estimate:
-    """Decaying mean of the logarithm of the stretch of runs."""
-
-    __slots__ = ("_half_life_ms", "_updated_ms", "mean", "variance", "weight")
-
-    def __init__(self, half_life_ms: float) -> None:
-        self._half_life_ms = half_life_ms
-        self._updated_ms = 0.0
-        self.weight = 0.0
-        self.mean = 0.0
-        self.variance = 0.0
-
-    def add(self, sample: float, now_ms: float) -> None:
-        self.decay(now_ms)
-        self.weight += 1.0
-        change = sample - self.mean
-        self.mean += change / self.weight
-        remaining = sample - self.mean
-        self.variance += (change * remaining - self.variance) / self.weight
-
-    def merge(self, other: "_Estimate") -> None:
-        """Adds the samples of another estimate that is as old."""
-        if other.weight <= 0.0:
-            return
-        self.weight += other.weight
-        share = other.weight / self.weight
-        self.mean += share * (other.mean - self.mean)
-        self.variance += share * (other.variance - self.variance)
-
-    def decay(self, now_ms: float) -> None:
-        elapsed_ms = now_ms - self._updated_ms
-        self._updated_ms = now_ms
-        self.weight *= 0.5 ** (elapsed_ms / self._half_life_ms)
-
-    @property
-    def error_squared(self) -> float:
-        """Square of the standard error of the mean."""
-        return self.variance / max(self.weight, 1.0)
-
-
-@dataclasses.dataclass(slots=True)
-class _ClassMean:
-    log_ms: float
-    sampled_ms: float
-    count: int = 1
-
-    def add(self, log_ms: float, now_ms: float) -> float:
-        """Adds a sample; returns by how much the mean has moved."""
-        self.count += 1
-        weight = min((now_ms - self.sampled_ms) / CLASS_MEAN_MS, 1.0)
-        if self.count < CLASS_FIRST_SAMPLES:
-            weight = max(weight, 1.0 / self.count)
-        change = weight * (log_ms - self.log_ms)
-        self.log_ms += change
-        self.sampled_ms = now_ms
-        return change
-
-
 class _Verdict(enum.Enum):
     OPEN = "open"
     KEPT = "kept"
@@ -135,7 +70,7 @@
     previous: int
     counts_from_ms: float
     ends_ms: float
-    estimate: _Estimate
+    estimate: Estimate
 
 
 class LearnedCapacity:
@@ -156,9 +91,7 @@
         """Forgets everything, for a new process of the upstream."""
         self.gain = 0.0
         self.lowered_ms: float | None = None
-        self._means_by_class: dict[str, _ClassMean] = {}
-        self._run_count = 0
-        self._moved = 0.0
+        self._classes = ClassDeviations()
         self._own_ms = 0.0
         self._run_ms = 0.0
         self._restart_at_capacity()
@@ -199,8 +132,8 @@
         if not self.capacity:
             return
         self._update_times(own_ms, means.took_ms)
-        usual_ms = max(own_ms * means.usual_share, MIN_RUN_MS)
-        stretch = self._record_class(call_class, math.log(usual_ms), now_ms)
+        usual_ms = own_ms * means.usual_share
+        stretch = self._classes.record(call_class, usual_ms, now_ms)
         self._memory[self._band_of(means.in_flight)].add(stretch, now_ms)
         distance = abs(means.in_flight - self.limit)
         if distance > max(1.0, TOLERANCE_SHARE * self.capacity):
@@ -227,9 +160,9 @@
         self._band_count = max(min(BAND_COUNT, self.capacity), 1)
         self._band = self._band_count - 1
         self._memory = [
-            _Estimate(MEMORY_HALF_LIFE_MS) for _ in range(self._band_count)
+            Estimate(MEMORY_HALF_LIFE_MS) for _ in range(self._band_count)
         ]
-        self._current = _Estimate(CURRENT_HALF_LIFE_MS)
+        self._current = Estimate(CURRENT_HALF_LIFE_MS)
         self._trial: _Trial | None = None
         self._step_up = 1
         self._failed_count = 0
@@ -250,35 +183,12 @@
         return math.ceil(FLOOR_SHARE * self._band_count) - 1
 
     def _update_times(self, own_ms: float, run_ms: float) -> None:
-        weight = 1.0 / CLASS_FIRST_SAMPLES if self._run_ms else 1.0
+        weight = RUN_WEIGHT if self._run_ms else 1.0
         self._own_ms += weight * (min(own_ms, run_ms) - self._own_ms)
         self._run_ms += weight * (run_ms - self._run_ms)
 
-    def _record_class(
-        self, call_class: str, log_ms: float, now_ms: float
-    ) -> float:
-        """Adds a run time to its class; returns its deviation from the mean.
-
-        Deviations are comparable over time: what the means of the classes move
-        by is added to later ones. Otherwise a long overload would become the
-        mean, and look like no stretch.
-        """
-        means = self._means_by_class
-        if call_class not in means and len(means) >= MAX_CLASSES:
-            call_class = SHARED_CLASS
-        self._run_count += 1
-        mean = means.get(call_class)
-        if mean is None:
-            means[call_class] = _ClassMean(log_ms, now_ms)
-            return self._moved
-        change = mean.add(log_ms, now_ms)
-        self._moved += change * mean.count / self._run_count
-        deviation = log_ms - mean.log_ms
-        deviation = min(max(deviation, -MAX_LOG_DEVIATION), MAX_LOG_DEVIATION)
-        return deviation + self._moved
-
     def _gain(
-        self, band: int, estimate: _Estimate, over: int, other: _Estimate
+        self, band: int, estimate: Estimate, over: int, other: Estimate
     ) -> tuple[float, float]:
         """Returns the gain in log yield of a band over another, and its error.
 
@@ -308,7 +218,7 @@
         bands up to it, unless its own runs were stretched further.
         """
         best, best_gain = None, MIN_GAIN
-        pool = _Estimate(MEMORY_HALF_LIFE_MS)
+        pool = Estimate(MEMORY_HALF_LIFE_MS)
         for band in range(self._band):
             memory = self._memory[band]
             memory.decay(now_ms)
@@ -333,7 +243,7 @@
             self._band,
             counts_from_ms,
             counts_from_ms + MAX_TRIAL_MS,
-            _Estimate(CURRENT_HALF_LIFE_MS),
+            Estimate(CURRENT_HALF_LIFE_MS),
         )
 
     def _continue_trial(self, trial: _Trial, now_ms: float) -> None:
