--- a/src/celeryfield/internal/schema/wire.capnp
+++ b/src/celeryfield/internal/schema/wire.capnp
@@ -61,8 +61,8 @@
   queued @2 :UInt32;
   limit @3 :UInt32;
   levels @4 :List(ServiceLevel) $doc("Admission levels of this service and of the services it calls.");
-  serviceMs @5 :Float32 $unit("ms") $doc("Typical service time of the class of the call; 0 if unknown.");
-  slowdown @6 :Float32 = 1 $doc("Current service time divided by the usual one, as the upstream reports it.");
+  serviceMs @5 :Float32 $unit("ms") $doc("Typical service time of the class of the call at the usual speed of the upstream; 0 if unknown.");
+  slowdown @6 :Float32 = 1 $doc("Factor on serviceMs at present, smoothed; from the slowdown that the upstream states and the share of a run that is not spent in sub-calls.");
 }
 
 struct Reply $doc("Reply to a call.") {
--- a/src/celeryfield/internal/schema/wire.py
+++ b/src/celeryfield/internal/schema/wire.py
@@ -352,8 +352,8 @@
     Attributes:
         state: starting, ready or draining.
         levels: Admission levels of this service and of the services it calls.
-        service_ms: Typical service time of the class of the call; 0 if unknown. Unit: ms.
-        slowdown: Current service time divided by the usual one, as the upstream reports it.
+        service_ms: Typical service time of the class of the call at the usual speed of the upstream; 0 if unknown. Unit: ms.
+        slowdown: Factor on serviceMs at present, smoothed; from the slowdown that the upstream states and the share of a run that is not spent in sub-calls.
     """
 
     state: str = ""
