--- a/src/celeryfield/internal/events.py
+++ b/src/celeryfield/internal/events.py
@@ -12,7 +12,9 @@
 from celeryfield.internal.event_types.base import Event
 from celeryfield.internal.event_types.fleet import (
     CandidateEjected,
+    CandidateNotSlow,
     CandidateReturned,
+    CandidateSlow,
     DependencyLost,
     DependencyRegained,
     FileSetLost,
@@ -31,6 +33,7 @@
 from celeryfield.internal.event_types.node import (
     ConfigInForce,
     ConfigRefused,
+    LearnedLimitChanged,
     LevelChanged,
     LinesLeftOut,
     NodeCrashed,
@@ -61,7 +64,9 @@
     "CallEnded",
     "CallerRefused",
     "CandidateEjected",
+    "CandidateNotSlow",
     "CandidateReturned",
+    "CandidateSlow",
     "ConfigInForce",
     "ConfigRefused",
     "DependencyLost",
@@ -70,6 +75,7 @@
     "FileSetLost",
     "KeysAccepted",
     "KeysRefused",
+    "LearnedLimitChanged",
     "LeaseOwnerSilent",
     "LevelChanged",
     "LinesLeftOut",
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -120,6 +120,7 @@
         self.admission.set_workspace_weights(self.routes.workspace_weight)
         self.suspect_recorder = SuspectRecorder(clock, self.admission.suspects)
         self.upstream = PlatformUpstream(self.settings, clock)
+        self.upstream.on_slowdown = self.admission.report_slowdown
         self.upstream_tracker = UpstreamTracker(
             clock, settings.dispatch.announce_ttl_ms
         )
@@ -387,7 +388,7 @@
             connections = service.max_connections
         self.upstream.set_upstream(report.address, report.upstream_id)
         self.admission.apply_announcement(
-            report.slots, connections, state, report.service
+            report.slots, connections, state, report.service, report.boot
         )
 
     @Service.task
