--- a/tests/cover/process_fleet.py
+++ b/tests/cover/process_fleet.py
@@ -49,8 +49,8 @@
         problems: Unexpected ends of the process.
     """
 
-    def __init__(self, number, store, upstream, folder):
-        text = settings_text(number, store.port, upstream.port)
+    def __init__(self, number, store, upstream, folder, limits=""):
+        text = settings_text(number, store.port, upstream.port) + limits
         self.settings = platform_settings.parse(text).ok
         self.upstream = upstream
         self.disturbed_s = float("-inf")
