Callers: one account of what a node holds for them, and its bounds

Cause: heads had no limit as a whole, idle connections kept their last answer (the library's loop refers to it until the next request), bodies and heads sent ahead were bounded by connection only, connections that are not read from did not notice that their callers left, and nothing bounded their number.

Change: internal/caller_memory.py accounts for incomplete heads, requests and unread answers of all connections; over a quarter of memoryMb the connection over the mean share without progress for longest is closed. Heads: 431 over maxHeaderBytes and 4 KiB, empty lines included. An answer is freed when it is written, and no further request is read or served until it is read. A connection that had 32 requests ahead has them run in turn, with a pause after a refusal. Callers that left are found out once a second, those that read nothing for 60 s are closed. Connections: maxFds less 200, and by memory. The listeners of the platform take 32 connections of small requests each. Large blocks of memory are mapped (glibc).

--- a/src/celeryfield/internal/event_types/requests.py
+++ b/src/celeryfield/internal/event_types/requests.py
@@ -46,6 +46,25 @@
     is_leaving: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ConnectionGivenUp(Event):
+    """The node closed a connection at once, to stay within its limits.
+
+    Attributes:
+        cause: memory (it held more than its share), connections (too many are
+            open) or stalled (no byte of an answer was read for long).
+        held: Bytes held for this connection.
+        total: Bytes held for all connections.
+    """
+
+    message: ClassVar[str] = "connection given up"
+    level: ClassVar[int] = logging.WARNING
+    per_second: ClassVar[int | None] = 10
+    cause: str
+    held: int
+    total: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RequestEnded(Event):
     """The node that received a request from a caller has answered it.
--- a/src/celeryfield/internal/listening.py
+++ b/src/celeryfield/internal/listening.py
@@ -2,6 +2,8 @@
 
 import errno
 import logging
+import os
+import socket
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -15,6 +17,9 @@
 # An earlier process at the address ends within its grace period.
 MAX_WAIT_MS = 10_000.0
 RETRY_INTERVAL_MS = 100.0
+# Connections that are accepted at a time, and that may wait for it.
+ACCEPT_BATCH = 16
+WAITING_CONNECTIONS = 1_024
 # A process that has not ended yet holds the port, or the address of the VM is
 # not assigned yet.
 _TRANSIENT = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
@@ -75,6 +80,7 @@
     host: str,
     port: int,
     max_wait_ms: float | None = None,
+    accepts_in_batches: bool = False,
     **options: object,
 ) -> None:
     """Opens the TCP listener of an HTTP server.
@@ -85,13 +91,31 @@
         port: Port; 0 lets the system choose one.
         max_wait_ms: Time after which no further attempt begins; None means
             ``MAX_WAIT_MS``.
+        accepts_in_batches: Whether connections are accepted a few at a time, so
+            that a server can close some before it accepts others. asyncio
+            accepts as many as may wait, before any of them is served.
         options: Further options of ``web.TCPSite``.
 
     Raises:
         ListenError: The address cannot be used.
     """
+    if accepts_in_batches:
+        options["backlog"] = ACCEPT_BATCH
 
     async def open_once() -> None:
-        await web.TCPSite(runner, host, port, **options).start()
+        site = web.TCPSite(runner, host, port, **options)
+        await site.start()
+        if accepts_in_batches:
+            _let_connections_wait(site)
 
     await open_listener(f"{host}:{port}", open_once, max_wait_ms)
+
+
+def _let_connections_wait(site: web.TCPSite) -> None:
+    """Lets more connections wait than are accepted at a time.
+
+    asyncio uses one number for both.
+    """
+    for listening in site._server.sockets:
+        with socket.socket(fileno=os.dup(listening.fileno())) as same:
+            same.listen(WAITING_CONNECTIONS)
--- a/src/celeryfield/platform/connections.py
+++ b/src/celeryfield/platform/connections.py
@@ -5,11 +5,13 @@
 configuration change is closed with its next response.
 """
 
+import asyncio
 import logging
 
 from aiohttp import web
 
 from celeryfield.internal import events
+from celeryfield.internal.caller_memory import CallerMemory, CloseCause
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.routes.table import CallerLimits
 from celeryfield.platform import headers
@@ -21,6 +23,8 @@
     ReceivedRequest,
     Serve,
 )
+from celeryfield.platform.received import HeadMeter
+from celeryfield.platform.stalls import StallWatch
 
 logger = logging.getLogger(__name__)
 
@@ -30,6 +34,8 @@
 # Lower limits are not passed to the parser: after a limit is raised, the parser
 # of an open connection would still reject larger headers with 400.
 MIN_HEADER_BYTES = 16_384
+# A header may have the size of the limit beside those of every request.
+HEAD_ALLOWANCE_BYTES = 4_096
 
 
 class CallerConnections(web.Server):
@@ -39,10 +45,17 @@
         clock: Time source.
         is_repeatable: Returns whether a request may be repeated.
         serve: Returns the response to a request, given when it was received.
+        memory: Bounds what the node holds for callers.
+        max_connections: Largest number of open connections.
     """
 
     def __init__(
-        self, clock: Clock, is_repeatable: IsRepeatable, serve: Serve
+        self,
+        clock: Clock,
+        is_repeatable: IsRepeatable,
+        serve: Serve,
+        memory: CallerMemory,
+        max_connections: int,
     ) -> None:
         super().__init__(
             self._respond,
@@ -52,6 +65,9 @@
         self._clock = clock
         self._is_repeatable = is_repeatable
         self._serve = serve
+        self._memory = memory
+        self._max_connections = max_connections
+        self._stalls = StallWatch()
         self._lingering = LingeringTransports()
         self._is_keepalive_disabled = False
         self._limits = CallerLimits()
@@ -66,12 +82,45 @@
             self,
             self._clock,
             limit_bytes,
+            HeadMeter(limit_bytes + HEAD_ALLOWANCE_BYTES),
             self._is_repeatable,
             self._serve,
             self._report_dropped,
             self._lingering,
+            self._memory,
         )
 
+    def connection_made(
+        self, handler: CallerConnection, transport: asyncio.Transport
+    ) -> None:
+        """Takes a connection; closes another one if there are too many."""
+        super().connection_made(handler, transport)
+        if len(self._connections) > self._max_connections:
+            self._make_room(handler)
+
+    def _make_room(self, newest: CallerConnection) -> None:
+        """Closes a connection; one without requests goes first.
+
+        One that carried no request goes before one whose caller may be about
+        to use it, and the newest one goes if all others have a request each.
+        """
+        others = [
+            each
+            for each in self._connections
+            if each is not newest and not each.is_closing
+        ]
+        if len(others) < self._max_connections:
+            return
+        idle = [each for each in others if each.is_idle]
+        unused = next((each for each in idle if not each.has_served), None)
+        if unused is None and idle:
+            self._memory.count_closed(CloseCause.CONNECTIONS)
+            idle[0].force_close()
+            return
+        crowding = (each for each in others if each.is_held_back)
+        victim = unused or next(crowding, newest)
+        victim.give_up(CloseCause.CONNECTIONS)
+
     @property
     def waiting_count(self) -> int:
         """Number of received requests that have not started."""
@@ -102,6 +151,8 @@
     def disable_keepalive(self) -> None:
         """Closes each connection with the response to its last request."""
         self._is_keepalive_disabled = True
+        for connection in self.connections:
+            connection.end_pauses()
 
     def end(self) -> None:
         """Answers the requests that were received and reads no others."""
@@ -165,6 +216,7 @@
         header timeout is added to the idle timeout.
         """
         self._lingering.close_expired(now_ms)
+        self._stalls.check(self._connections, now_ms)
         limits = self._limits
         max_idle_ms = limits.idle_timeout_ms + limits.header_timeout_ms
         previous_since_ms = self._idle_since_ms
--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -10,6 +10,7 @@
 
 from celeryfield.internal import events, listening, supervision
 from celeryfield.internal.bodies import BodyBudget, BodyError
+from celeryfield.internal.caller_memory import CallerMemory
 from celeryfield.internal.calls import (
     CallResult,
     Outcome,
@@ -83,6 +84,7 @@
 
     Attributes:
         is_open: Whether callers can connect, or could before a stop.
+        memory: Account of what is held for callers.
     """
 
     def __init__(
@@ -106,8 +108,15 @@
         self._gate = gate
         self._limits = CallerLimits()
         self._bodies = bodies or BodyBudget(settings.request_bytes)
+        self.memory = CallerMemory(
+            settings.caller_bytes, lambda: self._bodies.held_bytes
+        )
         self._connections = CallerConnections(
-            clock, self._is_repeatable, self._serve
+            clock,
+            self._is_repeatable,
+            self._serve,
+            self.memory,
+            settings.max_connections,
         )
         self._runner = web.ServerRunner(
             self._connections,
@@ -188,7 +197,7 @@
         await self._runner.setup()
         address = self._settings.caller_address
         await listening.start_site(
-            self._runner, address.host, address.port, backlog=1024
+            self._runner, address.host, address.port, accepts_in_batches=True
         )
         self.is_open = True
 
--- a/src/celeryfield/platform/listeners.py
+++ b/src/celeryfield/platform/listeners.py
@@ -7,6 +7,7 @@
 
 from celeryfield.internal import listening
 from celeryfield.platform.settings import ListenAddress
+from celeryfield.platform.small_server import SmallServer
 
 # Requests in flight may wait for the store during an outage, so a shutdown does
 # not wait for them. Senders repeat unacknowledged reports at the next node.
@@ -35,7 +36,7 @@
         self._address = address
         self._max_wait_ms = max_wait_ms
         self._runner = web.ServerRunner(
-            web.Server(handle, access_log=None),
+            SmallServer(handle),
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         )
 
@@ -44,7 +45,11 @@
         await self._runner.setup()
         address = self._address
         await listening.start_site(
-            self._runner, address.host, address.port, self._max_wait_ms
+            self._runner,
+            address.host,
+            address.port,
+            self._max_wait_ms,
+            accepts_in_batches=True,
         )
 
     async def on_stop(self) -> None:
--- a/src/celeryfield/platform/metrics.py
+++ b/src/celeryfield/platform/metrics.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from celeryfield.internal.caller_memory import CallerMemory, HeldKind
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.dispatch.admission import AdmissionController
 from celeryfield.internal.dispatch.dispatcher import Dispatcher
@@ -41,6 +42,7 @@
         catalog: Records of all nodes.
         config_watcher: Watches the configuration.
         record_watcher: Watches the records.
+        caller_memory: What the node holds for callers.
     """
 
     clock: Clock
@@ -52,6 +54,7 @@
     catalog: Catalog
     config_watcher: PrefixWatcher
     record_watcher: PrefixWatcher
+    caller_memory: CallerMemory
 
 
 def address_from_environment(host: str) -> ListenAddress | None:
@@ -65,6 +68,7 @@
     metrics.register_counters("executor", node.executor.counters)
     register_store_metrics(metrics, node.clock, lambda: node.store)
     register_repeat_metrics(metrics, node.dispatcher.repeat_totals)
+    _register_caller_metrics(metrics, node.caller_memory)
     gauges = (
         (
             "calls_running",
@@ -115,6 +119,24 @@
         metrics.register_gauge(name, description, read)
 
 
+def _register_caller_metrics(metrics: Metrics, memory: CallerMemory) -> None:
+    for kind in HeldKind:
+        metrics.register_gauge(
+            f"caller_{kind}_bytes",
+            f"Bytes held for callers: {kind}.",
+            lambda kind=kind: memory.bytes_by_kind[kind],
+        )
+    metrics.register_totals(
+        "caller_connections_closed",
+        "Connections of callers that were closed to stay within limits.",
+        ("cause",),
+        lambda: {
+            (str(cause),): count
+            for cause, count in memory.closed_by_cause.items()
+        },
+    )
+
+
 def metrics_listener(address: ListenAddress, metrics: Metrics) -> HttpListener:
     """Returns a listener that serves metrics in the text format of Prometheus.
 
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -95,6 +95,7 @@
                 catalog=self.catalog,
                 config_watcher=self.config_watcher,
                 record_watcher=self.record_watcher,
+                caller_memory=self.caller_listener.memory,
             ),
         )
 
--- a/src/celeryfield/platform/pipelining.py
+++ b/src/celeryfield/platform/pipelining.py
@@ -9,22 +9,38 @@
 import asyncio
 import dataclasses
 import itertools
-from collections.abc import Callable, Coroutine, Iterator
+import socket
+from collections.abc import Callable, Coroutine
 
 from aiohttp import web
 from aiohttp.http import RawRequestMessage
-from aiohttp.streams import StreamReader
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
+from aiohttp.web_protocol import _ErrInfo
 
+from celeryfield.internal.caller_memory import CallerMemory, CloseCause
 from celeryfield.internal.clock import Clock
+from celeryfield.platform.charges import ConnectionCharges
 from celeryfield.platform.closing import CallerTransport, LingeringTransports
+from celeryfield.platform.received import (
+    HeadMeter,
+    head_bytes,
+    split_behind_heads,
+)
 
 # Requests of one connection that run at the same time; further ones wait. They
 # bound the responses that a connection holds for a caller that reads slowly.
 MAX_CONCURRENT_REQUESTS = 8
-_HEAD_END = b"\r\n\r\n"
-# Parts into which received data is split at most; it may be a body that
-# consists of line ends.
-_MAX_PARTS = 32
+# A connection on which as many requests waited as aiohttp reads ahead has them
+# run in turn until all are answered, and gets no answer for this time after one
+# that says that its request has not run. Otherwise it would take each place
+# that falls free before other callers.
+REFUSAL_PAUSE_S = 0.5
+# Bytes that are discarded after a head that was refused; a client that sends
+# more does not wait for its answer.
+MAX_DISCARDED_BYTES = 1024 * 1024
+HEAD_TOO_LARGE = 431
+NOT_RUN_STATUS = 503
 # aiohttp's own idle timer cannot be changed while a connection is open. A week
 # keeps it from firing before the check in ``connections``.
 _LIBRARY_KEEPALIVE_S = 7 * 86_400.0
@@ -52,6 +68,8 @@
         head: The parsed head; holds an error if it could not be parsed.
         content: The body.
         received_ms: When the head was received.
+        held_bytes: Size for which the memory of callers is charged.
+        body_bytes: Part of it that is the body; 0 once the request runs.
         task: Serves the request beside earlier ones; None until it starts.
         is_answering: Whether the turn of the request has come.
     """
@@ -59,6 +77,8 @@
     head: RawRequestMessage
     content: StreamReader
     received_ms: float
+    held_bytes: int = 0
+    body_bytes: int = 0
     task: asyncio.Task[web.Response] | None = None
     is_answering: bool = False
 
@@ -75,6 +95,8 @@
         server: Server that owns the connection.
         clock: Time source.
         limit_bytes: Largest size of the request line and of each header.
+        heads: Measures heads, which have a limit as a whole.
+        memory: Is charged for what waits on this connection.
         is_repeatable: Returns whether a request may be repeated.
         serve: Returns the response to a request, given when it was received.
         report_dropped: Is told of each request that this node leaves
@@ -84,15 +106,26 @@
 
     __slots__ = (
         "_caller_transport",
+        "_charges",
         "_clock",
+        "_discarded_bytes",
         "_has_caller_left",
+        "_heads",
+        "_is_crowding",
         "_is_ended",
+        "_is_head_refused",
         "_is_repeatable",
+        "_is_sending",
         "_last_content",
         "_lingering",
+        "_may_pause",
+        "_newest_content",
+        "_newest_entry",
+        "_pause",
         "_received_by_head",
         "_report_dropped",
         "_serve",
+        "_was_refused",
     )
 
     def __init__(
@@ -100,10 +133,12 @@
         server: web.Server,
         clock: Clock,
         limit_bytes: int,
+        heads: HeadMeter,
         is_repeatable: IsRepeatable,
         serve: Serve,
         report_dropped: Callable[[ReceivedRequest], None],
         lingering: LingeringTransports,
+        memory: CallerMemory,
     ) -> None:
         super().__init__(
             server,
@@ -122,6 +157,19 @@
         self._caller_transport: CallerTransport | None = None
         self._has_caller_left = False
         self._is_ended = False
+        self._is_head_refused = False
+        self._heads = heads
+        self._charges = ConnectionCharges(memory, self._abort)
+        self._newest_content: StreamReader = EMPTY_PAYLOAD
+        self._newest_entry: ReceivedRequest | None = None
+        self._may_pause = True
+        # Whether requests wait that came faster than aiohttp reads ahead.
+        self._is_crowding = False
+        # Whether a response is being written.
+        self._is_sending = False
+        self._discarded_bytes = 0
+        self._pause: asyncio.Future[None] | None = None
+        self._was_refused = False
         # The body of the last request that is answered; None until the
         # response that closes the connection is chosen.
         self._last_content: StreamReader | None = None
@@ -148,8 +196,29 @@
     @property
     def has_unsent_bytes(self) -> bool:
         """Whether bytes wait for the caller to read."""
+        return self.unsent_bytes > 0
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait in the node for the caller to read."""
+        transport = self._caller_transport
+        return transport.get_write_buffer_size() if transport else 0
+
+    @property
+    def socket(self) -> socket.socket | None:
+        """The socket; None once the connection is lost."""
         transport = self._caller_transport
-        return transport is not None and transport.has_unsent_bytes
+        return transport.get_extra_info("socket") if transport else None
+
+    @property
+    def is_held_back(self) -> bool:
+        """Whether the node reads nothing until earlier requests ended."""
+        return self._reading_paused or self._buffer_paused
+
+    @property
+    def has_served(self) -> bool:
+        """Whether a request was received on this connection."""
+        return self._request_count > 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Serves the connection by a transport that lingers when it closes."""
@@ -171,6 +240,7 @@
         self._is_ended = True
         # The rest of a refused body is discarded after the close.
         self._lingering_time = 0.0
+        self.end_pauses()
         if self.is_closing:
             return
         if self.is_idle:
@@ -178,6 +248,40 @@
         else:
             self._caller_transport.end_reading()
 
+    def end_pauses(self) -> None:
+        """Answers without pauses from now on, since the node is ending."""
+        self._may_pause = False
+        if self._pause is not None and not self._pause.done():
+            self._pause.set_result(None)
+
+    def note_progress(self) -> None:
+        """Notes that the caller has read a part of its answer."""
+        self._charges.note_progress()
+
+    def give_up(self, cause: CloseCause) -> None:
+        """Closes the connection at once."""
+        self._charges.give_up(cause)
+
+    def end_for_caller(self) -> None:
+        """Ends the connection, whose caller has left."""
+        self._has_caller_left = True
+        self._abort()
+
+    def _abort(self) -> None:
+        if self._caller_transport is not None:
+            self._caller_transport.abort()
+
+    def pause_writing(self) -> None:
+        """Reads nothing while the caller does not read its answers."""
+        super().pause_writing()
+        self._pause_transport_reading()
+
+    def resume_writing(self) -> None:
+        """Reads on."""
+        super().resume_writing()
+        if not self.is_held_back:
+            self._resume_transport_reading()
+
     def finish(self, request: web.BaseRequest) -> None:
         """Reads no further requests, since this is the last one answered.
 
@@ -200,6 +304,11 @@
     ) -> web.StreamResponse:
         """Returns the response to an error, which closes the connection."""
         self.finish(request)
+        if status == HEAD_TOO_LARGE:
+            # The library would log each.
+            response = web.Response(status=status)
+            response.force_close()
+            return response
         return super().handle_error(request, status, exc, message)
 
     def data_received(self, data: bytes) -> None:
@@ -208,21 +317,77 @@
         aiohttp passes no data to have parsed what the parser holds back.
         """
         if self.is_closing or (self._is_ended and data):
+            self._discard(data)
             return
         if self._last_content is not None:
             self._read_last_content(data)
             return
-        for part in _split_behind_heads(data):
-            super().data_received(part)
+        for part in split_behind_heads(data):
+            if self._is_head_refused:
+                break
+            self._parse(part)
             if self._upgraded:
                 self._decline_upgrade()
+        self._charges.set_head(self._heads.open_bytes)
+        self._is_crowding |= self._buffer_paused
+        if data or not self._buffer_paused:
+            self._charges.set_tail(len(data) if self._buffer_paused else 0)
         if not self._messages:
             return
-        self._record_received()
+        self._record_received(len(data))
         self._fail_malformed_body()
         if self._current_request is not None:
             self._start_repeatable(self._current_request)
 
+    def _discard(self, data: bytes) -> None:
+        """Ends the connection of a client that sends without end."""
+        self._discarded_bytes += len(data)
+        is_endless = self._discarded_bytes > MAX_DISCARDED_BYTES
+        if self._is_head_refused and is_endless:
+            self._abort()
+
+    def _parse(self, part: bytes) -> None:
+        """Has a part parsed and measures the heads in it."""
+        is_in_body = not self._newest_content.is_eof()
+        earlier_count = self._request_count
+        super().data_received(part)
+        new_count = self._request_count - earlier_count
+        if new_count:
+            _, self._newest_content = self._messages[-1]
+            heads = [head for head, _ in self._messages][-new_count:]
+            if not self._heads.complete(len(part), heads):
+                self._refuse_head(new_count)
+        elif is_in_body:
+            self._charge_body(len(part))
+        elif not self._buffer_paused and not self._heads.add_incomplete(
+            len(part)
+        ):
+            self._refuse_head(0)
+
+    def _charge_body(self, size: int) -> None:
+        entry = self._newest_entry
+        if entry is not None and not entry.is_started:
+            self._charges.add_request(entry, 0, size)
+
+    def _refuse_head(self, new_count: int) -> None:
+        """Answers the newest head with 431 and reads no further.
+
+        Args:
+            new_count: Number of heads that came with it, which are dropped.
+        """
+        self._is_head_refused = True
+        for _ in range(new_count):
+            self._messages.pop()
+        error = HttpProcessingError(code=HEAD_TOO_LARGE)
+        self._messages.append(
+            (_ErrInfo(HEAD_TOO_LARGE, error, ""), EMPTY_PAYLOAD)
+        )
+        self._newest_content = EMPTY_PAYLOAD
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+        self._caller_transport.end_reading()
+        self._charges.note_refused_head()
+
     def _decline_upgrade(self) -> None:
         """Parses on after a request to change the protocol.
 
@@ -255,6 +420,7 @@
         self._caller_transport = None
         super().connection_lost(exc)
         self._drop_unanswered()
+        self._charges.end()
 
     def _drop_unanswered(self) -> None:
         for entry in self._received_by_head.values():
@@ -270,30 +436,95 @@
 
     async def respond(self, request: CallerRequest) -> web.Response:
         """Returns the response to the request whose turn has come."""
+        if self._was_refused and self._may_pause:
+            await self._pause_after_refusal()
+        response = await self._respond_in_turn(request)
+        self._is_crowding &= bool(self._received_by_head)
+        is_refused = response.status == NOT_RUN_STATUS
+        self._was_refused = self._is_crowding and is_refused
+        return response
+
+    async def _pause_after_refusal(self) -> None:
+        self._pause = self._loop.create_future()
+        await asyncio.wait((self._pause,), timeout=REFUSAL_PAUSE_S)
+        self._pause = None
+
+    async def _respond_in_turn(self, request: CallerRequest) -> web.Response:
         entry = self._received_by_head.pop(id(request.head), None)
         if entry is None:
             now_ms = self._clock.now_ms()
             entry = ReceivedRequest(request.head, request.content, now_ms)
+        self._charges.release_body(entry)
         entry.is_answering = True
         if self._received_by_head:
             self._start_repeatable(request)
         try:
             if entry.task is not None:
-                return await entry.task
+                response = await entry.task
+                self._charges.add_answer(-_body_bytes(response))
+                return response
             return await self._serve(request, entry.received_ms)
         except asyncio.CancelledError:
             self._drop(entry)
             raise
+        finally:
+            self._charges.release_request(entry)
+
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Sends a response, which is charged for until the caller reads it."""
+        self._is_sending = True
+        try:
+            sent = await super().finish_response(request, resp, start_time)
+        finally:
+            self._is_sending = False
+        # The library keeps the response until the next request. The transport
+        # has its own copy, for which alone memory is charged.
+        if isinstance(resp, web.Response):
+            resp.body = None
+        if not self.writing_paused:
+            return sent
+        size = self.unsent_bytes
+        self._charges.add_answer(size)
+        try:
+            await self._drain_helper()
+        except ConnectionError:
+            return resp, True
+        finally:
+            self._charges.add_answer(-size)
+        return sent
+
+    async def _drain_helper(self) -> None:
+        """Waits until the caller has read; the library calls it as well.
+
+        Its frames would keep a second copy of the response meanwhile.
+        """
+        if not self._is_sending:
+            await super()._drain_helper()
 
-    def _record_received(self) -> None:
+    def _record_received(self, size: int) -> None:
+        """Records new requests, which came with so many bytes."""
         now_ms = self._clock.now_ms()
         entries = []
         for head, content in reversed(self._messages):
             if id(head) in self._received_by_head:
                 break
             entries.append(ReceivedRequest(head, content, now_ms))
-        for entry in reversed(entries):
+        if not entries:
+            return
+        self._newest_entry = entries[0]
+        sizes = [head_bytes(entry.head) for entry in entries]
+        # What the parser holds back is charged for as such.
+        rest = 0 if self._buffer_paused else max(size - sum(sizes), 0)
+        for entry, head_size in zip(
+            reversed(entries), reversed(sizes), strict=True
+        ):
             self._received_by_head[id(entry.head)] = entry
+            self._charges.add_request(entry, head_size, rest // len(entries))
 
     def _fail_malformed_body(self) -> None:
         """Ends the body that the parser gives up because of an error."""
@@ -311,7 +542,7 @@
 
     def _start_repeatable(self, current: web.BaseRequest) -> None:
         """Starts the requests that may run beside the current one."""
-        if not self._may_overlap(current):
+        if self._is_crowding or not self._may_overlap(current):
             return
         entries = self._received_by_head.values()
         for entry in itertools.islice(entries, MAX_CONCURRENT_REQUESTS - 1):
@@ -328,10 +559,17 @@
         )
         if not self._may_overlap(request):
             return False
-        serve = self._serve(request, entry.received_ms)
-        entry.task = asyncio.ensure_future(serve)
+        self._charges.release_body(entry)
+        entry.task = asyncio.ensure_future(self._serve_ahead(request, entry))
         return True
 
+    async def _serve_ahead(
+        self, request: CallerRequest, entry: ReceivedRequest
+    ) -> web.Response:
+        response = await self._serve(request, entry.received_ms)
+        self._charges.add_answer(_body_bytes(response))
+        return response
+
     def _may_overlap(self, request: web.BaseRequest) -> bool:
         """Returns whether requests behind this one may run before its end.
 
@@ -340,18 +578,8 @@
         return request.keep_alive and self._is_repeatable(request)
 
 
-def _split_behind_heads(data: bytes) -> Iterator[bytes]:
-    """Yields data in parts that end where a request head may end.
-
-    The parser returns no requests of a part that contains an error, so a
-    malformed request would take those before it away.
-    """
-    start = 0
-    for _ in range(_MAX_PARTS - 1):
-        found = data.find(_HEAD_END, start)
-        end = found + len(_HEAD_END)
-        if found < 0 or end == len(data):
-            break
-        yield data[start:end]
-        start = end
-    yield data[start:]
+def _body_bytes(response: web.StreamResponse) -> int:
+    """Returns the size of the body that a response holds."""
+    if not isinstance(response, web.Response):
+        return 0
+    return len(response.body or b"")
--- a/src/celeryfield/platform/process.py
+++ b/src/celeryfield/platform/process.py
@@ -10,7 +10,13 @@
 from expression import Result
 
 from celeryfield.errors import CeleryfieldError, SettingsError
-from celeryfield.internal import early_signals, event_loop, events, logs
+from celeryfield.internal import (
+    allocator,
+    early_signals,
+    event_loop,
+    events,
+    logs,
+)
 from celeryfield.internal.clock import Clock
 from celeryfield.platform import settings as platform_settings
 from celeryfield.platform.node import PlatformNode
@@ -37,6 +43,7 @@
     Returns:
         The exit status of the process.
     """
+    allocator.return_large_blocks()
     loaded = _load_settings()
     if loaded.is_error():
         sys.stderr.write(f"settings cannot be used: {loaded.error}\n")
--- a/src/celeryfield/platform/settings.py
+++ b/src/celeryfield/platform/settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 import os
 import pathlib
+import resource
 import tomllib
 
 import pydantic
@@ -30,6 +31,15 @@
 # Share of the memory for incomplete responses. Completing one takes its size
 # again, and the process itself needs about 65 MB.
 RESPONSE_MEMORY_SHARE = 0.125
+# Share of the memory for what the node holds for callers: heads, requests sent
+# ahead, request bodies and unread answers.
+CALLER_MEMORY_SHARE = 0.25
+# Memory that an idle connection may take, with the objects that serve it.
+CONNECTION_BYTES = 64 * 1024
+CONNECTION_MEMORY_SHARE = 0.25
+# Descriptors that are kept for other purposes than connections of callers.
+RESERVED_FDS = 200
+MIN_CONNECTIONS = 16
 
 
 class _Limits(PlatformModel):
@@ -38,6 +48,8 @@
     memory_mb: int = pydantic.Field(
         alias="memoryMb", default=DEFAULT_MEMORY_MB, ge=0
     )
+    # Open descriptors of the process; 0 means the limit of the system.
+    max_fds: int = pydantic.Field(alias="maxFds", default=0, ge=0)
 
 
 class _Self(PlatformModel):
@@ -150,6 +162,9 @@
         request_bytes: Limit on all request bodies that the node holds, of its
             own callers and of other nodes.
         response_bytes: Limit on all incomplete responses of the upstream.
+        caller_bytes: Limit on what waits for callers: incomplete heads,
+            requests sent ahead and unread answers.
+        max_connections: Limit on the open connections of callers.
     """
 
     node: NodeSettings
@@ -164,6 +179,8 @@
     config_ms: float
     request_bytes: int
     response_bytes: int
+    caller_bytes: int
+    max_connections: int
 
 
 def load() -> Result[PlatformSettings, SettingsError]:
@@ -219,9 +236,21 @@
         config_ms=bounds.config_ms,
         request_bytes=_share_of_memory(memory_mb, REQUEST_MEMORY_SHARE),
         response_bytes=_share_of_memory(memory_mb, RESPONSE_MEMORY_SHARE),
+        caller_bytes=_share_of_memory(memory_mb, CALLER_MEMORY_SHARE),
+        max_connections=_max_connections(memory_mb, content.me.limits.max_fds),
     )
 
 
+def _max_connections(memory_mb: int, max_fds: int) -> int:
+    """Returns the number of callers' connections that the limits allow."""
+    system_fds, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if max_fds == 0 or system_fds < max_fds:
+        max_fds = system_fds
+    by_memory = _share_of_memory(memory_mb, CONNECTION_MEMORY_SHARE)
+    allowed = min(max_fds - RESERVED_FDS, by_memory // CONNECTION_BYTES)
+    return max(allowed, MIN_CONNECTIONS)
+
+
 def _share_of_memory(memory_mb: int, share: float) -> int:
     """Returns a share of the memory limit, in bytes."""
     return int(memory_mb * 1024 * 1024 * share)
--- a/tests/cover/hostile_clients.py
+++ b/tests/cover/hostile_clients.py
@@ -164,8 +164,10 @@
         self._address = (address.host, address.port)
 
     async def connect(self):
+        """Connects, unless the node closes the connection meanwhile."""
         loop = asyncio.get_running_loop()
-        await loop.sock_connect(self._socket, self._address)
+        with contextlib.suppress(ConnectionResetError):
+            await loop.sock_connect(self._socket, self._address)
 
     async def send(self, data):
         """Sends data; returns whether the node read it or holds it.
--- a/tests/cover/test_platform_hostile_clients.py
+++ b/tests/cover/test_platform_hostile_clients.py
@@ -96,10 +96,13 @@
         await client.read_some(12)
 
 
-async def test_slow_readers_of_the_own_upstream_stay_within_memory(tmp_path):
+@pytest.mark.parametrize(("size", "count"), [(2_000_000, 80), (8_000_000, 20)])
+async def test_slow_readers_of_the_own_upstream_stay_within_memory(
+    size, count, tmp_path
+):
     """Guards against answers that wait in memory for their readers."""
-    async with running_processes(tmp_path, LONG_ANSWER) as (node,):
-        async with crowd(SLOW_READERS, node.address) as clients:
+    async with running_processes(tmp_path, b"a" * size) as (node,):
+        async with crowd(count, node.address) as clients:
             await read_slowly(clients)
             assert await ask(node, b"meanwhile") == 200
         await check_bounds(node)
