Callers: a connection that is given up frees what it holds at once

Change: its waiting requests are dropped at once. Unit tests of the account, the head limit, stalled callers and the limit on connections.

--- a/src/celeryfield/internal/caller_memory.py
+++ b/src/celeryfield/internal/caller_memory.py
@@ -14,7 +14,7 @@
 
 # Time from closing connections until their memory is collected. Collections by
 # themselves are rare, and one takes milliseconds.
-COLLECTION_DELAY_S = 0.1
+COLLECTION_DELAY_S = 0.05
 
 
 class HeldKind(enum.StrEnum):
--- a/src/celeryfield/platform/pipelining.py
+++ b/src/celeryfield/platform/pipelining.py
@@ -244,10 +244,9 @@
         sizes = [head_bytes(entry.head) for entry in entries]
         # What the parser holds back is charged for as such.
         rest = 0 if self._buffer_paused else max(size - sum(sizes), 0)
-        for entry, head_size in zip(
-            reversed(entries), reversed(sizes), strict=True
-        ):
+        for entry in reversed(entries):
             self._received_by_head[id(entry.head)] = entry
+        for entry, head_size in zip(entries, sizes, strict=True):
             self._charges.add_request(entry, head_size, rest // len(entries))
 
     def _fail_malformed_body(self) -> None:
--- a/src/celeryfield/platform/receiving.py
+++ b/src/celeryfield/platform/receiving.py
@@ -43,6 +43,7 @@
         "_charges",
         "_discarded_bytes",
         "_has_caller_left",
+        "_has_given_up",
         "_heads",
         "_is_ended",
         "_is_head_refused",
@@ -72,6 +73,8 @@
         self._lingering = lingering
         self._caller_transport: CallerTransport | None = None
         self._has_caller_left = False
+        # Whether this node closed the connection to stay within its limits.
+        self._has_given_up = False
         # Whether no further bytes are taken, since the node is ending.
         self._is_ended = False
         self._is_head_refused = False
@@ -79,7 +82,7 @@
         self._is_sending = False
         self._discarded_bytes = 0
         self._heads = heads
-        self._charges = ConnectionCharges(memory, self._abort)
+        self._charges = ConnectionCharges(memory, self._free)
         # The body of the newest request.
         self._newest_content: StreamReader = EMPTY_PAYLOAD
         # The body of the last request that is answered; None until the
@@ -160,6 +163,15 @@
         if self._caller_transport is not None:
             self._caller_transport.abort()
 
+    def _free(self) -> None:
+        """Closes the connection and frees what it holds, not later."""
+        self._has_given_up = True
+        self._abort()
+        self.drop_unanswered()
+        # The library may be about to take the first one.
+        while len(self._messages) > 1:
+            self._messages.pop()
+
     def pause_writing(self) -> None:
         """Reads nothing while the caller does not read its answers."""
         super().pause_writing()
@@ -205,6 +217,8 @@
 
         aiohttp passes no data to have parsed what the parser holds back.
         """
+        if self._has_given_up:
+            return
         if self.is_closing or (self._is_ended and data):
             self._discard(data)
             return
@@ -212,7 +226,7 @@
             self._read_last_content(data)
             return
         for part in split_behind_heads(data):
-            if self._is_head_refused:
+            if self._is_head_refused or self._has_given_up:
                 break
             self._parse(part)
             if self._upgraded:
@@ -220,7 +234,7 @@
         self._charges.set_head(self._heads.open_bytes)
         if data or not self._buffer_paused:
             self._charges.set_tail(len(data) if self._buffer_paused else 0)
-        if self._messages:
+        if self._messages and not self._has_given_up:
             self.take_requests(len(data))
 
     def _discard(self, data: bytes) -> None:
