--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -100,6 +100,7 @@
                 record_watcher=self.record_watcher,
                 caller_gate=self.caller_gate,
                 rate_limiter=self.rate_limiter,
+                caller_memory=self.caller_listener.memory,
             ),
         )
         metrics.register_proof_metrics(self.metrics, self.proof_keeper)
--- a/src/celeryfield/platform/pipelining.py
+++ b/src/celeryfield/platform/pipelining.py
@@ -9,25 +9,27 @@
 import asyncio
 import dataclasses
 import itertools
-from collections.abc import Callable, Coroutine, Iterator
+from collections.abc import Callable, Coroutine
 
 from aiohttp import web
 from aiohttp.http import RawRequestMessage
 from aiohttp.streams import StreamReader
 
+from celeryfield.internal.caller_memory import CallerMemory
 from celeryfield.internal.clock import Clock
-from celeryfield.platform.closing import CallerTransport, LingeringTransports
+from celeryfield.platform.closing import LingeringTransports
+from celeryfield.platform.received import HeadMeter, head_bytes
+from celeryfield.platform.receiving import ReceivingConnection
 
 # Requests of one connection that run at the same time; further ones wait. They
 # bound the responses that a connection holds for a caller that reads slowly.
 MAX_CONCURRENT_REQUESTS = 8
-_HEAD_END = b"\r\n\r\n"
-# Parts into which received data is split at most; it may be a body that
-# consists of line ends.
-_MAX_PARTS = 32
-# aiohttp's own idle timer cannot be changed while a connection is open. A week
-# keeps it from firing before the check in ``connections``.
-_LIBRARY_KEEPALIVE_S = 7 * 86_400.0
+# A connection on which as many requests waited as aiohttp reads ahead has them
+# run in turn until all are answered, and gets no answer for this time after one
+# that says that its request has not run. Otherwise it would take each place
+# that falls free before other callers.
+REFUSAL_PAUSE_S = 0.5
+NOT_RUN_STATUS = 503
 
 IsRepeatable = Callable[[web.BaseRequest], bool]
 Serve = Callable[
@@ -52,6 +54,8 @@
         head: The parsed head; holds an error if it could not be parsed.
         content: The body.
         received_ms: When the head was received.
+        held_bytes: Size for which the memory of callers is charged.
+        body_bytes: Part of it that is the body; 0 once the request runs.
         task: Serves the request beside earlier ones; None until it starts.
         is_answering: Whether the turn of the request has come.
     """
@@ -59,6 +63,8 @@
     head: RawRequestMessage
     content: StreamReader
     received_ms: float
+    held_bytes: int = 0
+    body_bytes: int = 0
     task: asyncio.Task[web.Response] | None = None
     is_answering: bool = False
 
@@ -68,31 +74,33 @@
         return self.is_answering or self.task is not None
 
 
-class CallerConnection(web.RequestHandler):
+class CallerConnection(ReceivingConnection):
     """Connection that knows its unanswered requests and starts them.
 
     Args:
         server: Server that owns the connection.
         clock: Time source.
         limit_bytes: Largest size of the request line and of each header.
+        heads: Measures heads, which have a limit as a whole.
         is_repeatable: Returns whether a request may be repeated.
         serve: Returns the response to a request, given when it was received.
         report_dropped: Is told of each request that this node leaves
             unanswered.
         lingering: Is given the transport when this node closes it.
+        memory: Is charged for what waits on this connection.
     """
 
     __slots__ = (
-        "_caller_transport",
         "_clock",
-        "_has_caller_left",
-        "_is_ended",
+        "_is_crowding",
         "_is_repeatable",
-        "_last_content",
-        "_lingering",
+        "_may_pause",
+        "_newest_entry",
+        "_pause",
         "_received_by_head",
         "_report_dropped",
         "_serve",
+        "_was_refused",
     )
 
     def __init__(
@@ -100,31 +108,24 @@
         server: web.Server,
         clock: Clock,
         limit_bytes: int,
+        heads: HeadMeter,
         is_repeatable: IsRepeatable,
         serve: Serve,
         report_dropped: Callable[[ReceivedRequest], None],
         lingering: LingeringTransports,
+        memory: CallerMemory,
     ) -> None:
-        super().__init__(
-            server,
-            loop=asyncio.get_running_loop(),
-            access_log=None,
-            keepalive_timeout=_LIBRARY_KEEPALIVE_S,
-            max_line_size=limit_bytes,
-            max_field_size=limit_bytes,
-            auto_decompress=False,
-        )
+        super().__init__(server, limit_bytes, heads, memory, lingering)
         self._clock = clock
         self._is_repeatable = is_repeatable
         self._serve = serve
         self._report_dropped = report_dropped
-        self._lingering = lingering
-        self._caller_transport: CallerTransport | None = None
-        self._has_caller_left = False
-        self._is_ended = False
-        # The body of the last request that is answered; None until the
-        # response that closes the connection is chosen.
-        self._last_content: StreamReader | None = None
+        self._newest_entry: ReceivedRequest | None = None
+        # Whether requests wait that came faster than aiohttp reads ahead.
+        self._is_crowding = False
+        self._may_pause = True
+        self._pause: asyncio.Future[None] | None = None
+        self._was_refused = False
         # In the order of receipt, by the identity of the head.
         self._received_by_head: dict[int, ReceivedRequest] = {}
 
@@ -139,25 +140,6 @@
         """Whether no request was received behind the one being answered."""
         return not self._received_by_head
 
-    @property
-    def is_closing(self) -> bool:
-        """Whether this node or the caller has closed the connection."""
-        transport = self._caller_transport
-        return transport is None or transport.is_closing()
-
-    @property
-    def has_unsent_bytes(self) -> bool:
-        """Whether bytes wait for the caller to read."""
-        transport = self._caller_transport
-        return transport is not None and transport.has_unsent_bytes
-
-    def connection_made(self, transport: asyncio.Transport) -> None:
-        """Serves the connection by a transport that lingers when it closes."""
-        self._caller_transport = CallerTransport(
-            transport, self._lingering, self._drop_unanswered
-        )
-        super().connection_made(self._caller_transport)
-
     @property
     def is_idle(self) -> bool:
         """Whether all responses to received requests were written."""
@@ -171,6 +153,7 @@
         self._is_ended = True
         # The rest of a refused body is discarded after the close.
         self._lingering_time = 0.0
+        self.end_pauses()
         if self.is_closing:
             return
         if self.is_idle:
@@ -178,85 +161,28 @@
         else:
             self._caller_transport.end_reading()
 
-    def finish(self, request: web.BaseRequest) -> None:
-        """Reads no further requests, since this is the last one answered.
+    def end_pauses(self) -> None:
+        """Answers without pauses from now on, since the node is ending."""
+        self._may_pause = False
+        if self._pause is not None and not self._pause.done():
+            self._pause.set_result(None)
 
-        Callers send requests again that were not read, but may not do so with
-        requests that were read and whose connection closed.
-        """
-        self._last_content = request.content
-        if request.content.exception() is not None:
-            self._lingering_time = 0.0
-        # What stays in the kernel counts as not read.
-        if request.content.is_eof() and not self.is_closing:
-            self._caller_transport.end_reading()
-
-    def handle_error(
-        self,
-        request: web.BaseRequest,
-        status: int = 500,
-        exc: BaseException | None = None,
-        message: str | None = None,
-    ) -> web.StreamResponse:
-        """Returns the response to an error, which closes the connection."""
-        self.finish(request)
-        return super().handle_error(request, status, exc, message)
-
-    def data_received(self, data: bytes) -> None:
-        """Parses the data and records each new request.
-
-        aiohttp passes no data to have parsed what the parser holds back.
-        """
-        if self.is_closing or (self._is_ended and data):
-            return
-        if self._last_content is not None:
-            self._read_last_content(data)
-            return
-        for part in _split_behind_heads(data):
-            super().data_received(part)
-            if self._upgraded:
-                self._decline_upgrade()
-        if not self._messages:
-            return
-        self._record_received()
+    def take_requests(self, size: int) -> None:
+        """Records new requests and starts those that may run now."""
+        self._is_crowding |= self._buffer_paused
+        self._record_received(size)
         self._fail_malformed_body()
         if self._current_request is not None:
             self._start_repeatable(self._current_request)
 
-    def _decline_upgrade(self) -> None:
-        """Parses on after a request to change the protocol.
-
-        aiohttp does so only when it writes the response to this request. What
-        was received behind it would not be known until then.
-        """
-        self._upgraded = False
-        self._parser.set_upgraded(False)
-        tail, self._message_tail = self._message_tail, b""
-        if tail:
-            self.data_received(tail)
-
-    def _read_last_content(self, data: bytes) -> None:
-        if self._last_content.is_eof():
-            return
-        super().data_received(data)
-        self._messages.clear()
+    def take_body_part(self, size: int) -> None:
+        """Charges for the body of a request that waits."""
+        entry = self._newest_entry
+        if entry is not None and not entry.is_started:
+            self._charges.add_request(entry, 0, size)
 
-    def eof_received(self) -> None:
-        """Notes that the caller, not this node, ends the connection."""
-        self._has_caller_left = True
-        super().eof_received()
-
-    def connection_lost(self, exc: BaseException | None) -> None:
+    def drop_unanswered(self) -> None:
         """Cancels the requests behind the one that is being answered."""
-        if exc is not None:
-            self._has_caller_left = True
-        self._caller_transport.detach()
-        # The transport refers to this object; few cycles are collected early.
-        self._caller_transport = None
-        super().connection_lost(exc)
-        self._drop_unanswered()
-
-    def _drop_unanswered(self) -> None:
         for entry in self._received_by_head.values():
             self._drop(entry)
         self._received_by_head.clear()
@@ -270,30 +196,58 @@
 
     async def respond(self, request: CallerRequest) -> web.Response:
         """Returns the response to the request whose turn has come."""
+        if self._was_refused and self._may_pause:
+            await self._pause_after_refusal()
+        response = await self._respond_in_turn(request)
+        self._is_crowding &= bool(self._received_by_head)
+        is_refused = response.status == NOT_RUN_STATUS
+        self._was_refused = self._is_crowding and is_refused
+        return response
+
+    async def _pause_after_refusal(self) -> None:
+        self._pause = self._loop.create_future()
+        await asyncio.wait((self._pause,), timeout=REFUSAL_PAUSE_S)
+        self._pause = None
+
+    async def _respond_in_turn(self, request: CallerRequest) -> web.Response:
         entry = self._received_by_head.pop(id(request.head), None)
         if entry is None:
             now_ms = self._clock.now_ms()
             entry = ReceivedRequest(request.head, request.content, now_ms)
+        self._charges.release_body(entry)
         entry.is_answering = True
         if self._received_by_head:
             self._start_repeatable(request)
         try:
             if entry.task is not None:
-                return await entry.task
+                response = await entry.task
+                self._charges.add_answer(-_body_bytes(response))
+                return response
             return await self._serve(request, entry.received_ms)
         except asyncio.CancelledError:
             self._drop(entry)
             raise
+        finally:
+            self._charges.release_request(entry)
 
-    def _record_received(self) -> None:
+    def _record_received(self, size: int) -> None:
+        """Records new requests, which came with so many bytes."""
         now_ms = self._clock.now_ms()
         entries = []
         for head, content in reversed(self._messages):
             if id(head) in self._received_by_head:
                 break
             entries.append(ReceivedRequest(head, content, now_ms))
+        if not entries:
+            return
+        self._newest_entry = entries[0]
+        sizes = [head_bytes(entry.head) for entry in entries]
+        # What the parser holds back is charged for as such.
+        rest = 0 if self._buffer_paused else max(size - sum(sizes), 0)
         for entry in reversed(entries):
             self._received_by_head[id(entry.head)] = entry
+        for entry, head_size in zip(entries, sizes, strict=True):
+            self._charges.add_request(entry, head_size, rest // len(entries))
 
     def _fail_malformed_body(self) -> None:
         """Ends the body that the parser gives up because of an error."""
@@ -311,7 +265,7 @@
 
     def _start_repeatable(self, current: web.BaseRequest) -> None:
         """Starts the requests that may run beside the current one."""
-        if not self._may_overlap(current):
+        if self._is_crowding or not self._may_overlap(current):
             return
         entries = self._received_by_head.values()
         for entry in itertools.islice(entries, MAX_CONCURRENT_REQUESTS - 1):
@@ -328,10 +282,17 @@
         )
         if not self._may_overlap(request):
             return False
-        serve = self._serve(request, entry.received_ms)
-        entry.task = asyncio.ensure_future(serve)
+        self._charges.release_body(entry)
+        entry.task = asyncio.ensure_future(self._serve_ahead(request, entry))
         return True
 
+    async def _serve_ahead(
+        self, request: CallerRequest, entry: ReceivedRequest
+    ) -> web.Response:
+        response = await self._serve(request, entry.received_ms)
+        self._charges.add_answer(_body_bytes(response))
+        return response
+
     def _may_overlap(self, request: web.BaseRequest) -> bool:
         """Returns whether requests behind this one may run before its end.
 
@@ -340,18 +301,8 @@
         return request.keep_alive and self._is_repeatable(request)
 
 
-def _split_behind_heads(data: bytes) -> Iterator[bytes]:
-    """Yields data in parts that end where a request head may end.
-
-    The parser returns no requests of a part that contains an error, so a
-    malformed request would take those before it away.
-    """
-    start = 0
-    for _ in range(_MAX_PARTS - 1):
-        found = data.find(_HEAD_END, start)
-        end = found + len(_HEAD_END)
-        if found < 0 or end == len(data):
-            break
-        yield data[start:end]
-        start = end
-    yield data[start:]
+def _body_bytes(response: web.StreamResponse) -> int:
+    """Returns the size of the body that a response holds."""
+    if not isinstance(response, web.Response):
+        return 0
+    return len(response.body or b"")
