Freshness: a witness's copy changes the configuration only

Cause: its records may be older than those known here, and records of removed nodes would have come back. Change: only the configuration of the copy is applied.

--- a/src/celeryfield/platform/freshness.py
+++ b/src/celeryfield/platform/freshness.py
@@ -60,13 +60,16 @@
             raise AskError(str(error)) from error
 
     async def fetch_copy(self, node_id: str) -> None:
-        """Applies the copy of a node; raises ``AskError``."""
+        """Applies the configuration of a node; raises ``AskError``."""
         frame = await self._request(node_id, Kind.FETCH_CONFIG, b"")
         try:
             copied = neighbours.decode(frame.payload)
         except pydantic.ValidationError as error:
             raise AskError(str(error)) from error
-        self._stored_state.on_neighbour_objects(copied)
+        # Its records may be older than those that are known here.
+        self._stored_state.on_neighbour_objects(
+            tuple(item for item in copied if item.key == config.KEY)
+        )
 
     async def read_newest(self) -> int | None:
         """Reads and applies the configuration in the store.
--- a/tests/cover/test_platform_freshness.py
+++ b/tests/cover/test_platform_freshness.py
@@ -1,5 +1,6 @@
 """Tests of keys that need a proof, at platform nodes and in their settings."""
 
+import dataclasses
 import json
 
 import platform_standins
@@ -137,3 +138,15 @@
         await until(lambda: node.routes.current.version == 2)
         assert await keyed_status(fleet, node) == (200, False)
         assert node.store.calls_by_result["read", "ok"] == 0
+
+
+async def test_copy_of_a_witness_brings_no_removed_record_back():
+    """Guards against calls to nodes that a witness has not forgotten yet."""
+    async with running_platform_fleet(2) as fleet:
+        node, witness = fleet.nodes
+        ghost = dataclasses.replace(
+            witness.catalog.records_by_id["node-1"], node_id="node-9"
+        )
+        witness.catalog.records_by_id["node-9"] = ghost
+        await node.proof_keeper._sources.fetch_copy("node-2")
+        assert "node-9" not in node.catalog.records_by_id
