--- a/tests/cover/platform_fleet.py
+++ b/tests/cover/platform_fleet.py
@@ -63,6 +63,17 @@
         self.store.put("config", "main", config_spec(**fields))
         await self.store.notify_watches()
 
+    async def apply(self, spec):
+        """Writes a configuration and waits until all nodes have it."""
+        self.store.put("config", "main", spec)
+        await self.store.notify_watches()
+        version = int(spec["version"], 16)
+        await until(
+            lambda: all(
+                node.routes.current.version == version for node in self.nodes
+            )
+        )
+
     async def report(self, node, upstream, **fields):
         url = f"http://{HOST}:{node.settings.report_address.port}"
         path = f"{url}/instances/{upstream.id}"
--- a/tests/cover/test_platform_rate_limits.py
+++ b/tests/cover/test_platform_rate_limits.py
@@ -32,17 +32,6 @@
     monkeypatch.setattr(owner, "TAKEOVER_MS", 500.0)
 
 
-async def configure(fleet, spec):
-    fleet.store.put("config", "main", spec)
-    await fleet.store.notify_watches()
-    version = int(spec["version"], 16)
-    await until(
-        lambda: all(
-            node.routes.current.version == version for node in fleet.nodes
-        )
-    )
-
-
 async def send(fleet, count, nodes):
     """Sends requests to all nodes in turn; returns statuses and headers."""
     requests = (
@@ -65,7 +54,7 @@
 @pytest.mark.usefixtures("short_takeover")
 async def test_limit_holds_over_all_nodes():
     async with running_platform_fleet(3) as fleet, asyncio.timeout(30):
-        await configure(fleet, limited_spec())
+        await fleet.apply(limited_spec())
         for node in fleet.nodes:
             await until_status(fleet, node, 200)
         loop = asyncio.get_running_loop()
@@ -93,7 +82,7 @@
 @pytest.mark.usefixtures("short_takeover")
 async def test_stopped_node_does_not_stop_the_workspace():
     async with running_platform_fleet(3) as fleet, asyncio.timeout(30):
-        await configure(fleet, limited_spec())
+        await fleet.apply(limited_spec())
         for node in fleet.nodes:
             await until_status(fleet, node, 200)
         await fleet.nodes[0].stop()
@@ -109,7 +98,7 @@
     """Guards against slices that are closed after each restart."""
     monkeypatch.setattr(service, "MIN_OWNER_AGE_MS", 0.0)
     async with running_platform_fleet(1) as fleet, asyncio.timeout(30):
-        await configure(fleet, limited_spec())
+        await fleet.apply(limited_spec())
         assert (await fleet.request(fleet.nodes[0], headers=HEADERS))[0] == 429
         node = await fleet.restart(fleet.nodes[0])
         await until(lambda: node.routes.current is not None)
@@ -125,7 +114,7 @@
     )
     async with running_platform_fleet(1) as fleet, asyncio.timeout(30):
         (node,) = fleet.nodes
-        await configure(fleet, limited_spec())
+        await fleet.apply(limited_spec())
         await until_status(fleet, node, 200)
         assert returned == []
         fleet.upstreams[0].rejects_requests = True
@@ -136,9 +125,9 @@
 async def test_removed_limit_drops_its_state():
     async with running_platform_fleet(1) as fleet, asyncio.timeout(30):
         (node,) = fleet.nodes
-        await configure(fleet, limited_spec())
+        await fleet.apply(limited_spec())
         assert (await fleet.request(node, headers=HEADERS))[0] == 429
-        await configure(fleet, limited_spec(version=3, rate=0))
+        await fleet.apply(limited_spec(version=3, rate=0))
         assert (await fleet.request(node, headers=HEADERS))[0] == 200
         assert node.rate_limiter.taken_by_label == {}
         assert "rate_limit_requests_total{" not in rendered(node)
--- a/tests/cover/test_rate_limits.py
+++ b/tests/cover/test_rate_limits.py
@@ -14,6 +14,7 @@
 from celeryfield.internal.limits import owner as owner_module
 from celeryfield.internal.limits.asker import SILENCE_MS, Ask
 from celeryfield.internal.limits.bucket import MAX_DELAY_MS, TokenBucket
+from celeryfield.internal.limits.eligible import MAX_DRAIN_MS, EligibleNodes
 from celeryfield.internal.limits.ownership import SliceKey, SliceOwners
 from celeryfield.internal.limits.slices import (
     LEASE_TTL_MS,
@@ -24,6 +25,8 @@
     bound,
     slice_limit,
 )
+from celeryfield.internal.registry import records
+from celeryfield.internal.registry.records import NodeRecord, UpstreamRecord
 from celeryfield.internal.schema import wire
 
 CAPACITY = int(slice_limit(limited()).capacity)
@@ -307,3 +310,32 @@
                 times.append(clock.now_ms())
     assert len(times) >= 0.95 * 40 * 20
     assert worst_window(times) <= bound(limited())
+
+
+def test_nodes_are_left_out_after_a_long_drain():
+    """Guards against slices that move with each replaced upstream."""
+    eligible = EligibleNodes()
+    ready = make_record("n1", records.READY)
+    draining = make_record("n2", records.DRAINING)
+    assert eligible.select([ready, draining], 0) == {"n1": "z", "n2": "z"}
+    assert "n2" in eligible.select([ready, draining], MAX_DRAIN_MS - 1)
+    assert eligible.select([ready, draining], MAX_DRAIN_MS) == {"n1": "z"}
+    replaced = make_record("n2", records.READY)
+    assert "n2" in eligible.select([ready, replaced], MAX_DRAIN_MS + 1)
+    assert "n2" in eligible.select([ready, draining], MAX_DRAIN_MS + 2)
+
+
+def make_record(node_id, state):
+    upstream = UpstreamRecord("i", 1, "stock", 1, state)
+    return NodeRecord(node_id, 1, "127.0.0.1", 1, "z", upstream)
+
+
+def test_owner_that_was_away_for_long_waits_like_a_new_one():
+    """Guards against the slices of a node whose record was removed."""
+    clock, node = lone_owner()
+    advance(node, 60_000)
+    clock.advance(owner_module.LONG_ABSENCE_MS + 1)
+    advance(node, owner_module.TAKEOVER_MS - 1_000)
+    assert granted(node) == 0
+    advance(node, 2_000)
+    assert granted(node) > 0
