Limits: a node in contact vouches for the owners it asks

Change: a lease request says whether its sender knows the current records. If it does, the peer has no successor, and grants without contact of its own. Result: tests of the parts and the state machine, with nodes turned away, pass.

--- a/src/celeryfield/internal/limits/owner.py
+++ b/src/celeryfield/internal/limits/owner.py
@@ -15,7 +15,8 @@
 from celeryfield.internal.schema import wire
 
 # An owner without contact to the store stops granting after this time, because
-# it may not know its successor.
+# it may not know its successor. It still grants to nodes that have contact, as
+# they would ask the successor.
 MAX_CONTACT_AGE_MS = 5_000.0
 # Time from regained contact until an owner grants again. Changes of the owners
 # that it missed arrive within it.
@@ -59,6 +60,7 @@
         self._started_ms = clock.now_ms()
         self._checked_ms = self._started_ms
         self._silent_until_ms = 0.0
+        self._absent_until_ms = 0.0
         self._limits_by_name: dict[str, SliceLimit] = {}
         self._known_ms_by_name: dict[str, float] = {}
         # With the time since which this node owns the slice.
@@ -86,10 +88,10 @@
                 del self.granted_by_workspace[name]
 
     def check_contact(self) -> bool:
-        """Returns whether this node may grant; called in short intervals.
+        """Returns whether this node knows the current owners of all slices.
 
-        A process that was suspended may have missed its successor, as one
-        without contact may.
+        It is called in short intervals. A process that was suspended may have
+        missed its successor, as one without contact may.
         """
         now_ms = self._clock.now_ms()
         gap_ms, self._checked_ms = now_ms - self._checked_ms, now_ms
@@ -98,14 +100,17 @@
             # A new process misses nothing: it has yet to read the records.
             return False
         if gap_ms > MAX_CHECK_GAP_MS or age_ms > MAX_CONTACT_AGE_MS:
-            is_long = max(gap_ms, age_ms) > LONG_ABSENCE_MS
-            wait_ms = TAKEOVER_MS if is_long else REGAIN_MS
-            self._silent_until_ms = now_ms + wait_ms
+            self._silent_until_ms = now_ms + REGAIN_MS
+            if max(gap_ms, age_ms) > LONG_ABSENCE_MS:
+                self._absent_until_ms = now_ms + TAKEOVER_MS
+                self._silent_until_ms = self._absent_until_ms
         return now_ms >= self._silent_until_ms
 
     def answer(self, request: wire.LeaseRequest) -> wire.LeaseReply:
         """Grants what the slices hold."""
-        may_grant = self.check_contact()
+        has_contact = self.check_contact() or request.has_contact
+        is_absent = self._clock.now_ms() < self._absent_until_ms
+        may_grant = has_contact and not is_absent
         return wire.LeaseReply(
             tuple(
                 self._grant(want, may_grant)
--- a/src/celeryfield/internal/limits/service.py
+++ b/src/celeryfield/internal/limits/service.py
@@ -216,6 +216,7 @@
         request = wire.LeaseRequest(
             (wire.LeaseWant(ask.key.workspace, ask.key.index, ask.tokens),),
             self._routes.current.version,
+            self.owner.check_contact(),
         )
         if ask.owner_id == self._own_id:
             (grant,) = self.owner.answer(request).grants
--- a/src/celeryfield/internal/schema/wire.capnp
+++ b/src/celeryfield/internal/schema/wire.capnp
@@ -116,6 +116,7 @@
 struct LeaseRequest $doc("Requests tokens of slices that the peer owns.") {
   wants @0 :List(LeaseWant);
   configVersion @1 :UInt64 $doc("Version in force at the sender.");
+  hasContact @2 :Bool $doc("The sender knows the current records of all nodes, so the peer has no successor.");
 }
 
 struct LeaseGrant $doc("Tokens granted from one slice.") {
--- a/src/celeryfield/internal/schema/wire.py
+++ b/src/celeryfield/internal/schema/wire.py
@@ -816,10 +816,12 @@
 
     Attributes:
         config_version: Version in force at the sender.
+        has_contact: The sender knows the current records of all nodes, so the peer has no successor.
     """
 
     wants: tuple[LeaseWant, ...] = ()
     config_version: int = 0
+    has_contact: bool = False
 
     def fill(self, builder: Any) -> None:
         """Copies the fields into a message builder."""
@@ -828,6 +830,7 @@
             for index, item in enumerate(self.wants):
                 item.fill(items[index])
         builder.configVersion = self.config_version
+        builder.hasContact = self.has_contact
 
     def encode(self) -> bytes:
         """Returns the message as bytes."""
@@ -841,6 +844,7 @@
         return cls(
             tuple([LeaseWant.read(item) for item in reader.wants]),
             reader.configVersion,
+            reader.hasContact,
         )
 
     @classmethod
--- a/tests/cover/rate_limit_fleet.py
+++ b/tests/cover/rate_limit_fleet.py
@@ -43,11 +43,11 @@
             else:
                 asker.workspace = item
 
-    def grant(self, ask):
+    def grant(self, ask, has_contact=False):
         """Answers a question as the owner of its slice."""
         key = ask.key
         want = wire.LeaseWant(key.workspace, key.index, ask.tokens)
-        reply = self.owner.answer(wire.LeaseRequest((want,)))
+        reply = self.owner.answer(wire.LeaseRequest((want,), 0, has_contact))
         return wire.LeaseReply.decode(reply.encode()).grants[0]
 
 
--- a/tests/cover/test_rate_limit_machine.py
+++ b/tests/cover/test_rate_limit_machine.py
@@ -36,6 +36,7 @@
         self.limits = [(float("-inf"), limited(*limit))]
         self.is_store_up = True
         self.cut_ids = set()
+        self.turned_away_ids = set()
         self.frozen_ids = set()
         self.dead_ids = {"n3"}
         self.record_ids = {"n0", "n1", "n2"}
@@ -61,7 +62,8 @@
         return node_id not in self.frozen_ids | self.dead_ids
 
     def has_store(self, node_id):
-        is_reached = self.is_store_up and node_id not in self.cut_ids
+        lost_ids = self.cut_ids | self.turned_away_ids
+        is_reached = self.is_store_up and node_id not in lost_ids
         return is_reached and self.is_running(node_id)
 
     def pass_time(self, duration_ms):
@@ -135,7 +137,8 @@
             if not is_reached:
                 asker.record_silence(ask, now_ms)
                 continue
-            grant = self.nodes[ask.owner_id].grant(ask)
+            has_contact = self.nodes[node_id].owner.check_contact()
+            grant = self.nodes[ask.owner_id].grant(ask, has_contact)
             if loses and self.rng.random() < 0.3:
                 asker.record_silence(ask, now_ms)
                 self.pending.append((asker, ask, grant))
@@ -156,6 +159,11 @@
     def cut_or_heal(self, node_id):
         self.cut_ids ^= {node_id}
 
+    @rule(node_id=NODE_IDS)
+    def turn_away_or_serve(self, node_id):
+        """Changes whether the store serves a node that its peers reach."""
+        self.turned_away_ids ^= {node_id}
+
     @rule(node_id=NODE_IDS)
     def freeze_or_thaw(self, node_id):
         self.frozen_ids ^= {node_id}
--- a/tests/cover/test_rate_limits.py
+++ b/tests/cover/test_rate_limits.py
@@ -339,3 +339,17 @@
     assert granted(node) == 0
     advance(node, 2_000)
     assert granted(node) > 0
+
+
+def test_node_in_contact_vouches_for_an_owner_that_the_store_turns_away():
+    """Guards against slices that close when some nodes lose the store."""
+    clock, node = lone_owner()
+    advance(node, 60_000)
+    for _ in range(10):
+        clock.advance(600)
+        node.owner.check_contact()
+    ask = Ask(KEY, "a", 1, clock.now_ms())
+    assert node.grant(ask).tokens == 0
+    assert node.grant(ask, has_contact=True).tokens == 1
+    clock.advance(owner_module.LONG_ABSENCE_MS)
+    assert node.grant(ask, has_contact=True).tokens == 0
