Store: watches, writes and listings that cost fewer calls in a busy fleet

Cause: every change of a record ends the watch of every node. At the start of a fleet each node watched about 25 times and wrote its record two or three times; during an outage of the store each node listed both prefixes about twice a second.

The first write of a process waits for the first report of the upstream, within a bound; leaves never wait. After a failed call a cheap read goes before a listing. The watch of the configuration and the probes (0020) are as before.

--- a/src/celeryfield/internal/registry/catalog.py
+++ b/src/celeryfield/internal/registry/catalog.py
@@ -15,14 +15,6 @@
 
 GONE = "gone"
 
-# Delay between a change of the records and the next watch, for each record.
-# Every node watches every record, so a change ends a watch at each of them. Up
-# to the largest delay, a fleet of any size starts about 200 watches a second.
-WATCH_DELAY_PER_RECORD_MS = 5.0
-# A record tells where an upstream may be found; its own node decides whether it
-# gets work. A second of delay costs a new upstream that much of its first work.
-MAX_WATCH_DELAY_MS = 1_000.0
-MIN_WATCH_DELAY_MS = 50.0
 # Time for each record over which all nodes write their own again after the
 # store was restored: about 200 writes a second in a fleet of any size.
 REWRITE_SPREAD_PER_RECORD_MS = 5.0
@@ -79,12 +71,6 @@
         """Candidates of all services."""
         return self._candidates_by_service
 
-    @property
-    def watch_delay_ms(self) -> float:
-        """Delay before the next watch of the records, in ms."""
-        delay_ms = len(self.records_by_id) * WATCH_DELAY_PER_RECORD_MS
-        return min(max(delay_ms, MIN_WATCH_DELAY_MS), MAX_WATCH_DELAY_MS)
-
     @property
     def rewrite_spread_ms(self) -> float:
         """Time over which all nodes write their records again, in ms."""
--- a/src/celeryfield/internal/registry/local_upstream.py
+++ b/src/celeryfield/internal/registry/local_upstream.py
@@ -158,7 +158,7 @@
         """Publishes this node's record to the catalog and the store."""
         record = self._build_record()
         self._catalog.set_own(record)
-        self._publisher.publish(record)
+        self._publisher.publish(record, self._tracker.has_reported)
 
     def _find_own_record(
         self, objects: tuple[StoreObject, ...]
--- a/src/celeryfield/internal/registry/publisher.py
+++ b/src/celeryfield/internal/registry/publisher.py
@@ -33,11 +33,17 @@
     Nothing is written before ``reconcile`` was called once: the store may hold
     the record of an earlier process, with a leave that must not be overwritten.
 
+    Each write wakes the watches of all nodes. So the first one also waits until
+    the record is complete, for a bounded time; one that tells that an upstream
+    leaves never waits for that.
+
     Args:
         client: Client of the store.
         clock: Time source.
         spread_ms: Returns the time over which all nodes write their records
             again after the store was restored, in ms.
+        first_write_wait_ms: Longest wait for a complete record before the first
+            write, in ms.
     """
 
     def __init__(
@@ -45,15 +51,18 @@
         client: StoreClient,
         clock: Clock,
         spread_ms: Callable[[], float] = no_spread_ms,
+        first_write_wait_ms: float = 0.0,
     ) -> None:
         super().__init__()
         self._client = client
         self._clock = clock
         self._spread_ms = spread_ms
+        self._first_write_wait_ms = first_write_wait_ms
         self._desired: NodeRecord | None = None
         self._stored: NodeRecord | None = None
         self._write_needed = asyncio.Event()
         self._has_listing = asyncio.Event()
+        self._may_write = asyncio.Event()
         self._restored = asyncio.Event()
         self._stored_changed = asyncio.Condition()
         self._backoff = client.new_backoff()
@@ -64,13 +73,16 @@
         """Whether the store holds the newest record."""
         return self._desired is not None and self._is_stored(self._desired)
 
-    def publish(self, record: NodeRecord) -> None:
+    def publish(self, record: NodeRecord, is_complete: bool = False) -> None:
         """Sets the record that the store should hold.
 
         Args:
             record: The record; its generation is set when it is written.
+            is_complete: Whether it says what the upstream itself has reported.
         """
         self._desired = record
+        if is_complete or _is_leaving(record):
+            self._may_write.set()
         if not self._is_stored(record):
             self._write_needed.set()
 
@@ -106,14 +118,19 @@
         """Writes the record again, since the store may have lost it."""
         self._stored = None
         self._restored.set()
-        upstream = self._desired.upstream if self._desired else None
-        if upstream is not None and upstream.state == records.DRAINING:
+        if self._desired is not None and _is_leaving(self._desired):
             self._write_needed.set()
 
     @mode.Service.task
     async def _run(self) -> None:
         await supervision.repeat_step(self, self._clock, self._write_if_needed)
 
+    @mode.Service.task
+    async def _bound_first_wait(self) -> None:
+        if self._first_write_wait_ms > 0.0:
+            await self._clock.sleep_ms(self._first_write_wait_ms)
+        self._may_write.set()
+
     @mode.Service.task
     async def _run_rewrites(self) -> None:
         await supervision.repeat_step(
@@ -129,6 +146,7 @@
     async def _write_if_needed(self) -> None:
         await self._write_needed.wait()
         await self._has_listing.wait()
+        await self._may_write.wait()
         if self._desired is not None and not self.is_current:
             await self._write(self._with_generation(self._desired))
         if self._desired is None or self.is_current:
@@ -151,3 +169,8 @@
         self._stored = record
         async with self._stored_changed:
             self._stored_changed.notify_all()
+
+
+def _is_leaving(record: NodeRecord) -> bool:
+    upstream = record.upstream
+    return upstream is not None and upstream.state == records.DRAINING
--- a/src/celeryfield/internal/store/client.py
+++ b/src/celeryfield/internal/store/client.py
@@ -134,11 +134,19 @@
         Begins anew if the store is restored meanwhile, so that all pages are
         of one generation.
 
+        After a failed call, a cheap read shows first whether the store answers
+        again. Otherwise the listings that all nodes repeat during an outage
+        would be most of its load, and of its price.
+
         Args:
             prefix: Prefix of the keys.
             may_be_stale: Accepts data that is seconds old, if that is cheaper
                 for the store.
         """
+        if not may_be_stale and self._may_be_unavailable():
+            probed = await self._probe(math.inf)
+            if probed.is_error():
+                return Error(probed.error)
         for _ in range(1 + MAX_LIST_RESTARTS):
             result = await self._list_pages(prefix, may_be_stale)
             if result.is_ok() or not isinstance(
@@ -153,10 +161,21 @@
         Returns:
             A revision of the store, which may be seconds old; 0 if unknown.
         """
+        return await self._probe(PROBE_TIMEOUT_MS)
+
+    def _may_be_unavailable(self) -> bool:
+        """Returns whether a probe is due, and cheaper than another call."""
+        has_cheap_reads = bool(self._dialect.stale_query)
+        last_ms = self.last_response_ms
+        return has_cheap_reads and (
+            self.last_failure_ms > (-math.inf if last_ms is None else last_ms)
+        )
+
+    async def _probe(self, max_timeout_ms: float) -> Result[int, StoreError]:
         request = self._with_staleness(
             self._dialect.build_list(PROBE_PREFIX, ""), may_be_stale=True
         )
-        response = await self._read(request, 0.0, PROBE_TIMEOUT_MS)
+        response = await self._read(request, 0.0, max_timeout_ms)
         revision = response.bind(self._decode_probe)
         return self._record_result("probe", revision)
 
--- a/src/celeryfield/internal/upstream/tracker.py
+++ b/src/celeryfield/internal/upstream/tracker.py
@@ -81,6 +81,11 @@
         self.report: UpstreamReport | None = None
         self.state = GONE
 
+    @property
+    def has_reported(self) -> bool:
+        """Whether a report was accepted since the process started."""
+        return self._last_report_ms > float("-inf")
+
     def accept(self, report: UpstreamReport) -> Verdict:
         """Applies a status report unless it is late or stale."""
         now_ms = self._clock.now_ms()
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -37,6 +37,7 @@
 from celeryfield.internal.store.prefix_watcher import PrefixWatcher
 from celeryfield.internal.store.probe import WatchProbe
 from celeryfield.internal.store.responses import StoreObject
+from celeryfield.internal.store.watch_pace import WatchPace
 from celeryfield.internal.transport import frames
 from celeryfield.internal.transport.frames import Kind
 from celeryfield.internal.transport.pool import PeerPool
@@ -61,6 +62,8 @@
 
 DEFAULT_CONNECTIONS = 100
 HOUSEKEEPING_MS = 250.0
+# An upstream that runs beside a new process reports about every 1.5 s.
+FIRST_WRITE_WAIT_MS = 2_000.0
 
 
 class PlatformNode(Service):
@@ -191,7 +194,10 @@
             )
         )
         self.record_publisher = RecordPublisher(
-            self.store, self.clock, lambda: self.catalog.rewrite_spread_ms
+            self.store,
+            self.clock,
+            lambda: self.catalog.rewrite_spread_ms,
+            FIRST_WRITE_WAIT_MS,
         )
         self.local_upstream = LocalUpstream(
             self._own_identity(),
@@ -221,14 +227,17 @@
             self.stored_state.on_config,
             self.stored_state.on_config,
         )
+        record_pace = WatchPace(
+            self.clock, lambda: len(self.catalog.records_by_id)
+        )
         self.record_watcher = PrefixWatcher(
             self.store,
             self.clock,
             records.PREFIX,
             self.stored_state.on_records,
             self.stored_state.on_record_changes,
-            lambda: self.catalog.watch_delay_ms,
-            lambda: self.catalog.watch_delay_ms,
+            record_pace.next_delay_ms,
+            lambda: record_pace.rest_delay_ms,
         )
         self.watch_probe = WatchProbe(
             self.store, self.clock, (self.config_watcher, self.record_watcher)
--- a/tests/cover/test_registry.py
+++ b/tests/cover/test_registry.py
@@ -292,9 +292,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running_publisher(store, spread_ms=0.0):
+async def running_publisher(store, spread_ms=0.0, first_wait_ms=0.0):
     clock = ManualClock()
-    publisher = RecordPublisher(store, clock, lambda: spread_ms)
+    publisher = RecordPublisher(store, clock, lambda: spread_ms, first_wait_ms)
     await publisher.start()
     publisher.reconcile(None)
     try:
@@ -418,6 +418,43 @@
     await publisher.stop()
 
 
+async def test_first_write_waits_for_the_first_report():
+    """Guards against two writes of each node when a whole fleet starts.
+
+    Each write ends the watches of all nodes.
+    """
+    store = Store()
+    async with running_publisher(store, 0.0, 2_000.0) as (publisher, clock):
+        publisher.publish(record("a", None))
+        await run_until_idle(clock, 1_000.0)
+        assert not store.values
+        publisher.publish(record("a"), is_complete=True)
+        await run_until_idle(clock, 0.0)
+        await run_until_idle(clock, 2_000.0)
+    assert store.values == [record("a").encode()]
+
+
+async def test_first_write_waits_a_bounded_time():
+    """Guards against a node without an upstream that no other node knows."""
+    store = Store()
+    async with running_publisher(store, 0.0, 2_000.0) as (publisher, clock):
+        publisher.publish(record("a", None))
+        await run_until_idle(clock, 1_999.0)
+        assert not store.values
+        await run_until_idle(clock, 1.0)
+    assert store.values == [record("a", None).encode()]
+
+
+async def test_first_write_of_a_leave_does_not_wait():
+    """Guards against a leave that is acknowledged late, or lost."""
+    store = Store()
+    async with running_publisher(store, 0.0, 2_000.0) as (publisher, clock):
+        publisher.publish(record("a", None))
+        publisher.publish(record("a", LEAVING))
+        await run_until_idle(clock, 0.0)
+        assert store.values == [record("a", LEAVING).encode()]
+
+
 LEAVING = dataclasses.replace(UPSTREAM, state=records.DRAINING)
 
 
--- a/tests/cover/test_store_probe.py
+++ b/tests/cover/test_store_probe.py
@@ -1,6 +1,7 @@
 """Tests of the probes that find dead watches, with a scripted client."""
 
 import asyncio
+import random
 
 import pytest
 from expression import Error, Ok
@@ -8,8 +9,10 @@
 
 from celeryfield.internal.clock import Clock, ManualClock
 from celeryfield.internal.config.manager import ConfigManager
+from celeryfield.internal.schema.settings import StoreSettings
 from celeryfield.internal.store import probe
 from celeryfield.internal.store.applier import FileSetApplier
+from celeryfield.internal.store.client import StoreClient
 from celeryfield.internal.store.errors import (
     StoreBudgetError,
     StoreUnavailableError,
@@ -17,6 +20,7 @@
 from celeryfield.internal.store.probe import WatchProbe
 from celeryfield.internal.store.responses import StoreResponse
 from celeryfield.internal.store.watcher import ConfigWatcher
+from celeryfield.platform import objects
 
 INTERVAL_MS = probe.PROBE_INTERVAL_MS
 
@@ -150,3 +154,28 @@
 
         client._read = read
         assert (await client.probe()).is_ok() is is_available
+
+
+async def test_listings_of_an_outage_are_preceded_by_cheap_reads():
+    """Guards against full listings repeated by all nodes during an outage."""
+    clock = ManualClock()
+    client = StoreClient(
+        StoreSettings(), clock, random.Random(1), objects.DIALECT
+    )
+    status = 503
+    sent = []
+
+    async def read(request, *_arguments):
+        sent.append("staleOk" in request.query)
+        return Ok(StoreResponse(status, 0, b'{"items": [], "currentRev": 4}'))
+
+    client._read = read
+    for _ in range(3):
+        assert (await client.list_all("config/")).is_error()
+        clock.advance(500.0)
+    # Before the first failure nothing speaks against a listing.
+    assert sent == [False, True, True]
+    status = 200
+    assert (await client.list_all("config/")).is_ok()
+    assert (await client.list_all("config/")).is_ok()
+    assert sent[3:] == [True, False, False]
