Cold starts: slow start only where warm upstreams can take the work

Cause: after a loss of power each upstream was held at a tenth to all of its slots over 5 s, also where no upstream was warm and although it had said for how long it would be cold. A restart of only the node's process did the same to a warm upstream. Senders gave a tenth of the work to nodes whose new records came first. Sub-calls that had too little time left, though slots were free, counted as refused for load, so the limits on chains fell to their minimum and stayed there for seconds.

Change: coldRemainingMs ends the ramp; calls that other nodes have turned away may use all announced slots of an upstream that tells its cold time; restarts that a new sender learns of do not count as cold; a rejection for time tells how long the call waited, and only waits count as load.

--- a/src/celeryfield/internal/dispatch/admission.py
+++ b/src/celeryfield/internal/dispatch/admission.py
@@ -79,7 +79,12 @@
         self._isolated_runs.queue.workspace_weight = workspace_weight
 
     def apply_announcement(
-        self, slots: int, connections: int, state: str, service: str = ""
+        self,
+        slots: int,
+        connections: int,
+        state: str,
+        service: str = "",
+        cold_ms: float | None = None,
     ) -> None:
         """Applies an announcement of the upstream.
 
@@ -89,6 +94,8 @@
             state: starting, ready or draining; any other state means
                 that the upstream is unavailable.
             service: Service named in load reports; empty keeps the last one.
+            cold_ms: How much longer the upstream remains cold; None if it does
+                not tell. It ends the slow start.
         """
         now_ms = self._clock.now_ms()
         capacity = min(slots, connections)
@@ -98,6 +105,8 @@
         if state in (STARTING, READY):
             self._limit.set_capacity(capacity)
             self._update_slow_start(previous, state, now_ms)
+            if state == READY and cold_ms is not None:
+                self._limit.report_cold_time(now_ms, cold_ms)
         self._process_queue(now_ms)
 
     def report_busy_slots(self, busy_slots: int) -> None:
@@ -128,14 +137,14 @@
         if self._admits_all:
             return Ok(self._grant(call, now_ms))
         self._control.adjust_if_due(now_ms)
-        limit = self._limit.current(now_ms)
+        limit = self._limit_for(call, now_ms)
         verdict = self.suspects.verdict(call.fingerprint, now_ms)
         can_start = verdict is Verdict.CLEAR and self._can_start(call, limit)
-        reason = self._early_rejection_reason(
+        rejection = self._early_rejection(
             call, verdict, can_start, limit, now_ms
         )
-        if reason is not None:
-            return Error(Rejection(reason))
+        if rejection is not None:
+            return Error(rejection)
         if can_start:
             return Ok(self._grant(call, now_ms))
         return await self._wait(call, verdict, now_ms)
@@ -204,25 +213,26 @@
         elif state == READY and previous == STARTING:
             self._limit.start_ramp(now_ms)
 
-    def _early_rejection_reason(
+    def _early_rejection(
         self,
         call: wire.Call,
         verdict: Verdict,
         can_start: bool,
         limit: int,
         now_ms: float,
-    ) -> Reason | None:
+    ) -> Rejection | None:
         """Returns why a call is rejected before it is queued, else None."""
         if verdict is Verdict.REFUSE:
-            return Reason.SUSPECT
+            return Rejection(Reason.SUSPECT)
         # Sub-calls are exempt from the level: their chain was admitted at its
         # first hop. Other calls below the level run only if they can start
         # immediately.
         passes_level = self._control.record_arrival(call) or call.depth > 0
         if not passes_level and not can_start:
-            return Reason.OVERLOAD
+            return Rejection(Reason.OVERLOAD)
         # The expected service time, plus the expected wait if the call queues.
         needed_ms = self._times.decayed_mean_ms(call.class_name, now_ms)
+        wait_ms = 0.0
         if not can_start:
             ahead_ms = self._queue.cost_ahead_ms(
                 call, self._control.is_overloaded
@@ -231,10 +241,24 @@
             redirect_wait_ms = max(
                 REDIRECT_WAIT_SHARE * needed_ms, REDIRECT_MIN_WAIT_MS
             )
-            if call.may_redirect and wait_ms > redirect_wait_ms:
-                return Reason.BUSY
+            if call.may_redirect and (
+                wait_ms > redirect_wait_ms or self._is_held_back(limit, now_ms)
+            ):
+                return Rejection(Reason.BUSY)
             needed_ms += wait_ms
-        return Reason.DEADLINE if call.deadline_left_ms <= needed_ms else None
+        if call.deadline_left_ms <= needed_ms:
+            return Rejection(Reason.DEADLINE, wait_ms)
+        return None
+
+    def _limit_for(self, call: wire.Call, now_ms: float) -> int:
+        """Returns the limit for a call that may or may not be redirected."""
+        if call.may_redirect:
+            return self._limit.current(now_ms)
+        return self._limit.for_last_node(now_ms)
+
+    def _is_held_back(self, limit: int, now_ms: float) -> bool:
+        """Returns whether only the slow start keeps a call from starting."""
+        return limit <= self._slots.count < self._limit.for_last_node(now_ms)
 
     def _can_start(self, call: wire.Call, limit: int) -> bool:
         """Returns whether a call may start without waiting."""
@@ -284,7 +308,7 @@
             raise
         if isinstance(decision, Permit):
             return Ok(decision)
-        return Error(Rejection(decision))
+        return Error(Rejection(decision, self._clock.now_ms() - now_ms))
 
     def _new_waiter(self, call: wire.Call, now_ms: float) -> Waiter:
         expected_ms = self._times.decayed_mean_ms(call.class_name, now_ms)
@@ -328,7 +352,8 @@
         """Rejects expired waiters, then starts others while slots are free."""
         self._queue.expire(now_ms)
         self._isolated_runs.queue.expire(now_ms)
-        limit = self._limit.current(now_ms)
+        # What waits here has no other node that takes it sooner.
+        limit = self._limit.for_last_node(now_ms)
         while self._slots.count < limit and not self._isolated_runs.is_running:
             if self._isolated_runs.should_run_next(now_ms, self._slots):
                 if self._slots.count > 0:
--- a/src/celeryfield/internal/dispatch/control.py
+++ b/src/celeryfield/internal/dispatch/control.py
@@ -93,7 +93,8 @@
         if elapsed_ms < self._settings.interval_ms:
             return
         self._adjusted_ms = now_ms
-        limit = self.limit.current(now_ms)
+        # Waiters start within this limit.
+        limit = self.limit.for_last_node(now_ms)
         self.record_delay(limit)
         has_short_waiters = self._queue.count > self._queue.long_count
         idle = self._slots.count < limit and not has_short_waiters
--- a/src/celeryfield/internal/dispatch/dispatcher.py
+++ b/src/celeryfield/internal/dispatch/dispatcher.py
@@ -135,9 +135,11 @@
     ) -> CallResult:
         granted = await self._admission.acquire(call)
         if granted.is_error():
-            return not_run_result(
+            result = not_run_result(
                 granted.error.reason, unused=call.retry_allowance
             )
+            result.queued_ms = granted.error.wait_ms
+            return result
         permit = granted.ok
         run_end = RunEnd(0.0, EndKind.CANCELLED)
         stats.slot_wait_ms = self._clock.now_ms() - received_ms
--- a/src/celeryfield/internal/dispatch/limiter.py
+++ b/src/celeryfield/internal/dispatch/limiter.py
@@ -46,6 +46,8 @@
         self._hold_intervals = 0
         self._is_cold = False
         self._ramp_start_ms: float | None = None
+        self._ramp_ms = settings.slow_start_ms
+        self._tells_cold_time = False
         self._reported_cap: float | None = None
         self._peak_in_flight = 0
         self._previous_peak = 0
@@ -66,6 +68,7 @@
         """Keeps the limit at the initial share until the ramp starts."""
         self._is_cold = True
         self._ramp_start_ms = None
+        self._tells_cold_time = False
         self._adaptive_limit = float(self.capacity)
         self._interval_start = self._adaptive_limit
         self._hold_intervals = 0
@@ -75,6 +78,22 @@
         """Starts the linear ramp of an upstream that became ready."""
         self._is_cold = True
         self._ramp_start_ms = now_ms
+        self._ramp_ms = self._settings.slow_start_ms
+
+    def report_cold_time(self, now_ms: float, cold_ms: float) -> None:
+        """Ends the ramp with the time for which the upstream remains cold.
+
+        The ramp is never made longer, since reports may be late.
+
+        Args:
+            now_ms: Current monotonic time.
+            cold_ms: Remaining cold time that the upstream reports, in ms.
+        """
+        if not self._is_cold or self._ramp_start_ms is None:
+            return
+        self._tells_cold_time = True
+        end_ms = now_ms + cold_ms
+        self._ramp_ms = min(self._ramp_ms, end_ms - self._ramp_start_ms)
 
     def report_busy(self, busy_slots: int) -> None:
         """Lowers the limit by slots busy with calls not admitted here.
@@ -91,9 +110,22 @@
 
     def current(self, now_ms: float) -> int:
         """Returns the current limit."""
-        limit = self._adaptive_limit
-        if self._is_cold:
-            limit = min(limit, self._ramp_limit(now_ms))
+        return self._bounded(self._ramp_limit(now_ms))
+
+    def for_last_node(self, now_ms: float) -> int:
+        """Returns the limit for calls that no other node takes.
+
+        The ramp gives work to warm upstreams instead. When a whole fleet
+        starts, there are none, and an upstream that tells that it is slow for
+        some time runs as many calls as it announces; what it sheds lowers the
+        limit as always.
+        """
+        if self._tells_cold_time:
+            return self._bounded(float(self.capacity))
+        return self.current(now_ms)
+
+    def _bounded(self, ramp_limit: float) -> int:
+        limit = min(self._adaptive_limit, ramp_limit)
         if self._reported_cap is not None:
             limit = min(limit, self._reported_cap)
         return max(self._floor(), int(limit))
@@ -167,13 +199,15 @@
             )
 
     def _ramp_limit(self, now_ms: float) -> float:
+        if not self._is_cold:
+            return float(self.capacity)
         if self._ramp_start_ms is None:
             return self.capacity * INITIAL_SHARE
         elapsed_ms = now_ms - self._ramp_start_ms
-        if elapsed_ms >= self._settings.slow_start_ms:
+        if elapsed_ms >= self._ramp_ms:
             self._is_cold = False
             return float(self.capacity)
-        progress = elapsed_ms / self._settings.slow_start_ms
+        progress = elapsed_ms / self._ramp_ms
         return self.capacity * (
             INITIAL_SHARE + (1.0 - INITIAL_SHARE) * progress
         )
--- a/src/celeryfield/internal/dispatch/permits.py
+++ b/src/celeryfield/internal/dispatch/permits.py
@@ -63,6 +63,8 @@
 
     Attributes:
         reason: Why the call was rejected.
+        wait_ms: Time that it waited, or would have had to wait, for a slot.
     """
 
     reason: Reason
+    wait_ms: float = 0.0
--- a/src/celeryfield/internal/registry/local_upstream.py
+++ b/src/celeryfield/internal/registry/local_upstream.py
@@ -95,6 +95,9 @@
                 return False
         elif _has_changed(before, self._tracker):
             self._publish_state("report")
+        elif self._tracker.state == tracking.READY:
+            # It may tell how much longer it is cold.
+            self.apply()
         if self._tracker.state == tracking.DRAINING:
             await self._wait_until_stored()
         return True
--- a/src/celeryfield/internal/routing/balancer.py
+++ b/src/celeryfield/internal/routing/balancer.py
@@ -82,6 +82,10 @@
         The state of a candidate is kept if its node id and incarnation are
         unchanged. Candidates that are added to a service later are cold and go
         through a slow start.
+
+        A sender that has just started itself may have read records that other
+        nodes, restarted at the same time, are about to replace. All of them
+        are equally cold, so the first restarts that it learns do not count.
         """
         if not candidates:
             self._services_by_name.pop(service, None)
@@ -90,7 +94,9 @@
         is_first = entry is None
         if entry is None:
             outliers = OutlierDetector(self._settings.routing, self._clock)
-            entry = ServiceState(outliers, self._settings.node.zone)
+            entry = ServiceState(
+                outliers, self._settings.node.zone, self._clock.now_ms()
+            )
             self._services_by_name[service] = entry
         cold_since_ms = None if is_first else self._clock.now_ms()
         states_by_id = {
@@ -114,6 +120,8 @@
             state is not None
             and state.candidate.incarnation == candidate.incarnation
         )
+        if state is not None and self._is_young(entry):
+            cold_since_ms = None
         if not is_known:
             return CandidateState(
                 candidate,
@@ -129,6 +137,11 @@
         state.candidate = candidate
         return state
 
+    def _is_young(self, entry: ServiceState) -> bool:
+        """Returns whether the sender learned of a service only recently."""
+        age_ms = self._clock.now_ms() - entry.known_since_ms
+        return age_ms < self._settings.dispatch.slow_start_ms
+
     def pick(
         self, service: str, excluded_ids: frozenset[str]
     ) -> Result[Candidate, RoutingError]:
--- a/src/celeryfield/internal/routing/candidates.py
+++ b/src/celeryfield/internal/routing/candidates.py
@@ -106,6 +106,7 @@
     """Candidates of one service, with means over all of them.
 
     Attributes:
+        known_since_ms: Monotonic time at which the sender learned of it.
         states_by_id: Candidates by node id.
         zone: Zone of this node.
         local: Candidates in that zone.
@@ -117,8 +118,14 @@
         next_index: Position of the round robin of the baseline policy.
     """
 
-    def __init__(self, outliers: OutlierDetector, zone: str) -> None:
+    def __init__(
+        self,
+        outliers: OutlierDetector,
+        zone: str,
+        known_since_ms: float = 0.0,
+    ) -> None:
         self.zone = zone
+        self.known_since_ms = known_since_ms
         self.states_by_id: dict[str, CandidateState] = {}
         self.local: list[CandidateState] = []
         self.remote: list[CandidateState] = []
--- a/src/celeryfield/internal/routing/chains.py
+++ b/src/celeryfield/internal/routing/chains.py
@@ -7,7 +7,12 @@
 
 import xxhash
 
-from celeryfield.internal.calls import OVERLOAD_REASONS, CallResult, Outcome
+from celeryfield.internal.calls import (
+    OVERLOAD_REASONS,
+    CallResult,
+    Outcome,
+    Reason,
+)
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.routing.attempts import copy_call
 from celeryfield.internal.routing.levels import USE_TTL_MS, LevelTable
@@ -176,7 +181,7 @@
         if result.outcome is Outcome.OK:
             return
         chain.failed_deeper = True
-        if result.reason in OVERLOAD_REASONS or result.refused_deeper:
+        if _was_refused_under_load(result):
             chain.refused_calls += 1
 
     def _record_use(self, parent: wire.Call, sub_call: wire.Call) -> None:
@@ -232,6 +237,18 @@
             heapq.heapify(self._expiries)
 
 
+def _was_refused_under_load(result: CallResult) -> bool:
+    """Returns whether fewer chains would have helped a failed sub-call.
+
+    A call that had too little time left although it needed no slot does not
+    show load: the chain was slow, as on an upstream that has just started.
+    """
+    is_late = result.reason is Reason.DEADLINE
+    if is_late and result.outcome is Outcome.NOT_RUN:
+        return result.refused_deeper or result.queued_ms > 0.0
+    return result.refused_deeper or result.reason in OVERLOAD_REASONS
+
+
 def trace_id(root_id: str) -> str:
     """Returns the trace id of a root call.
 
--- a/src/celeryfield/internal/upstream/tracker.py
+++ b/src/celeryfield/internal/upstream/tracker.py
@@ -25,7 +25,8 @@
         address: ``host:port`` of its HTTP listener.
         slots: Largest number of calls that it runs concurrently.
         state: ready or draining.
-        cold_ms: Remaining time of its slow phase after the start, in ms.
+        cold_ms: Remaining time of its slow phase after the start, in ms; None
+            if it is unknown.
     """
 
     upstream_id: str
@@ -35,7 +36,7 @@
     address: str
     slots: int
     state: str
-    cold_ms: float = 0.0
+    cold_ms: float | None = None
 
     @property
     def boot(self) -> tuple[str, int]:
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -362,7 +362,7 @@
             connections = service.max_connections
         self.upstream.set_upstream(report.address, report.upstream_id)
         self.admission.apply_announcement(
-            report.slots, connections, state, report.service
+            report.slots, connections, state, report.service, report.cold_ms
         )
 
     @Service.task
--- a/src/celeryfield/platform/reports.py
+++ b/src/celeryfield/platform/reports.py
@@ -64,6 +64,11 @@
         alias="born", default=0, ge=0, le=records.MAX_TIME_MS
     )
 
+    @property
+    def known_cold_ms(self) -> float | None:
+        """Remaining cold time in ms; None if the report does not tell."""
+        return self.cold_ms if "cold_ms" in self.model_fields_set else None
+
 
 class ReportListener(HttpListener):
     """Receives status reports of the upstream.
@@ -130,7 +135,7 @@
             address=content.address,
             slots=content.slots,
             state=content.state,
-            cold_ms=content.cold_ms,
+            cold_ms=content.known_cold_ms,
         )
 
 
--- a/tests/cover/test_dispatch_admission.py
+++ b/tests/cover/test_dispatch_admission.py
@@ -7,7 +7,7 @@
 from celeryfield.internal.calls import Reason
 from celeryfield.internal.clock import ManualClock
 from celeryfield.internal.dispatch.admission import AdmissionController
-from celeryfield.internal.dispatch.permits import EndKind, RunEnd
+from celeryfield.internal.dispatch.permits import EndKind, Rejection, RunEnd
 from celeryfield.internal.dispatch.suspects import SuspectEntry, Verdict
 from celeryfield.internal.schema import settings, wire
 
@@ -165,6 +165,25 @@
     controller.release(running.result().ok, OK)
 
 
+async def test_rejection_for_time_tells_how_long_the_call_would_wait():
+    """Guards against slow upstreams that look like full ones."""
+    controller, clock = make_controller()
+    for _ in range(5):
+        task = await start(controller, make_call())
+        controller.release(task.result().ok, RunEnd(200.0))
+    idle = await start(controller, make_call(deadline_ms=100.0))
+    assert idle.result().error == Rejection(Reason.DEADLINE, 0.0)
+    running = await start(controller, make_call())
+    waiting = await start(controller, make_call(deadline_ms=450.0))
+    full = await start(controller, make_call(deadline_ms=300.0))
+    assert full.result().error.reason is Reason.DEADLINE
+    assert full.result().error.wait_ms > 0.0
+    clock.advance(260.0)
+    await settle()
+    assert waiting.result().error == Rejection(Reason.DEADLINE, 260.0)
+    controller.release(running.result().ok, OK)
+
+
 async def test_outdated_service_times_do_not_reject_calls():
     """Guards against a class that is rejected forever after one slow run."""
     controller, clock = make_controller()
--- a/tests/cover/test_dispatch_chain_limits.py
+++ b/tests/cover/test_dispatch_chain_limits.py
@@ -3,8 +3,9 @@
 import asyncio
 
 import pytest
+from routing_fakes import make_settings
 
-from celeryfield.internal.calls import Reason
+from celeryfield.internal.calls import Reason, not_run_result
 from celeryfield.internal.clock import ManualClock
 from celeryfield.internal.dispatch.chain_limits import (
     FIRST_LIMIT,
@@ -12,6 +13,8 @@
     ChainLimits,
     ChainStats,
 )
+from celeryfield.internal.routing.chains import ChainTable
+from celeryfield.internal.routing.levels import LevelTable
 from celeryfield.internal.schema import wire
 
 TIME_LIMIT_MS = 1_000.0
@@ -94,6 +97,36 @@
     assert after < before
 
 
+@pytest.mark.parametrize(
+    ("queued_ms", "reason", "is_refused"),
+    [
+        (0.0, Reason.DEADLINE, False),
+        (1.0, Reason.DEADLINE, True),
+        (0.0, Reason.OVERLOAD, True),
+        (0.0, Reason.BUSY, True),
+    ],
+)
+def test_chain_that_is_only_slow_is_no_sign_of_load(
+    queued_ms, reason, is_refused
+):
+    """Guards against limits that stay at their minimum after a cold start.
+
+    All chains are slow then, and the last sub-calls have too little time left
+    although slots are free.
+    """
+    clock = ManualClock()
+    table = LevelTable(make_settings(), clock)
+    chains = ChainTable(clock, table)
+    span_id = chains.open(make_call())
+    chain = chains.chain_for_span(span_id)
+    sub_call = chains.begin_sub_call(chain, make_call("deeper"))
+    result = not_run_result(reason)
+    result.queued_ms = queued_ms
+    chains.end_sub_call(chain, sub_call, result)
+    assert chain.failed_deeper
+    assert chain.refused_calls == is_refused
+
+
 async def test_limit_of_one_class_does_not_affect_another():
     """Guards against a limit that one overloaded class imposes on others."""
     clock = ManualClock()
--- a/tests/cover/test_platform_node.py
+++ b/tests/cover/test_platform_node.py
@@ -313,6 +313,23 @@
         assert (await fleet.request(node))[0] == 200
 
 
+async def test_only_a_cold_upstream_is_ramped_up():
+    """Guards against a slow start whenever only the node's process restarts."""
+    async with running_platform_fleet(1) as fleet:
+        (node,), (upstream,) = fleet.nodes, fleet.upstreams
+        await fleet.report(node, upstream, slots=20)
+        node = await fleet.restart(node)
+        await until(lambda: node.upstream_tracker.report is not None)
+        limit = node.admission.load_report().limit
+        await fleet.report(node, upstream, slots=20, coldRemainingMs=0)
+        assert limit < node.admission.load_report().limit == 20
+        node.local_upstream.mark_gone()
+        upstream.sequence = 0
+        fields = {"slots": 20, "born": 2000, "coldRemainingMs": 3000}
+        await fleet.report(node, upstream, **fields)
+        assert node.admission.load_report().limit < 20
+
+
 async def test_node_that_starts_without_the_store_asks_a_neighbour():
     """Guards against nodes that cannot start until the store is back."""
     async with running_platform_fleet(1) as fleet:
--- a/tests/cover/test_routing_balancing.py
+++ b/tests/cover/test_routing_balancing.py
@@ -151,6 +151,28 @@
     assert picked_ids(balancer)["s-0"] == 0
 
 
+def test_restarts_that_a_new_sender_learns_of_leave_the_shares_equal():
+    """Guards against a fleet that restarts and sends to a few nodes only.
+
+    The first listing shows records that other nodes are about to replace.
+    """
+    clock = ManualClock()
+    earlier = make_candidates("s", 4)
+    balancer = make_balancer(earlier, clock)
+    clock.advance(1_000)
+    restarted = [
+        dataclasses.replace(candidate, incarnation=candidate.incarnation + 1)
+        for candidate in earlier[:2]
+    ]
+    balancer.set_candidates("s", [*restarted, *earlier[2:]])
+    counts = picked_ids(balancer)
+    assert min(counts[each.node_id] for each in earlier) > 20
+    clock.advance(10_000)
+    late = dataclasses.replace(earlier[3], incarnation=9)
+    balancer.set_candidates("s", [*restarted, earlier[2], late])
+    assert picked_ids(balancer)["s-3"] == 0
+
+
 def test_skips_draining_and_starting_candidates_while_others_are_ready():
     """Guards against new calls to an upstream that is draining or starting."""
     draining = make_candidates("s", 1, state="draining")
