Retries: sub-calls whose answers are lost are sent again

Cause: a sender retried at most 0.04 of its first attempts, and a chain had one extra attempt in all, so one root call in a burst of lost answers ended with 500 while repeats stayed far below the bound.

The first run of a root call gets one extra attempt for its sub-calls, and a sub-call makes no more attempts than its own route permits.

--- a/src/celeryfield/internal/routes/request_router.py
+++ b/src/celeryfield/internal/routes/request_router.py
@@ -170,7 +170,9 @@
         )
         chain = self._chains.find_request(request.parent_id)
         if chain is not None:
-            call = self._chains.begin_sub_call(chain, call)
+            call = self._chains.begin_sub_call(
+                chain, call, call.retry_allowance
+            )
         if self._metrics is not None:
             self._metrics.record_start(call)
         return RoutedCall(call, chain, request.parent_id, request.age_ms)
--- a/src/celeryfield/internal/routing/chains.py
+++ b/src/celeryfield/internal/routing/chains.py
@@ -23,6 +23,9 @@
 from celeryfield.internal.schema import wire
 
 MAX_CHAINS = 65_536
+# Extra attempts for the sub-calls of a chain. A root call makes several; one
+# lost answer is enough to lose it with all the work that it has cost.
+SUB_CALL_ALLOWANCE = 1
 # Upstreams may finish a call shortly after its deadline.
 EXPIRY_GRACE_MS = 5_000.0
 MAX_CLASSES = 4096
@@ -78,11 +81,22 @@
 
 
 class ChainTable:
-    """Running calls by span id, and the services that each class calls."""
+    """Running calls by span id, and the services that each class calls.
+
+    Args:
+        clock: Time source.
+        levels: Admission levels of the services that are called.
+        sub_call_allowance: Extra attempts for the sub-calls of a whole chain,
+            beside those of its root call. Only the first run of a root call
+            gets them, so they do not multiply with the attempts or the depth.
+    """
 
-    def __init__(self, clock: Clock, levels: LevelTable) -> None:
+    def __init__(
+        self, clock: Clock, levels: LevelTable, sub_call_allowance: int = 0
+    ) -> None:
         self._clock = clock
         self._levels = levels
+        self._sub_call_allowance = sub_call_allowance
         self._chains_by_span: dict[str, Chain] = {}
         self._expiries: list[tuple[float, str]] = []
         self._uses_by_class: dict[
@@ -106,8 +120,11 @@
         if not span_id or span_id in self._chains_by_span:
             span_id = secrets.token_hex(8)
         deadline_ms = now_ms + call.deadline_left_ms
+        allowance = call.retry_allowance
+        if call.depth == 0 and not call.is_repeat:
+            allowance += self._sub_call_allowance
         self._chains_by_span[span_id] = Chain(
-            span_id, call, deadline_ms, call.retry_allowance
+            span_id, call, deadline_ms, allowance
         )
         expiry = (deadline_ms + EXPIRY_GRACE_MS, span_id)
         heapq.heappush(self._expiries, expiry)
@@ -142,17 +159,26 @@
         """Removes a call that ended.
 
         Returns:
-            Its unused allowance. The allowance of sub-calls that are still
-            running is lost.
+            Its unused allowance, at most what the call brought. The allowance
+            of sub-calls that are still running is lost.
         """
         chain = self._chains_by_span.pop(span_id, None)
         if chain is None:
             return 0
         chain.is_open = False
-        return chain.allowance
-
-    def begin_sub_call(self, chain: Chain, call: wire.Call) -> wire.Call:
-        """Returns a copy of a call that is a sub-call in a chain."""
+        return returned_allowance(chain.allowance, chain.call.retry_allowance)
+
+    def begin_sub_call(
+        self, chain: Chain, call: wire.Call, max_allowance: int | None = None
+    ) -> wire.Call:
+        """Returns a copy of a call that is a sub-call in a chain.
+
+        Args:
+            chain: The chain, from which the call draws its allowance.
+            call: The call.
+            max_allowance: Largest number of extra attempts that the route of
+                the call permits; None if it has no bound of its own.
+        """
         parent = chain.call
         sub_call = copy_call(call)
         sub_call.root_id = parent.root_id
@@ -160,9 +186,10 @@
         sub_call.priority = parent.priority
         sub_call.depth = parent.depth + 1
         sub_call.is_repeat = parent.is_repeat
-        sub_call.retry_allowance = (
-            chain.draw_allowance() if chain.is_open else 0
-        )
+        drawn = chain.draw_allowance() if chain.is_open else 0
+        permitted = drawn if max_allowance is None else max_allowance
+        sub_call.retry_allowance = min(drawn, permitted)
+        chain.return_allowance(drawn - sub_call.retry_allowance)
         left_ms = max(chain.deadline_ms - self._clock.now_ms(), 0.0)
         sub_call.deadline_left_ms = min(call.deadline_left_ms, left_ms)
         chain.sub_calls += 1
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -29,7 +29,10 @@
 from celeryfield.internal.routes.manager import RouteManager
 from celeryfield.internal.routes.request_router import RequestRouter
 from celeryfield.internal.routing.balancer import Balancer
-from celeryfield.internal.routing.chains import ChainTable
+from celeryfield.internal.routing.chains import (
+    SUB_CALL_ALLOWANCE,
+    ChainTable,
+)
 from celeryfield.internal.routing.executor import CallExecutor
 from celeryfield.internal.routing.levels import LevelTable
 from celeryfield.internal.schema import wire
@@ -110,7 +113,7 @@
         self.request_bodies = BodyBudget(self.settings.request_bytes)
         self.routes = RouteManager()
         self.levels = LevelTable(settings, clock)
-        self.chains = ChainTable(clock, self.levels)
+        self.chains = ChainTable(clock, self.levels, SUB_CALL_ALLOWANCE)
         self.balancer = Balancer(settings, clock)
         self.catalog = Catalog(settings.node.id, self.balancer, clock)
         self.admission = AdmissionController(settings, clock)
