--- a/src/celeryfield/internal/dispatch/chain_limits.py
+++ b/src/celeryfield/internal/dispatch/chain_limits.py
@@ -56,6 +56,8 @@
         sub_call_wait_ms: Total time that its sub-calls waited for slots.
         sub_calls: Number of its sub-calls.
         refused_calls: Number of sub-calls that were refused under overload.
+        late_calls: Number of sub-calls that had too little time left although
+            they needed no slot.
     """
 
     time_limit_ms: float = 0.0
@@ -64,6 +66,7 @@
     sub_call_wait_ms: float = 0.0
     sub_calls: int = 0
     refused_calls: int = 0
+    late_calls: int = 0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -241,6 +244,10 @@
         change_ms = stats.time_limit_ms - entry.time_limit_ms
         entry.time_limit_ms += weight * change_ms
         sub_call_wait_ms = stats.sub_call_wait_ms
+        if stats.late_calls and not stats.refused_calls:
+            # The chain ended early, and not for load: it shows neither how long
+            # its work takes nor that there is room for more.
+            return
         if stats.refused_calls:
             # The chain failed. It counts as if its sub-calls had waited for
             # all the time that remained after the work.
--- a/src/celeryfield/internal/dispatch/dispatcher.py
+++ b/src/celeryfield/internal/dispatch/dispatcher.py
@@ -185,6 +185,7 @@
             stats.sub_call_wait_ms = chain.queued_ms
             stats.sub_calls = chain.sub_calls
             stats.refused_calls = chain.refused_calls
+            stats.late_calls = chain.late_calls
         result.unused_allowance = unused
         result.failed_deeper = (
             chain.failed_deeper and result.outcome is not Outcome.OK
--- a/src/celeryfield/internal/routing/chains.py
+++ b/src/celeryfield/internal/routing/chains.py
@@ -51,6 +51,8 @@
         sub_calls: Number of sub-calls.
         refused_calls: Number of sub-calls that were refused under overload,
             by the called service or deeper.
+        late_calls: Number of sub-calls that had too little time left although
+            they needed no slot.
         is_open: Whether the call is still running.
     """
 
@@ -62,6 +64,7 @@
     queued_ms: float = 0.0
     sub_calls: int = 0
     refused_calls: int = 0
+    late_calls: int = 0
     is_open: bool = True
 
     def draw_allowance(self) -> int:
@@ -208,7 +211,9 @@
         if result.outcome is Outcome.OK:
             return
         chain.failed_deeper = True
-        if _was_refused_under_load(result):
+        if _was_only_late(result):
+            chain.late_calls += 1
+        elif result.refused_deeper or result.reason in OVERLOAD_REASONS:
             chain.refused_calls += 1
 
     def _record_use(self, parent: wire.Call, sub_call: wire.Call) -> None:
@@ -264,16 +269,18 @@
             heapq.heapify(self._expiries)
 
 
-def _was_refused_under_load(result: CallResult) -> bool:
-    """Returns whether fewer chains would have helped a failed sub-call.
+def _was_only_late(result: CallResult) -> bool:
+    """Returns whether a sub-call failed although there was room for it.
 
-    A call that had too little time left although it needed no slot does not
-    show load: the chain was slow, as on an upstream that has just started.
+    It had too little time left and needed no slot: the chain was slow, as on an
+    upstream that has just started. Fewer chains would not have helped.
     """
-    is_late = result.reason is Reason.DEADLINE
-    if is_late and result.outcome is Outcome.NOT_RUN:
-        return result.refused_deeper or result.queued_ms > 0.0
-    return result.refused_deeper or result.reason in OVERLOAD_REASONS
+    return (
+        result.reason is Reason.DEADLINE
+        and result.outcome is Outcome.NOT_RUN
+        and not result.refused_deeper
+        and result.queued_ms == 0.0
+    )
 
 
 def trace_id(root_id: str) -> str:
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -65,8 +65,9 @@
 
 DEFAULT_CONNECTIONS = 100
 HOUSEKEEPING_MS = 250.0
-# An upstream that runs beside a new process reports about every 1.5 s.
-FIRST_WRITE_WAIT_MS = 2_000.0
+# An upstream reports about every 1.5 s; one that starts together with the
+# process may take some seconds.
+FIRST_WRITE_WAIT_MS = 4_000.0
 
 
 class PlatformNode(Service):
--- a/tests/cover/test_dispatch_chain_limits.py
+++ b/tests/cover/test_dispatch_chain_limits.py
@@ -1,6 +1,7 @@
 """Tests of the chain limits with a manual clock."""
 
 import asyncio
+import dataclasses
 
 import pytest
 from routing_fakes import make_settings
@@ -125,6 +126,25 @@
     chains.end_sub_call(chain, sub_call, result)
     assert chain.failed_deeper
     assert chain.refused_calls == is_refused
+    assert chain.late_calls == (not is_refused)
+
+
+async def test_slow_chains_neither_lower_nor_raise_the_limit():
+    """Guards against refusals for seconds after a cold start.
+
+    A chain that fails early for lack of time is no proof of room, either.
+    """
+    clock = ManualClock()
+    limits = ChainLimits(clock)
+    await run_rounds(limits, clock, 8, sub_call_wait_ms=0.0, rounds=5)
+    room = limits.headroom("lookup")
+    for _ in range(40):
+        call = make_call()
+        await limits.enter(call)
+        clock.advance(9 * WORK_MS)
+        stats = dataclasses.replace(make_stats(0.0), late_calls=1)
+        limits.leave(call, stats)
+    assert limits.headroom("lookup") == room
 
 
 async def test_limit_of_one_class_does_not_affect_another():
