Merge: calls to the store, cold starts, retries of sub-calls

Change: announcements name boot and cold time by keyword; chains keep both the time of open sub-calls and the count of late ones. Result: tests of dispatch, routing, registry and store pass together.

--- a/src/celeryfield/internal/dispatch/dispatcher.py
+++ b/src/celeryfield/internal/dispatch/dispatcher.py
@@ -135,9 +135,11 @@
     ) -> CallResult:
         granted = await self._admission.acquire(call)
         if granted.is_error():
-            return not_run_result(
+            result = not_run_result(
                 granted.error.reason, unused=call.retry_allowance
             )
+            result.queued_ms = granted.error.wait_ms
+            return result
         permit = granted.ok
         run_end = RunEnd(0.0, EndKind.CANCELLED)
         stats.slot_wait_ms = self._clock.now_ms() - received_ms
@@ -184,6 +186,7 @@
             stats.sub_call_wait_ms = chain.queued_ms
             stats.sub_calls = chain.sub_calls
             stats.refused_calls = chain.refused_calls
+            stats.late_calls = chain.late_calls
         result.unused_allowance = unused
         result.failed_deeper = (
             chain.failed_deeper and result.outcome is not Outcome.OK
--- a/src/celeryfield/internal/registry/local_upstream.py
+++ b/src/celeryfield/internal/registry/local_upstream.py
@@ -95,6 +95,9 @@
                 return False
         elif _has_changed(before, self._tracker):
             self._publish_state("report")
+        elif self._tracker.state == tracking.READY:
+            # It may tell how much longer it is cold.
+            self.apply()
         if self._tracker.state == tracking.DRAINING:
             await self._wait_until_stored()
         return True
@@ -158,7 +161,7 @@
         """Publishes this node's record to the catalog and the store."""
         record = self._build_record()
         self._catalog.set_own(record)
-        self._publisher.publish(record)
+        self._publisher.publish(record, self._tracker.has_reported)
 
     def _find_own_record(
         self, objects: tuple[StoreObject, ...]
--- a/src/celeryfield/platform/node.py
+++ b/src/celeryfield/platform/node.py
@@ -31,7 +31,10 @@
 from celeryfield.internal.routes.manager import RouteManager
 from celeryfield.internal.routes.request_router import RequestRouter
 from celeryfield.internal.routing.balancer import Balancer
-from celeryfield.internal.routing.chains import ChainTable
+from celeryfield.internal.routing.chains import (
+    SUB_CALL_ALLOWANCE,
+    ChainTable,
+)
 from celeryfield.internal.routing.executor import CallExecutor
 from celeryfield.internal.routing.levels import LevelTable
 from celeryfield.internal.schema import wire
@@ -39,6 +42,7 @@
 from celeryfield.internal.store.prefix_watcher import PrefixWatcher
 from celeryfield.internal.store.probe import WatchProbe
 from celeryfield.internal.store.responses import StoreObject
+from celeryfield.internal.store.watch_pace import WatchPace
 from celeryfield.internal.transport import frames
 from celeryfield.internal.transport.frames import Kind
 from celeryfield.internal.transport.pool import PeerPool
@@ -64,6 +68,9 @@
 
 DEFAULT_CONNECTIONS = 100
 HOUSEKEEPING_MS = 250.0
+# An upstream reports about every 1.5 s; one that starts together with the
+# process may take some seconds.
+FIRST_WRITE_WAIT_MS = 4_000.0
 
 
 class PlatformNode(Service):
@@ -114,7 +121,7 @@
         self.request_bodies = BodyBudget(self.settings.request_bytes)
         self.routes = RouteManager()
         self.levels = LevelTable(settings, clock)
-        self.chains = ChainTable(clock, self.levels)
+        self.chains = ChainTable(clock, self.levels, SUB_CALL_ALLOWANCE)
         self.balancer = Balancer(settings, clock)
         self.catalog = Catalog(settings.node.id, self.balancer, clock)
         self.admission = AdmissionController(settings, clock)
@@ -216,7 +223,10 @@
             )
         )
         self.record_publisher = RecordPublisher(
-            self.store, self.clock, lambda: self.catalog.rewrite_spread_ms
+            self.store,
+            self.clock,
+            lambda: self.catalog.rewrite_spread_ms,
+            FIRST_WRITE_WAIT_MS,
         )
         self.local_upstream = LocalUpstream(
             self._own_identity(),
@@ -246,14 +256,17 @@
             self.stored_state.on_config,
             self.stored_state.on_config,
         )
+        record_pace = WatchPace(
+            self.clock, lambda: len(self.catalog.records_by_id)
+        )
         self.record_watcher = PrefixWatcher(
             self.store,
             self.clock,
             records.PREFIX,
             self.stored_state.on_records,
             self.stored_state.on_record_changes,
-            lambda: self.catalog.watch_delay_ms,
-            lambda: self.catalog.watch_delay_ms,
+            record_pace.next_delay_ms,
+            lambda: record_pace.rest_delay_ms,
         )
         self.watch_probe = WatchProbe(
             self.store, self.clock, (self.config_watcher, self.record_watcher)
@@ -389,7 +402,12 @@
             connections = service.max_connections
         self.upstream.set_upstream(report.address, report.upstream_id)
         self.admission.apply_announcement(
-            report.slots, connections, state, report.service, report.boot
+            report.slots,
+            connections,
+            state,
+            report.service,
+            boot=report.boot,
+            cold_ms=report.cold_ms,
         )
 
     @Service.task
--- a/tests/cover/test_dispatch_chain_limits.py
+++ b/tests/cover/test_dispatch_chain_limits.py
@@ -1,10 +1,12 @@
 """Tests of the chain limits with a manual clock."""
 
 import asyncio
+import dataclasses
 
 import pytest
+from routing_fakes import make_settings
 
-from celeryfield.internal.calls import Reason
+from celeryfield.internal.calls import Reason, not_run_result
 from celeryfield.internal.clock import ManualClock
 from celeryfield.internal.dispatch.chain_limits import (
     FIRST_LIMIT,
@@ -12,6 +14,8 @@
     ChainLimits,
     ChainStats,
 )
+from celeryfield.internal.routing.chains import ChainTable
+from celeryfield.internal.routing.levels import LevelTable
 from celeryfield.internal.schema import wire
 
 TIME_LIMIT_MS = 1_000.0
@@ -94,6 +98,55 @@
     assert after < before
 
 
+@pytest.mark.parametrize(
+    ("queued_ms", "reason", "is_refused"),
+    [
+        (0.0, Reason.DEADLINE, False),
+        (1.0, Reason.DEADLINE, True),
+        (0.0, Reason.OVERLOAD, True),
+        (0.0, Reason.BUSY, True),
+    ],
+)
+def test_chain_that_is_only_slow_is_no_sign_of_load(
+    queued_ms, reason, is_refused
+):
+    """Guards against limits that stay at their minimum after a cold start.
+
+    All chains are slow then, and the last sub-calls have too little time left
+    although slots are free.
+    """
+    clock = ManualClock()
+    table = LevelTable(make_settings(), clock)
+    chains = ChainTable(clock, table)
+    span_id = chains.open(make_call())
+    chain = chains.chain_for_span(span_id)
+    sub_call = chains.begin_sub_call(chain, make_call("deeper"))
+    result = not_run_result(reason)
+    result.queued_ms = queued_ms
+    chains.end_sub_call(chain, sub_call, result)
+    assert chain.failed_deeper
+    assert chain.refused_calls == is_refused
+    assert chain.late_calls == (not is_refused)
+
+
+async def test_slow_chains_neither_lower_nor_raise_the_limit():
+    """Guards against refusals for seconds after a cold start.
+
+    A chain that fails early for lack of time is no proof of room, either.
+    """
+    clock = ManualClock()
+    limits = ChainLimits(clock)
+    await run_rounds(limits, clock, 8, sub_call_wait_ms=0.0, rounds=5)
+    room = limits.headroom("lookup")
+    for _ in range(40):
+        call = make_call()
+        await limits.enter(call)
+        clock.advance(9 * WORK_MS)
+        stats = dataclasses.replace(make_stats(0.0), late_calls=1)
+        limits.leave(call, stats)
+    assert limits.headroom("lookup") == room
+
+
 async def test_limit_of_one_class_does_not_affect_another():
     """Guards against a limit that one overloaded class imposes on others."""
     clock = ManualClock()
