Ingress: decoding of requests and admission during a stop in their own modules

Change: platform/requests.py decodes, platform/stop_admission.py decides during a stop; no behaviour changes. Result: tests of keys, limits, stops, drains and uploads pass.

--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import logging
-import math
 
 from aiohttp import web
 from mode import Service
@@ -19,7 +18,7 @@
     unknown_result,
 )
 from celeryfield.internal.clock import Clock
-from celeryfield.internal.routes.caller_gate import CallerClaim, CallerGate
+from celeryfield.internal.routes.caller_gate import CallerGate
 from celeryfield.internal.routes.request_router import (
     DEFAULT_DEADLINE_MS,
     IncomingRequest,
@@ -28,22 +27,14 @@
 )
 from celeryfield.internal.routes.table import CallerLimits, Route
 from celeryfield.internal.routes.workspaces import Workspace
-from celeryfield.platform import headers, responses
+from celeryfield.platform import requests, responses
 from celeryfield.platform.connections import IDLE_CHECK_MS, CallerConnections
 from celeryfield.platform.settings import PlatformSettings
+from celeryfield.platform.stop_admission import StopAdmission
 from celeryfield.platform.stop_times import plan_stop
 
 logger = logging.getLogger(__name__)
 
-# Most requests in flight end within this time after new ones are refused.
-EXPECTED_DRAIN_MS = 1_000.0
-# Typical time from the end of a process until its successor serves.
-EXPECTED_RESTART_S = 1.0
-# Sub-calls are refused during this time before the process ends. Their time
-# limits end a little before it, so later ones would have less time than most
-# requests take.
-SUB_CALL_MARGIN_MS = 1_000.0
-
 # The answer to a request whose body is not read.
 _BODY_REFUSALS = {
     BodyError.TOO_LARGE: lambda: not_run_result(Reason.TOO_LARGE, 413),
@@ -98,9 +89,7 @@
         super().__init__()
         self.is_open = False
         self._running: set[_RunningRequest] = set()
-        self._refuse_from_ms = math.inf
-        self._refuse_sub_calls_from_ms = math.inf
-        self._end_ms = math.inf
+        self._stop_admission = StopAdmission(clock)
         self._is_ending = False
         self._settings = settings
         self._clock = clock
@@ -164,9 +153,7 @@
         Args:
             end_ms: Latest time at which the process ends.
         """
-        self._refuse_from_ms = self._clock.now_ms()
-        self._refuse_sub_calls_from_ms = end_ms - SUB_CALL_MARGIN_MS
-        self._end_ms = end_ms
+        self._stop_admission.begin(end_ms)
 
     def abort_requests(self, drain_started_ms: float) -> None:
         """Cancels the running requests and answers all that were received.
@@ -225,7 +212,7 @@
     async def _serve(
         self, request: web.BaseRequest, received_ms: float
     ) -> web.Response:
-        request_id = request.headers.get(headers.REQUEST_ID, "")
+        request_id = requests.read_id(request)
         running = _RunningRequest(
             request_id, received_ms, asyncio.current_task()
         )
@@ -258,11 +245,7 @@
             return not_run_result(Reason.NO_ROUTE, status)
         if self._is_ending:
             return self._refuse(request, running, route)
-        claim = CallerClaim(
-            running.request_id,
-            _parent_id(running.request_id),
-            headers.read_key(request.headers),
-        )
+        claim = requests.read_claim(request)
         checked = await self._gate.check(route, claim)
         if checked.is_error():
             return responses.refusal_result(checked.error)
@@ -311,12 +294,12 @@
         self, request: web.BaseRequest, running: _RunningRequest, route: Route
     ) -> CallResult:
         """Refuses a request without reading its body."""
-        incoming = self._make_incoming_request(request, running, None)
+        incoming = self._read_incoming(request, running, None)
         call = self._router.accept(route, incoming, b"")
         return self._refuse_call(call)
 
     def _refuse_call(self, call: RoutedCall) -> CallResult:
-        retry_after_s = self._retry_after_s()
+        retry_after_s = self._stop_admission.retry_after_s()
         return self._router.refuse(call, Reason.DRAINING, retry_after_s)
 
     async def _accept_and_run(
@@ -327,26 +310,13 @@
         workspace: Workspace | None,
         body: bytes,
     ) -> CallResult:
-        incoming = self._make_incoming_request(request, running, workspace)
+        incoming = self._read_incoming(request, running, workspace)
         call = self._router.accept(route, incoming, body)
         running.call = call
-        if not self._admits(call):
+        if not self._stop_admission.admits(call.chain is not None):
             return self._refuse_call(call)
         return await self._run(call, running.request_id, body)
 
-    def _admits(self, call: RoutedCall) -> bool:
-        """Returns whether a call may still start during a shutdown."""
-        refuse_from_ms = self._refuse_from_ms
-        if call.chain is not None:
-            refuse_from_ms = self._refuse_sub_calls_from_ms
-        return self._clock.now_ms() < refuse_from_ms
-
-    def _retry_after_s(self) -> float:
-        """Returns the expected time until the node serves again, in seconds."""
-        left_ms = self._end_ms - self._clock.now_ms()
-        drain_ms = min(max(left_ms, 0.0), EXPECTED_DRAIN_MS)
-        return drain_ms / 1000.0 + EXPECTED_RESTART_S
-
     async def _run(
         self, call: RoutedCall, request_id: str, body: bytes
     ) -> CallResult:
@@ -356,35 +326,16 @@
             logger.exception("call failed", extra={"id": request_id})
             return unknown_result(Reason.INTERNAL, 502)
 
-    def _make_incoming_request(
+    def _read_incoming(
         self,
         request: web.BaseRequest,
         running: _RunningRequest,
         workspace: Workspace | None,
     ) -> IncomingRequest:
-        deadline = request.headers.get(headers.DEADLINE, "")
-        is_number = deadline.isascii() and deadline.isdecimal()
-        caller = self._settings.service
-        named_workspace = None
-        if self._router.has_workspaces:
-            named_workspace = workspace.name if workspace else ""
-        return IncomingRequest(
-            request_id=running.request_id,
-            parent_id=_parent_id(running.request_id),
-            caller=caller,
-            method=request.method,
-            path=request.raw_path,
-            headers=tuple(
-                headers.forward_request_headers(
-                    request.headers, caller, named_workspace
-                )
-            ),
-            deadline_ms=float(deadline) if is_number else None,
-            age_ms=self._clock.now_ms() - running.received_ms,
-            workspace=workspace,
+        return requests.read_incoming(
+            request,
+            self._settings.service,
+            workspace,
+            self._router.has_workspaces,
+            self._clock.now_ms() - running.received_ms,
         )
-
-
-def _parent_id(request_id: str) -> str:
-    """Returns the id of the parent; ids of sub-calls are PARENT.SUFFIX."""
-    return request_id.rpartition(".")[0]
