Limits: the state machine takes slices over under full load

Cause: copies of the code without a takeover time passed the first version of the state machine: its load stayed below the bound's tolerance. Change: two nodes share the slices, ask all owners each time, and one joins while the other is lost; a test shows that a takeover without delay is seen.

--- a/tests/cover/test_rate_limit_machine.py
+++ b/tests/cover/test_rate_limit_machine.py
@@ -3,22 +3,29 @@
 import random
 
 import hypothesis.strategies as st
+import pytest
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
-from rate_limit_fleet import LimitNode, limited, zones_of
+from rate_limit_fleet import LimitNode, limited
 
 from celeryfield.internal.clock import ManualClock
+from celeryfield.internal.limits import owner
+from celeryfield.internal.limits.asker import Ask
+from celeryfield.internal.limits.ownership import SliceKey
 from celeryfield.internal.limits.service import MIN_OWNER_AGE_MS
-from celeryfield.internal.limits.slices import WINDOW_MS, bound
+from celeryfield.internal.limits.slices import LIMIT_SLICES, WINDOW_MS, bound
 from celeryfield.internal.registry.removal import MIN_ABSENCE_MS
 
-NODE_COUNT = 4
+# Two nodes share the slices, so a slice that both grant is soon seen.
+NODE_COUNT = 2
+JOINER = "n1"
 NAME = "north"
 NODE_IDS = st.sampled_from([f"n{number}" for number in range(NODE_COUNT)])
 LIMITS = st.sampled_from([(5.0, 0.0), (40.0, 20.0), (400.0, 100.0)])
 # Records reach a node in contact within this time, faults included.
 LAG_MS = 2_000.0
-STEP_MS = 250.0
+STEP_MS = 200.0
+MANY_TOKENS = 50
 
 
 class RateLimitMachine(RuleBasedStateMachine):
@@ -28,9 +35,14 @@
     contact sees them after a lag; one that is cut off or frozen does not.
     """
 
-    @initialize(seed=st.integers(0, 1_000), limit=LIMITS)
-    def start(self, seed, limit):
+    @initialize(
+        seed=st.integers(0, 1_000),
+        limit=LIMITS,
+        late_share=st.sampled_from([0.0, 0.5, 1.0]),
+    )
+    def start(self, seed, limit, late_share):
         self.rng = random.Random(seed)
+        self.late_share = late_share
         self.clock = ManualClock()
         # With the time from which each is in force.
         self.limits = [(float("-inf"), limited(*limit))]
@@ -38,8 +50,8 @@
         self.cut_ids = set()
         self.turned_away_ids = set()
         self.frozen_ids = set()
-        self.dead_ids = {"n3"}
-        self.record_ids = {"n0", "n1", "n2"}
+        self.dead_ids = {JOINER}
+        self.record_ids = {"n0"}
         self.pending = []
         self.served_ms = []
         self.nodes = {
@@ -78,7 +90,7 @@
         node, now_ms = self.nodes[node_id], self.clock.now_ms()
         if self.has_store(node_id):
             node.contact_ms = now_ms - self.rng.uniform(0, 200)
-            is_late = self.rng.random() < 0.5
+            is_late = self.rng.random() < self.late_share
             if not is_late or now_ms - node.seen_ms > LAG_MS:
                 self.see_records(node, now_ms)
         node.owner.check_contact()
@@ -89,7 +101,8 @@
             node.stored_ms = now_ms
             self.record_ids.add(node.id)
         node.seen_ms = now_ms
-        node.owners.set_nodes(zones_of(self.record_ids), now_ms, resumes)
+        zones_by_id = dict.fromkeys(self.record_ids, "z")
+        node.owners.set_nodes(zones_by_id, now_ms, resumes)
         node.may_resume = False
 
     @rule(duration_ms=st.sampled_from([50, 400, 1_500, 6_000, 20_000]))
@@ -97,11 +110,14 @@
         self.pass_time(float(duration_ms))
 
     @rule(
-        node_ids=st.lists(NODE_IDS, min_size=1, max_size=4, unique=True),
+        node_ids=st.lists(NODE_IDS, min_size=1, max_size=2, unique=True),
         count=st.integers(1, 300),
         rounds=st.integers(1, 40),
         loses=st.booleans(),
     )
+    def load(self, node_ids, count, rounds, loses):
+        self.send_requests(node_ids, count, rounds, loses)
+
     def send_requests(self, node_ids, count, rounds, loses):
         for _ in range(rounds):
             for node_id in node_ids:
@@ -111,12 +127,17 @@
         self.check()
 
     def send(self, node_id, count, loses):
-        """Sends requests to a node; some are answered too late or never."""
+        """Sends requests to a node; some answers come too late or never.
+
+        The node asks all owners each time, whatever it was told before.
+        """
         asker = self.nodes[node_id].askers[NAME]
+        for index in range(LIMIT_SLICES):
+            self.ask(node_id, asker, SliceKey(NAME, index), loses)
+        now_ms = self.clock.now_ms()
         for _ in range(count):
-            now_ms = self.clock.now_ms()
             asker.record_demand(now_ms)
-            lease = asker.spend(now_ms) or self.ask(node_id, asker, loses)
+            lease = asker.spend(now_ms)
             if lease is None and not asker.spend_allowance(now_ms):
                 return
             if lease is not None and self.rng.random() < 0.1:
@@ -124,30 +145,24 @@
                 continue
             self.served_ms.append(now_ms)
 
-    def ask(self, node_id, asker, loses):
-        for _ in range(3):
-            now_ms = self.clock.now_ms()
-            ask = asker.next_ask(now_ms, 1)
-            if ask is None:
-                return None
-            is_reached = self.is_running(ask.owner_id) and (
-                ask.owner_id == node_id
-                or not {node_id, ask.owner_id} & self.cut_ids
-            )
-            if not is_reached:
-                asker.record_silence(ask, now_ms)
-                continue
-            has_contact = self.nodes[node_id].owner.check_contact()
-            grant = self.nodes[ask.owner_id].grant(ask, has_contact)
-            if loses and self.rng.random() < 0.3:
-                asker.record_silence(ask, now_ms)
-                self.pending.append((asker, ask, grant))
-                continue
+    def ask(self, node_id, asker, key, loses):
+        now_ms = self.clock.now_ms()
+        owner_id = self.nodes[node_id].owners.owner_id(key)
+        if owner_id is None:
+            return
+        ask = Ask(key, owner_id, MANY_TOKENS, now_ms)
+        is_reached = owner_id == node_id or not (
+            {node_id, owner_id} & self.cut_ids
+        )
+        if not is_reached or not self.is_running(owner_id):
+            asker.record_silence(ask, now_ms)
+            return
+        has_contact = self.nodes[node_id].owner.check_contact()
+        grant = self.nodes[owner_id].grant(ask, has_contact)
+        if loses and self.rng.random() < 0.3:
+            self.pending.append((asker, ask, grant))
+        else:
             asker.record_grant(ask, grant, now_ms)
-            lease = asker.spend(now_ms)
-            if lease is not None:
-                return lease
-        return None
 
     @rule()
     def late_answers_arrive(self):
@@ -184,6 +199,35 @@
             node_id, age_ms > MIN_OWNER_AGE_MS
         )
 
+    @rule(
+        lost_ids=st.lists(NODE_IDS, min_size=1, max_size=2, unique=True),
+        fault=st.sampled_from(["cut", "turned away", "frozen"]),
+        before_ms=st.sampled_from([0.0, 2_000.0, 20_000.0]),
+        after_ms=st.sampled_from([0.0, 2_000.0, 4_000.0, 20_000.0]),
+    )
+    def join_while_owners_are_lost(self, lost_ids, fault, before_ms, after_ms):
+        """A new node joins under full load; the lost owners return later."""
+        faulty_ids = {
+            "cut": self.cut_ids,
+            "turned away": self.turned_away_ids,
+            "frozen": self.frozen_ids,
+        }[fault]
+        self.record_ids.discard(JOINER)
+        self.dead_ids.add(JOINER)
+        self.pass_time(4_000.0)
+        faulty_ids.update(lost_ids)
+        self.pass_time(before_ms)
+        self.nodes[JOINER] = self.new_process(JOINER)
+        self.dead_ids.discard(JOINER)
+        self.send_at_all_nodes(after_ms)
+        faulty_ids.difference_update(lost_ids)
+        self.send_at_all_nodes(5_000.0)
+
+    def send_at_all_nodes(self, duration_ms):
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            self.send_requests(sorted(self.nodes), 200, 1, False)
+
     @rule(node_id=NODE_IDS)
     def remove_lost(self, node_id):
         """Removes the record of a node that stays away for long."""
@@ -235,3 +279,22 @@
     max_examples=60, stateful_step_count=30, deadline=None, derandomize=True
 )
 TestRateLimitMachine = RateLimitMachine.TestCase
+
+
+def run_takeover():
+    machine = RateLimitMachine()
+    machine.start(1, (400.0, 100.0), 1.0)
+    machine.clock.advance(WINDOW_MS)
+    machine.join_while_owners_are_lost(["n0"], "cut", 0.0, 4_000.0)
+    machine.check()
+
+
+def test_takeover_under_full_load_keeps_the_bound():
+    run_takeover()
+
+
+def test_machine_sees_a_takeover_that_comes_too_early(monkeypatch):
+    """Guards against a machine whose load would never exceed a bound."""
+    monkeypatch.setattr(owner, "TAKEOVER_MS", 0.0)
+    with pytest.raises(AssertionError):
+        run_takeover()
