Dispatch: decisions about arriving calls in a module of their own

Change: dispatch/arrivals.py decides whether a call starts, waits or is rejected; no behaviour changes.

--- a/src/celeryfield/internal/dispatch/admission.py
+++ b/src/celeryfield/internal/dispatch/admission.py
@@ -7,6 +7,7 @@
 
 from celeryfield.internal.calls import Reason
 from celeryfield.internal.clock import Clock
+from celeryfield.internal.dispatch.arrivals import Arrivals
 from celeryfield.internal.dispatch.bands import Waiter
 from celeryfield.internal.dispatch.capacity import LearnedCapacity
 from celeryfield.internal.dispatch.control import LoadControl
@@ -34,11 +35,6 @@
 # Interval at which the queue is checked while calls wait. It bounds the delay
 # until expired calls are rejected and a raised limit takes effect.
 QUEUE_CHECK_INTERVAL_MS = 5.0
-# A call that may be redirected is rejected as busy if its expected wait exceeds
-# this share of its expected service time, or the minimum below if that is
-# longer. The minimum is well above the cost of a redirect, about 2 ms.
-REDIRECT_WAIT_SHARE = 0.3
-REDIRECT_MIN_WAIT_MS = 8.0
 
 
 class AdmissionController:
@@ -69,6 +65,9 @@
         self._limit = self._control.limit
         self._times = self._control.times
         self._isolated_runs = IsolatedRuns()
+        self._arrivals = Arrivals(
+            self._control, self._slots, self._queue, self._isolated_runs
+        )
         self._queue_check_task: asyncio.Task[None] | None = None
         self._idle = asyncio.Event()
         self._idle.set()
@@ -152,12 +151,14 @@
         if self._admits_all:
             return Ok(self._grant(call, now_ms))
         self._control.adjust_if_due(now_ms)
-        limit = self._limit_for(call, now_ms)
+        limit = self._arrivals.limit_for(call, now_ms)
         verdict = self.suspects.verdict(call.fingerprint, now_ms)
-        can_start = verdict is Verdict.CLEAR and self._can_start(call, limit)
+        can_start = verdict is Verdict.CLEAR and self._arrivals.can_start(
+            call, limit
+        )
         if self._slots.count >= limit:
             self._control.record_full()
-        rejection = self._early_rejection(
+        rejection = self._arrivals.early_rejection(
             call, verdict, can_start, limit, now_ms
         )
         if rejection is not None:
@@ -239,63 +240,6 @@
         elif state == READY and previous == STARTING:
             self._limit.start_ramp(now_ms)
 
-    def _early_rejection(
-        self,
-        call: wire.Call,
-        verdict: Verdict,
-        can_start: bool,
-        limit: int,
-        now_ms: float,
-    ) -> Rejection | None:
-        """Returns why a call is rejected before it is queued, else None."""
-        if verdict is Verdict.REFUSE:
-            return Rejection(Reason.SUSPECT)
-        # Sub-calls are exempt from the level: their chain was admitted at its
-        # first hop. Other calls below the level run only if they can start
-        # immediately.
-        passes_level = self._control.record_arrival(call) or call.depth > 0
-        if not passes_level and not can_start:
-            return Rejection(Reason.OVERLOAD)
-        # The expected service time, plus the expected wait if the call queues.
-        needed_ms = self._times.decayed_mean_ms(call.class_name, now_ms)
-        wait_ms = 0.0
-        if not can_start:
-            ahead_ms = self._queue.cost_ahead_ms(
-                call, self._control.is_overloaded
-            )
-            wait_ms = ahead_ms / self._slots.slots_for(call, limit)
-            redirect_wait_ms = max(
-                REDIRECT_WAIT_SHARE * needed_ms, REDIRECT_MIN_WAIT_MS
-            )
-            if call.may_redirect and (
-                wait_ms > redirect_wait_ms or self._is_held_back(limit, now_ms)
-            ):
-                return Rejection(Reason.BUSY)
-            needed_ms += wait_ms
-        if call.deadline_left_ms <= needed_ms:
-            return Rejection(Reason.DEADLINE, wait_ms)
-        return None
-
-    def _limit_for(self, call: wire.Call, now_ms: float) -> int:
-        """Returns the limit for a call that may or may not be redirected."""
-        if call.may_redirect:
-            return self._limit.current(now_ms)
-        return self._limit.for_last_node(now_ms)
-
-    def _is_held_back(self, limit: int, now_ms: float) -> bool:
-        """Returns whether only the slow start keeps a call from starting."""
-        return limit <= self._slots.count < self._limit.for_last_node(now_ms)
-
-    def _can_start(self, call: wire.Call, limit: int) -> bool:
-        """Returns whether a call may start without waiting."""
-        if self._slots.count >= limit or self._isolated_runs.is_blocking:
-            return False
-        if call.long_running:
-            has_slot = self._slots.has_long_slot(limit, call.priority)
-            return has_slot and self._queue.count == 0
-        # A short call may overtake long jobs, but not other short calls.
-        return self._queue.count == self._queue.long_count
-
     def _grant(
         self,
         call: wire.Call,
