--- a/src/celeryfield/internal/caller_memory.py
+++ b/src/celeryfield/internal/caller_memory.py
@@ -1,6 +1,6 @@
 """One account of what a node holds for the callers of a listener.
 
-Load answered: clients that nobody controls open many heads, send requests
+Problem: clients that nobody controls open many heads, send requests
 ahead and leave answers unread. Flow control bounds what one connection can
 hold; this account bounds all of them. Bodies of requests that run count, too,
 but a refusal bounds them before: a request that was passed on is not given up.
@@ -116,7 +116,7 @@
         return self.total_bytes + self._running_bytes() > self._limit_bytes
 
     def _reclaim(self) -> None:
-        # What one caller alone can hold is within the memory.
+        # Flow control already bounds what a single connection holds.
         while len(self._held_by_holder) > 1 and self._is_exceeded():
             holder = self._greediest()
             holder.give_up(CloseCause.MEMORY)
@@ -124,7 +124,7 @@
             self._collect_soon()
 
     def _collect_soon(self) -> None:
-        """Frees what the frames of cancelled requests refer to in cycles."""
+        """Schedules a collection of the cycles of cancelled requests."""
         if self._collection is None:
             loop = asyncio.get_running_loop()
             self._collection = loop.call_later(
--- a/src/celeryfield/internal/dispatch/admission.py
+++ b/src/celeryfield/internal/dispatch/admission.py
@@ -324,7 +324,7 @@
         """Rejects expired waiters, then starts others while slots are free."""
         self._queue.expire(now_ms)
         self._isolated_runs.queue.expire(now_ms)
-        # What waits here has no other node that takes it sooner.
+        # Calls in this queue are no longer redirected.
         limit = self._limit.for_last_node(now_ms)
         while self._slots.count < limit and not self._isolated_runs.is_running:
             if self._isolated_runs.should_run_next(now_ms, self._slots):
--- a/src/celeryfield/internal/dispatch/arrivals.py
+++ b/src/celeryfield/internal/dispatch/arrivals.py
@@ -13,7 +13,7 @@
 
 # A call that may be redirected is rejected as busy if its expected wait exceeds
 # this share of its expected service time, or the minimum below if that is
-# longer. The minimum is well above the cost of a redirect, about 2 ms.
+# longer. The minimum exceeds the cost of a redirect.
 REDIRECT_WAIT_SHARE = 0.3
 REDIRECT_MIN_WAIT_MS = 8.0
 
@@ -73,7 +73,7 @@
             wait_ms = self._expected_wait_ms(call, limit)
             if call.may_redirect and (
                 self._is_long_wait(wait_ms, needed_ms)
-                or self._is_held_back(limit, now_ms)
+                or self._is_limited_by_ramp(limit, now_ms)
             ):
                 return Rejection(Reason.BUSY)
         if call.deadline_left_ms <= needed_ms + wait_ms:
@@ -90,7 +90,7 @@
             REDIRECT_WAIT_SHARE * service_ms, REDIRECT_MIN_WAIT_MS
         )
 
-    def _is_held_back(self, limit: int, now_ms: float) -> bool:
+    def _is_limited_by_ramp(self, limit: int, now_ms: float) -> bool:
         """Returns whether only the slow start keeps a call from starting."""
         last_node_limit = self.control.limit.for_last_node(now_ms)
         return limit <= self.slots.count < last_node_limit
--- a/src/celeryfield/internal/dispatch/capacity.py
+++ b/src/celeryfield/internal/dispatch/capacity.py
@@ -74,7 +74,7 @@
 
 
 class LearnedCapacity:
-    """Learns the limit with the highest yield; pure, driven by its caller.
+    """Learns the limit with the highest yield; the caller passes the time.
 
     Attributes:
         capacity: Announced slots or connections, whichever is lower.
@@ -149,7 +149,8 @@
 
         Args:
             now_ms: Monotonic time.
-            fully_used: Whether calls had to wait during the interval.
+            fully_used: Whether a call found no free slot during the interval;
+                it may have waited or been rejected.
         """
         if self._trial is not None:
             self._continue_trial(self._trial, now_ms)
--- a/src/celeryfield/internal/dispatch/limiter.py
+++ b/src/celeryfield/internal/dispatch/limiter.py
@@ -50,7 +50,7 @@
         self._is_cold = False
         self._ramp_start_ms: float | None = None
         self._ramp_ms = settings.slow_start_ms
-        self._tells_cold_time = False
+        self._reports_cold_time = False
         self._reported_cap: float | None = None
         self._peak_in_flight = 0
         self._previous_peak = 0
@@ -71,7 +71,7 @@
         """Keeps the limit at the initial share until the ramp starts."""
         self._is_cold = True
         self._ramp_start_ms = None
-        self._tells_cold_time = False
+        self._reports_cold_time = False
         self._adaptive_limit = float(self.capacity)
         self._interval_start = self._adaptive_limit
         self._hold_intervals = 0
@@ -94,7 +94,7 @@
         """
         if not self._is_cold or self._ramp_start_ms is None:
             return
-        self._tells_cold_time = True
+        self._reports_cold_time = True
         end_ms = now_ms + cold_ms
         self._ramp_ms = min(self._ramp_ms, end_ms - self._ramp_start_ms)
 
@@ -113,21 +113,20 @@
 
     def current(self, now_ms: float) -> int:
         """Returns the current limit."""
-        return self._bounded(self._ramp_limit(now_ms))
+        return self._apply_caps(self._ramp_limit(now_ms))
 
     def for_last_node(self, now_ms: float) -> int:
-        """Returns the limit for calls that no other node takes.
+        """Returns the limit for calls that cannot be redirected.
 
-        The ramp gives work to warm upstreams instead. When a whole fleet
-        starts, there are none, and an upstream that tells that it is slow for
-        some time runs as many calls as it announces; what it sheds lowers the
-        limit as always.
+        The ramp directs work to warm upstreams. When a whole fleet starts,
+        there are none, so the ramp does not apply to an upstream that reports
+        its remaining cold time; shed runs still lower the limit.
         """
-        if self._tells_cold_time:
-            return self._bounded(float(self.capacity))
+        if self._reports_cold_time:
+            return self._apply_caps(float(self.capacity))
         return self.current(now_ms)
 
-    def _bounded(self, ramp_limit: float) -> int:
+    def _apply_caps(self, ramp_limit: float) -> int:
         limit = min(self._adaptive_limit, ramp_limit)
         if self._reported_cap is not None:
             limit = min(limit, self._reported_cap)
--- a/src/celeryfield/internal/dispatch/run_meter.py
+++ b/src/celeryfield/internal/dispatch/run_meter.py
@@ -9,6 +9,7 @@
 REPORTED_SLOWDOWN_MS = 200.0
 # A reading stands for the speed of the upstream for at most this long.
 READING_TTL_MS = 1_000.0
+# Reported slowdowns are clamped to this range.
 MIN_SLOWDOWN = 0.1
 MAX_SLOWDOWN = 100.0
 
--- a/src/celeryfield/internal/freshness/proof.py
+++ b/src/celeryfield/internal/freshness/proof.py
@@ -1,6 +1,6 @@
 """Up to which moment the configuration in force is proved to be the newest.
 
-Load answered: keys are revoked while nodes are cut off, frozen, turned away by
+Problem: keys are revoked while nodes are cut off, frozen, turned away by
 the store or started from a neighbour's copy. The code needs no network.
 
 All moments are on ``Clock.boot_ms`` of the node that holds them. That clock
@@ -82,7 +82,7 @@
     def age_ms(self) -> float:
         """Age of the proof in ms; infinite if there is none."""
         age_ms = self._clock.boot_ms() - self._proved_ms
-        # A proof of the future shows a clock that cannot be relied upon.
+        # A proof dated in the future means that the clock is unreliable.
         return age_ms if age_ms >= 0 else math.inf
 
     @property
--- a/src/celeryfield/internal/freshness/service.py
+++ b/src/celeryfield/internal/freshness/service.py
@@ -1,6 +1,6 @@
 """Keeps the proof of a node recent by asking witnesses or the store.
 
-Load answered: see ``proof`` and ``witnesses``. In each round, a node asks its
+See ``proof`` and ``witnesses`` for the problem. In each round, a node asks its
 witness, then the next ones, and at last the store. A witness reads the store
 when it is asked, or needs a proof itself, and its own proof is not recent. So
 the calls to the store follow the nodes that are asked, and a witness that is
--- a/src/celeryfield/internal/freshness/witnesses.py
+++ b/src/celeryfield/internal/freshness/witnesses.py
@@ -1,6 +1,6 @@
 """Which nodes are asked for a proof, and in which order.
 
-Load answered: hundreds of nodes need a proof every second or so, and each call
+Problem: hundreds of nodes need a proof every second or so, and each call
 to the store has a price. All nodes prefer the same few, the witnesses, and find
 them without an election. Nodes that fail are passed over for a while.
 """
@@ -12,7 +12,7 @@
 import xxhash
 
 from celeryfield.internal.clock import Clock
-from celeryfield.internal.registry.records import DRAINING, NodeRecord
+from celeryfield.internal.registry.records import NodeRecord
 
 # Nodes for each witness that is asked first. Its answers take a small part of
 # a processor, and one more witness costs the store one more call per interval.
@@ -103,7 +103,7 @@
         ids = {
             node_id
             for node_id, record in self._read_records().items()
-            if not _is_draining(record)
+            if not record.is_draining
         }
         return sorted(ids | {self._own_id}, key=_rank)
 
@@ -125,7 +125,3 @@
 def _rank(node_id: str) -> tuple[int, str]:
     data = node_id.encode("utf-8", "surrogateescape")
     return xxhash.xxh3_64_intdigest(data), node_id
-
-
-def _is_draining(record: NodeRecord) -> bool:
-    return record.upstream is not None and record.upstream.state == DRAINING
--- a/src/celeryfield/internal/limits/asker.py
+++ b/src/celeryfield/internal/limits/asker.py
@@ -221,7 +221,7 @@
         self._silent.add(ask.owner_id, now_ms)
 
     def retry_after_ms(self, now_ms: float) -> float:
-        """Returns when a refused caller should come back.
+        """Returns the delay, in ms, after which a refused caller should retry.
 
         Each refused caller is told a later time than the one before, at the
         rate at which tokens come, so that they do not return in one wave.
--- a/src/celeryfield/internal/limits/bucket.py
+++ b/src/celeryfield/internal/limits/bucket.py
@@ -11,7 +11,8 @@
 
     Args:
         limit: Rate and capacity.
-        empty_ms: When the bucket was empty.
+        empty_ms: Monotonic time, in ms, from which the bucket fills; may be in
+            the future.
     """
 
     def __init__(self, limit: SliceLimit, empty_ms: float) -> None:
@@ -37,7 +38,7 @@
         return taken
 
     def delay_ms(self, missing: int, now_ms: float) -> float:
-        """Returns when a node that was refused should ask again.
+        """Returns the delay, in ms, after which a refused node should retry.
 
         Nodes are told different times, at the rate at which tokens arrive, so
         that the number of messages does not grow with the demand.
--- a/src/celeryfield/internal/limits/eligible.py
+++ b/src/celeryfield/internal/limits/eligible.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 
-from celeryfield.internal.registry import records
 from celeryfield.internal.registry.records import NodeRecord
 
 # A node whose upstream is replaced drains for a while and stays. One that
@@ -33,16 +32,10 @@
         self._draining_since_ms_by_id = {}
         zones_by_id = {}
         for record in node_records:
-            if is_draining(record):
+            if record.is_draining:
                 since_ms = previous.get(record.node_id, now_ms)
                 self._draining_since_ms_by_id[record.node_id] = since_ms
                 if now_ms - since_ms >= MAX_DRAIN_MS:
                     continue
             zones_by_id[record.node_id] = record.zone
         return zones_by_id
-
-
-def is_draining(record: NodeRecord) -> bool:
-    """Returns whether the upstream of a node is draining."""
-    upstream = record.upstream
-    return upstream is not None and upstream.state == records.DRAINING
--- a/src/celeryfield/internal/limits/owner.py
+++ b/src/celeryfield/internal/limits/owner.py
@@ -60,7 +60,7 @@
         self._started_ms = clock.now_ms()
         # On the clock that counts suspended time.
         self._checked_ms = clock.boot_ms()
-        self._silent_until_ms = 0.0
+        self._no_grants_until_ms = 0.0
         self._absent_until_ms = 0.0
         self._limits_by_name: dict[str, SliceLimit] = {}
         self._known_ms_by_name: dict[str, float] = {}
@@ -91,21 +91,22 @@
     def check_contact(self) -> bool:
         """Returns whether this node knows the current owners of all slices.
 
-        It is called in short intervals. A process that was suspended may have
-        missed its successor, as one without contact may.
+        It is called at short intervals. A process that was suspended, or had no
+        contact with the store, may not know that another node now owns its
+        slices.
         """
         now_ms, boot_ms = self._clock.now_ms(), self._clock.boot_ms()
         gap_ms, self._checked_ms = boot_ms - self._checked_ms, boot_ms
         age_ms = self._contact_age_ms()
         if math.isinf(age_ms):
-            # A new process misses nothing: it has yet to read the records.
+            # The records have not been read yet, so no owner is known.
             return False
         if gap_ms > MAX_CHECK_GAP_MS or age_ms > MAX_CONTACT_AGE_MS:
-            self._silent_until_ms = now_ms + REGAIN_MS
+            self._no_grants_until_ms = now_ms + REGAIN_MS
             if max(gap_ms, age_ms) > LONG_ABSENCE_MS:
                 self._absent_until_ms = now_ms + TAKEOVER_MS
-                self._silent_until_ms = self._absent_until_ms
-        return now_ms >= self._silent_until_ms
+                self._no_grants_until_ms = self._absent_until_ms
+        return now_ms >= self._no_grants_until_ms
 
     def answer(self, request: wire.LeaseRequest) -> wire.LeaseReply:
         """Grants what the slices hold."""
@@ -131,8 +132,8 @@
         grant.is_owner = True
         wait_ms = since_ms + TAKEOVER_MS - now_ms
         if not may_grant or wait_ms > 0.0:
-            silent_ms = self._silent_until_ms - now_ms
-            grant.retry_after_ms = max(wait_ms, silent_ms, MIN_WAIT_MS)
+            no_grants_ms = self._no_grants_until_ms - now_ms
+            grant.retry_after_ms = max(wait_ms, no_grants_ms, MIN_WAIT_MS)
             return grant
         bucket = self._bucket(key, limit, since_ms)
         grant.tokens = bucket.take(want.tokens, now_ms)
--- a/src/celeryfield/internal/limits/service.py
+++ b/src/celeryfield/internal/limits/service.py
@@ -11,7 +11,7 @@
 from celeryfield.internal import events, supervision
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.limits.asker import Ask, Asker, Lease, SilentOwners
-from celeryfield.internal.limits.eligible import EligibleNodes, is_draining
+from celeryfield.internal.limits.eligible import EligibleNodes
 from celeryfield.internal.limits.owner import TAKEOVER_MS, LeaseOwner
 from celeryfield.internal.limits.ownership import SliceOwners
 from celeryfield.internal.registry.catalog import Catalog
@@ -292,7 +292,7 @@
         until it ended.
         """
         age_ms = self._clock.wall_ms() - predecessor.incarnation
-        return age_ms > MIN_OWNER_AGE_MS and not is_draining(predecessor)
+        return age_ms > MIN_OWNER_AGE_MS and not predecessor.is_draining
 
     @mode.Service.task
     async def _run(self) -> None:
@@ -300,7 +300,8 @@
 
     async def _check(self) -> None:
         await self._clock.sleep_ms(CHECK_INTERVAL_MS)
-        # A check after a pause would take the pause for a suspension.
+        # Called even while no workspace has a limit: a long gap between two
+        # checks is taken for a suspension of the process.
         self.owner.check_contact()
         if self._askers_by_name:
             self._silent.forget_old(self._clock.boot_ms())
--- a/src/celeryfield/internal/registry/publisher.py
+++ b/src/celeryfield/internal/registry/publisher.py
@@ -81,7 +81,7 @@
             is_complete: Whether it says what the upstream itself has reported.
         """
         self._desired = record
-        if is_complete or _is_leaving(record):
+        if is_complete or record.is_draining:
             self._may_write.set()
         if not self._is_stored(record):
             self._write_needed.set()
@@ -118,7 +118,7 @@
         """Writes the record again, since the store may have lost it."""
         self._stored = None
         self._restored.set()
-        if self._desired is not None and _is_leaving(self._desired):
+        if self._desired is not None and self._desired.is_draining:
             self._write_needed.set()
 
     @mode.Service.task
@@ -169,8 +169,3 @@
         self._stored = record
         async with self._stored_changed:
             self._stored_changed.notify_all()
-
-
-def _is_leaving(record: NodeRecord) -> bool:
-    upstream = record.upstream
-    return upstream is not None and upstream.state == records.DRAINING
--- a/src/celeryfield/internal/registry/records.py
+++ b/src/celeryfield/internal/registry/records.py
@@ -167,6 +167,11 @@
         )
         return content.model_dump_json(exclude_none=True).encode()
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether the upstream beside the node is draining."""
+        return self.upstream is not None and self.upstream.state == DRAINING
+
     def node_candidate(self) -> Candidate:
         """Returns the address of the node, which may have no upstream."""
         return Candidate(
--- a/src/celeryfield/internal/routes/manager.py
+++ b/src/celeryfield/internal/routes/manager.py
@@ -7,9 +7,10 @@
 from celeryfield.internal.schema.fileset import ClassSection
 
 # Retries per first attempt at one hop. Sub-calls of a retried call are retries
-# too, so the ratio compounds. Each upstream's node counts all repeats, also
-# these, and bounds them for its service (``internal/dispatch/repeats.py``);
-# this ratio only keeps most of those that it would refuse off the network.
+# too, so the ratio compounds. The node of each upstream also counts these
+# retries and enforces the limit of its service
+# (``internal/dispatch/repeats.py``). This ratio only avoids sending most of the
+# retries that it would refuse.
 RETRY_RATIO = 0.16
 
 OnChange = Callable[[RouteTable], None]
--- a/src/celeryfield/internal/routing/candidates.py
+++ b/src/celeryfield/internal/routing/candidates.py
@@ -85,7 +85,7 @@
         return self.service_ms_by_class.get(class_name)
 
     def fresh_slowdown(self, now_ms: float) -> float:
-        """Returns the reported slowdown; it is moments old or 1."""
+        """Returns the reported slowdown, which fades to 1 as it ages."""
         slowdown = self.slowdown
         if slowdown == 1.0:
             return 1.0
@@ -170,7 +170,7 @@
         # The report includes the calls that this sender has in flight.
         total = load.in_flight + load.queued
         state.reported_in_flight = max(total - state.own_in_flight, 0)
-        # Also false for a number that is none.
+        # Also false for NaN.
         is_valid = MIN_SLOWDOWN <= load.slowdown <= MAX_SLOWDOWN
         state.slowdown = load.slowdown if is_valid else 1.0
         if load.service_ms > 0:
--- a/src/celeryfield/internal/store/watch_pace.py
+++ b/src/celeryfield/internal/store/watch_pace.py
@@ -1,6 +1,6 @@
 """Pace of a watch that every node of a fleet keeps.
 
-Load answered: each change of a prefix ends the watch of every node, so calls
+Problem: each change of a prefix ends the watch of every node, so calls
 grow with the square of the fleet while nodes start, leave or are replaced. A
 node sees several changes with one call if it waits before the next watch; the
 wait grows as long as changes keep coming, and a first change after a quiet time
--- a/src/celeryfield/platform/connections.py
+++ b/src/celeryfield/platform/connections.py
@@ -99,10 +99,11 @@
             self._make_room(handler)
 
     def _make_room(self, newest: CallerConnection) -> None:
-        """Closes a connection; one without requests goes first.
+        """Closes one connection if there are too many.
 
-        One that carried no request goes before one whose caller may be about
-        to use it, and the newest one goes if all others have a request each.
+        In this order: an idle connection that never carried a request, another
+        idle connection, a connection that is not read because earlier requests
+        have not ended, the newest connection.
         """
         others = [
             each
@@ -117,8 +118,8 @@
             self._memory.count_closed(CloseCause.CONNECTIONS)
             idle[0].force_close()
             return
-        crowding = (each for each in others if each.is_held_back)
-        victim = unused or next(crowding, newest)
+        held_back = (each for each in others if each.is_held_back)
+        victim = unused or next(held_back, newest)
         victim.give_up(CloseCause.CONNECTIONS)
 
     @property
--- a/src/celeryfield/platform/headers.py
+++ b/src/celeryfield/platform/headers.py
@@ -63,7 +63,7 @@
 
 _KEY_SCHEME = "bearer"
 # Not forwarded if the configuration has workspaces.
-_OF_CALLERS = frozenset((AUTHORIZATION.lower(), WORKSPACE.lower()))
+_CALLER_HEADERS = frozenset((AUTHORIZATION.lower(), WORKSPACE.lower()))
 
 
 def forward_request_headers(
@@ -79,7 +79,7 @@
     """
     excluded = _NOT_FORWARDED
     if workspace is not None:
-        excluded = excluded | _OF_CALLERS
+        excluded = excluded | _CALLER_HEADERS
     forwarded = [
         wire.Header(name, value)
         for name, value in headers.items()
--- a/src/celeryfield/platform/pipelining.py
+++ b/src/celeryfield/platform/pipelining.py
@@ -24,10 +24,11 @@
 # Requests of one connection that run at the same time; further ones wait. They
 # bound the responses that a connection holds for a caller that reads slowly.
 MAX_CONCURRENT_REQUESTS = 8
-# A connection on which as many requests waited as aiohttp reads ahead has them
-# run in turn until all are answered, and gets no answer for this time after one
-# that says that its request has not run. Otherwise it would take each place
-# that falls free before other callers.
+# Delay before the next response on a crowding connection, after a response with
+# NOT_RUN_STATUS. A connection is crowding from the moment at which its waiting
+# requests reach aiohttp's read-ahead limit until all are answered; its requests
+# then run one at a time. Without the delay, it would take each free slot before
+# other callers.
 REFUSAL_PAUSE_S = 0.5
 NOT_RUN_STATUS = 503
 
@@ -121,7 +122,7 @@
         self._serve = serve
         self._report_dropped = report_dropped
         self._newest_entry: ReceivedRequest | None = None
-        # Whether requests wait that came faster than aiohttp reads ahead.
+        # Whether the connection is crowding; see REFUSAL_PAUSE_S.
         self._is_crowding = False
         self._may_pause = True
         self._pause: asyncio.Future[None] | None = None
--- a/src/celeryfield/platform/receiving.py
+++ b/src/celeryfield/platform/receiving.py
@@ -1,6 +1,6 @@
 """Receiving and sending on the connections of callers, with flow control.
 
-Load answered: callers that send heads without end, requests ahead and do not
+Problem: callers that send heads without end, requests ahead and do not
 read their answers. While an answer is unread or enough requests wait, nothing
 is read; what is held meanwhile is charged to the memory of callers.
 """
--- a/src/celeryfield/platform/responses.py
+++ b/src/celeryfield/platform/responses.py
@@ -17,8 +17,8 @@
 UNAUTHORIZED = 401
 TOO_MANY_REQUESTS = 429
 UNAVAILABLE = 503
-# Callers do not send these requests again.
-_FINAL_STATUSES = frozenset((UNAUTHORIZED, 404, 413))
+# Statuses of requests that callers must not retry.
+_NOT_RETRIED_STATUSES = frozenset((UNAUTHORIZED, 404, 413))
 _STATUS_BY_REASON = {
     Reason.UNAUTHORIZED: UNAUTHORIZED,
     Reason.CONFIG_OUTDATED: UNAVAILABLE,
@@ -44,7 +44,7 @@
     status = result.status
     if result.outcome is Outcome.NOT_RUN:
         response_headers = CIMultiDict()
-        if status not in _FINAL_STATUSES:
+        if status not in _NOT_RETRIED_STATUSES:
             status = status if status == TOO_MANY_REQUESTS else UNAVAILABLE
             retry_after_s = result.retry_after_s or DEFAULT_RETRY_AFTER_S
             response_headers[headers.RETRY_AFTER] = f"{retry_after_s:.2f}"
--- a/src/celeryfield/platform/settings.py
+++ b/src/celeryfield/platform/settings.py
@@ -106,8 +106,8 @@
     drain_ms: float = pydantic.Field(alias="drainMs", gt=0)
     grace_s: float = pydantic.Field(alias="graceS", gt=0)
     config_ms: float = pydantic.Field(alias="configMs", gt=0)
-    # A key that was taken away must not be accepted later than this, if the
-    # first of the two says so.
+    # If ``failClosed`` is set, a revoked key is refused at the latest
+    # ``revokeMs`` after the configuration that revokes it was acknowledged.
     fail_closed: bool = pydantic.Field(alias="failClosed", default=False)
     revoke_ms: float = pydantic.Field(
         alias="revokeMs", default=0, ge=0, allow_inf_nan=False
