--- a/tests/cover/test_upstream_sources_machine.py
+++ b/tests/cover/test_upstream_sources_machine.py
@@ -55,7 +55,7 @@
         self.has_listing = False
         self.stored = asyncio.Event()
 
-    def publish(self, record):
+    def publish(self, record, _is_complete=False):
         self.desired = record
 
     def reconcile(self, _stored):
