Callers and freshness: one parse of a key, one rendezvous order, one wait

Cause: reading the whole change again showed work and logic that stood twice. Each request was searched for a key, also without workspaces, and again after its body; witnesses ranked nodes by a hash of their own beside rendezvous.py, whose first_nodes served tests only; the wait for an event or a time stood in two services; a test repeated Fleet.apply. Change: the listener reads a key only where the route needs one and keeps it with the request; witnesses use rendezvous.first_nodes, which takes odd ids as they did; Clock.wait_ms serves both services. The order of witnesses differs from the one before, the rule for choosing them does not. Result: tests of keys, freshness, rate limits, registry, copies, uploads and limits pass; assertions are the same.

--- a/src/celeryfield/internal/clock.py
+++ b/src/celeryfield/internal/clock.py
@@ -34,6 +34,18 @@
         """Suspends the calling task."""
         await asyncio.sleep(max(duration_ms, 0.0) / 1000.0)
 
+    async def wait_ms(self, event: asyncio.Event, timeout_ms: float) -> None:
+        """Waits until an event is set, for a limited time."""
+        waits = [
+            asyncio.ensure_future(event.wait()),
+            asyncio.ensure_future(self.sleep_ms(timeout_ms)),
+        ]
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
+
 
 class ManualClock(Clock):
     """A clock that only moves when ``advance`` is called."""
--- a/src/celeryfield/internal/freshness/service.py
+++ b/src/celeryfield/internal/freshness/service.py
@@ -320,15 +320,5 @@
         interval_ms = self.next_delay_ms()
         if self._is_wanted():
             await self._clock.sleep_ms(MIN_INTERVAL_MS)
-        waits = [
-            asyncio.ensure_future(self._wake.wait()),
-            asyncio.ensure_future(
-                self._clock.sleep_ms(interval_ms - MIN_INTERVAL_MS)
-            ),
-        ]
-        try:
-            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            for wait in waits:
-                wait.cancel()
+        await self._clock.wait_ms(self._wake, interval_ms - MIN_INTERVAL_MS)
         self._wake.clear()
--- a/src/celeryfield/internal/freshness/witnesses.py
+++ b/src/celeryfield/internal/freshness/witnesses.py
@@ -5,12 +5,10 @@
 them without an election. Nodes that fail are passed over for a while.
 """
 
-import functools
 import random
 from collections.abc import Callable, Mapping
 
-import xxhash
-
+from celeryfield.internal import rendezvous
 from celeryfield.internal.clock import Clock
 from celeryfield.internal.registry.records import NodeRecord
 
@@ -26,8 +24,8 @@
 SILENT_MS = 20_000.0
 # The same for a node that answered without a recent proof.
 UNPROVED_MS = 2_000.0
-# More nodes than a fleet has.
-MAX_KNOWN_RANKS = 4_096
+# All nodes rank the witnesses by this key.
+ORDER_KEY = "witness"
 
 RecordsById = Mapping[str, NodeRecord]
 
@@ -105,7 +103,8 @@
             for node_id, record in self._read_records().items()
             if not record.is_draining
         }
-        return sorted(ids | {self._own_id}, key=_rank)
+        ids.add(self._own_id)
+        return rendezvous.first_nodes(ORDER_KEY, ids, len(ids))
 
     def _preferred_order(self) -> list[str]:
         """Returns the order that begins with this node's witness."""
@@ -113,15 +112,9 @@
         count = min(_first_witnesses(len(order)), len(order))
         position = order.index(self._own_id)
         if position >= count:
-            position = _rank(self._own_id)[0] % count
+            position = rendezvous.score(ORDER_KEY, self._own_id)[0] % count
         return order[position:] + order[:position]
 
 
 def _first_witnesses(fleet_size: int) -> int:
     return 1 + fleet_size // NODES_PER_WITNESS
-
-
-@functools.lru_cache(maxsize=MAX_KNOWN_RANKS)
-def _rank(node_id: str) -> tuple[int, str]:
-    data = node_id.encode("utf-8", "surrogateescape")
-    return xxhash.xxh3_64_intdigest(data), node_id
--- a/src/celeryfield/internal/registry/neighbours.py
+++ b/src/celeryfield/internal/registry/neighbours.py
@@ -156,7 +156,7 @@
     @mode.Service.task
     async def _run(self) -> None:
         started_ms = self._clock.now_ms()
-        await self._wait_for_listing()
+        await self._clock.wait_ms(self._listed, FIRST_REQUEST_DELAY_MS)
         if not self._was_restored:
             self._settle()
             waited_ms = self._clock.now_ms() - started_ms
@@ -182,17 +182,6 @@
         await self._clock.sleep_ms(MAX_HOLD_MS)
         self._settle()
 
-    async def _wait_for_listing(self) -> None:
-        waits = [
-            asyncio.ensure_future(self._listed.wait()),
-            asyncio.ensure_future(self._clock.sleep_ms(FIRST_REQUEST_DELAY_MS)),
-        ]
-        try:
-            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            for wait in waits:
-                wait.cancel()
-
     async def _fetch_all(self) -> bool:
         """Returns whether no further requests are needed."""
         has_copies = await asyncio.gather(
--- a/src/celeryfield/internal/rendezvous.py
+++ b/src/celeryfield/internal/rendezvous.py
@@ -5,6 +5,9 @@
 
 import xxhash
 
+# Ids come from records of other writers and may hold lone surrogates.
+_ODD_TEXT = "surrogatepass"
+
 
 def score(key: str, node_id: str) -> tuple[int, str]:
     """Returns the rank of a node for a key; the highest one comes first.
@@ -13,8 +16,10 @@
         key: What a node is chosen for.
         node_id: Id of the node; decides between equal hashes.
     """
-    seed = xxhash.xxh3_64_intdigest(key.encode())
-    return xxhash.xxh3_64_intdigest(node_id.encode(), seed), node_id
+    seed = xxhash.xxh3_64_intdigest(key.encode(errors=_ODD_TEXT))
+    return xxhash.xxh3_64_intdigest(
+        node_id.encode(errors=_ODD_TEXT), seed
+    ), node_id
 
 
 def first_nodes(key: str, node_ids: Iterable[str], count: int) -> list[str]:
--- a/src/celeryfield/internal/routes/caller_gate.py
+++ b/src/celeryfield/internal/routes/caller_gate.py
@@ -111,6 +111,10 @@
         self.refusals_by_label: dict[tuple[str, str], int] = {}
         routes.subscribe(self._forget_removed)
 
+    def needs_key(self, route: Route) -> bool:
+        """Returns whether callers of a route have to show a key."""
+        return bool(self._routes.current.workspaces) and not route.is_public
+
     async def check(
         self, route: Route, claim: CallerClaim
     ) -> Result[Workspace | None, Refusal]:
@@ -122,8 +126,7 @@
         Returns:
             The workspace; None if the request needs no key.
         """
-        table = self._routes.current
-        if not table.workspaces or route.is_public:
+        if not self.needs_key(route):
             return Ok(None)
         if claim.key is None:
             if self._is_sub_call(claim):
@@ -143,14 +146,15 @@
         return checked
 
     def check_again(
-        self, claim: CallerClaim, workspace: Workspace | None
+        self, claim: CallerClaim | None, workspace: Workspace | None
     ) -> Result[Workspace | None, Refusal]:
         """Checks the key of an accepted request that had to wait.
 
         A key may be revoked meanwhile.
 
         Args:
-            claim: What the request shows about its caller.
+            claim: What the request shows about its caller; None if it needs no
+                key.
             workspace: Workspace for which it was accepted; None if it needs no
                 key.
         """
--- a/src/celeryfield/platform/ingress.py
+++ b/src/celeryfield/platform/ingress.py
@@ -18,7 +18,7 @@
     unknown_result,
 )
 from celeryfield.internal.clock import Clock
-from celeryfield.internal.routes.caller_gate import CallerGate
+from celeryfield.internal.routes.caller_gate import CallerClaim, CallerGate
 from celeryfield.internal.routes.request_router import (
     DEFAULT_DEADLINE_MS,
     IncomingRequest,
@@ -50,6 +50,8 @@
         request_id: Id given by the caller.
         received_ms: When the request head was received.
         task: Task that serves the request.
+        claim: What it shows about its caller; None if it needs no key.
+        workspace: Workspace of the caller; None if it needs no key.
         call: Call made from the request; None until its route is found.
         is_aborted: Whether the shutdown cancelled the request. Its caller then
             gets a response saying that the outcome is unknown.
@@ -58,6 +60,8 @@
     request_id: str
     received_ms: float
     task: asyncio.Task[None]
+    claim: CallerClaim | None = None
+    workspace: Workspace | None = None
     call: RoutedCall | None = None
     is_aborted: bool = False
 
@@ -245,35 +249,29 @@
             return not_run_result(Reason.NO_ROUTE, status)
         if self._is_ending:
             return self._refuse(request, running, route)
-        claim = requests.read_claim(request)
-        checked = await self._gate.check(route, claim)
-        if checked.is_error():
-            return responses.refusal_result(checked.error)
+        if self._gate.needs_key(route):
+            running.claim = requests.read_claim(request)
+            checked = await self._gate.check(route, running.claim)
+            if checked.is_error():
+                return responses.refusal_result(checked.error)
+            running.workspace = checked.ok
         result = None
         try:
-            result = await self._read_and_run(
-                request, running, route, checked.ok
-            )
+            result = await self._read_and_run(request, running, route)
             return result
         finally:
             has_run = running.call is not None
             if result is not None:
                 has_run = result.outcome is not Outcome.NOT_RUN
             if not has_run:
-                self._gate.give_back(checked.ok)
+                self._gate.give_back(running.workspace)
 
     async def _read_and_run(
-        self,
-        request: web.BaseRequest,
-        running: _RunningRequest,
-        route: Route,
-        workspace: Workspace | None,
+        self, request: web.BaseRequest, running: _RunningRequest, route: Route
     ) -> CallResult:
         """Reads the body of an accepted request and runs it."""
         if not request.body_exists:
-            return await self._accept_and_run(
-                request, running, route, workspace, b""
-            )
+            return await self._accept_and_run(request, running, route, b"")
         timeout_ms = route.timeout_ms or DEFAULT_DEADLINE_MS
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
@@ -287,14 +285,10 @@
         if read.is_error():
             return _BODY_REFUSALS[read.error]()
         try:
-            checked = self._gate.check_again(
-                requests.read_claim(request), workspace
-            )
+            checked = self._gate.check_again(running.claim, running.workspace)
             if checked.is_error():
                 return responses.refusal_result(checked.error)
-            return await self._accept_and_run(
-                request, running, route, workspace, read.ok
-            )
+            return await self._accept_and_run(request, running, route, read.ok)
         finally:
             self._bodies.release(len(read.ok))
 
@@ -302,7 +296,7 @@
         self, request: web.BaseRequest, running: _RunningRequest, route: Route
     ) -> CallResult:
         """Refuses a request without reading its body."""
-        incoming = self._read_incoming(request, running, None)
+        incoming = self._read_incoming(request, running)
         call = self._router.accept(route, incoming, b"")
         return self._refuse_call(call)
 
@@ -315,10 +309,9 @@
         request: web.BaseRequest,
         running: _RunningRequest,
         route: Route,
-        workspace: Workspace | None,
         body: bytes,
     ) -> CallResult:
-        incoming = self._read_incoming(request, running, workspace)
+        incoming = self._read_incoming(request, running)
         call = self._router.accept(route, incoming, body)
         running.call = call
         if not self._stop_admission.admits(call.chain is not None):
@@ -335,15 +328,12 @@
             return unknown_result(Reason.INTERNAL, 502)
 
     def _read_incoming(
-        self,
-        request: web.BaseRequest,
-        running: _RunningRequest,
-        workspace: Workspace | None,
+        self, request: web.BaseRequest, running: _RunningRequest
     ) -> IncomingRequest:
         return requests.read_incoming(
             request,
             self._settings.service,
-            workspace,
+            running.workspace,
             self._router.has_workspaces,
             self._clock.now_ms() - running.received_ms,
         )
--- a/tests/cover/test_workspace_key_edges.py
+++ b/tests/cover/test_workspace_key_edges.py
@@ -10,7 +10,6 @@
     KEY,
     NORTH,
     GateFixture,
-    configure,
     workspace_spec,
 )
 
@@ -39,9 +38,9 @@
 async def test_key_stays_when_the_workspaces_go_while_a_body_is_read():
     async with running_platform_fleet(1) as fleet, asyncio.timeout(20):
         (node,), (upstream,) = fleet.nodes, fleet.upstreams
-        await configure(fleet, workspace_spec(2))
+        await fleet.apply(workspace_spec(2))
         reader, writer = await open_request(node)
-        await configure(fleet, config_spec(3))
+        await fleet.apply(config_spec(3))
         writer.write(b"cd")
         assert b" 200 " in await reader.readline()
         writer.close()
@@ -52,11 +51,11 @@
 async def test_key_revoked_while_a_body_is_read_does_not_run():
     async with running_platform_fleet(1) as fleet, asyncio.timeout(20):
         (node,), (upstream,) = fleet.nodes, fleet.upstreams
-        await configure(fleet, workspace_spec(2))
+        await fleet.apply(workspace_spec(2))
         reader, writer = await open_request(node)
         spec = workspace_spec(3)
         spec["resources"][-1]["spec"]["apiKeys"] = ["other"]
-        await configure(fleet, spec)
+        await fleet.apply(spec)
         writer.write(b"cd")
         await reader.readline()
         writer.close()
--- a/tests/cover/test_workspace_keys.py
+++ b/tests/cover/test_workspace_keys.py
@@ -5,7 +5,7 @@
 
 import pytest
 from platform_fleet import running_platform_fleet
-from platform_standins import config_spec, until
+from platform_standins import config_spec
 
 from celeryfield.internal.calls import Reason
 from celeryfield.internal.clock import ManualClock
@@ -241,22 +241,11 @@
     assert table.routes_by_name["lookup"].is_public
 
 
-async def configure(fleet, spec):
-    fleet.store.put("config", "main", spec)
-    await fleet.store.notify_watches()
-    version = int(spec["version"], 16)
-    await until(
-        lambda: all(
-            node.routes.current.version == version for node in fleet.nodes
-        )
-    )
-
-
 async def test_upstream_gets_the_workspace_and_never_the_key():
     """Guards against keys that reach an upstream or another node."""
     async with running_platform_fleet(1) as fleet:
         (node,), (upstream,) = fleet.nodes, fleet.upstreams
-        await configure(fleet, workspace_spec(2))
+        await fleet.apply(workspace_spec(2))
         forged = {"X-Tenant": "south"}
         keyed = forged | {"Authorization": f"Bearer {KEY}"}
         assert (await fleet.request(node, headers=keyed))[0] == 200
@@ -272,7 +261,7 @@
     """Guards against a workspace that a caller names itself."""
     async with running_platform_fleet(1) as fleet:
         (node,), (upstream,) = fleet.nodes, fleet.upstreams
-        await configure(fleet, workspace_spec(2, public=True))
+        await fleet.apply(workspace_spec(2, public=True))
         headers = {"X-Tenant": "south", "Authorization": f"Bearer {KEY}"}
         assert (await fleet.request(node, headers=headers))[0] == 200
         (received,) = upstream.received
